Add HTTP server and client on GLib's loop

Cause: callers, endpoints and the platform all speak HTTP, and the outcome of a request depends on knowing whether any byte of it was written. Change: exchanges over SoupServer with hang-up detection, body limits and slow-sender timeout; a client over SoupSession that separates connect failures (nothing sent) from broken calls (maybe sent). Conclusion: libsoup's 'starting' signal is the boundary between the two failure kinds.

--- /dev/null
+++ b/libs/net/include/net/http_client.h
@@ -0,0 +1,75 @@
+// HTTP client on the loop. Its main promise: a failed call says whether any byte of the request can
+// have reached the peer, which decides between "not run" and "unknown".
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/timer_service.h"
+#include "net/http_server.h"
+
+namespace balsambay::net {
+
+struct client_request {
+  std::string method = "POST";
+  std::string url;  // http://IP:PORT/PATH
+  std::vector<header> headers;
+  std::string body;                                    // sent as application/json when not empty
+  duration header_timeout = std::chrono::seconds(10);  // until the reply's headers
+  // A reused connection may be closed by the peer at the same moment, which leaves the outcome
+  // open. A fresh one turns that case into a connect error with proof that nothing was sent.
+  bool fresh_connection = false;
+};
+
+enum class call_failure {
+  kNone,
+  kConnect,  // no byte of the request was written
+  kTimeout,  // headers did not come in time; the request may have arrived
+  kBroken,   // the connection broke after the request was started
+};
+
+struct call_end {
+  call_failure failure = call_failure::kNone;
+  std::string detail;
+};
+
+class client_call {
+ public:
+  virtual ~client_call() = default;
+  // Closes the connection; no callback runs afterwards.
+  virtual void Cancel() = 0;
+  // Stops reading the reply body, so that the peer's sending is slowed down by TCP.
+  virtual void PauseReading() = 0;
+  virtual void ResumeReading() = 0;
+};
+
+struct client_callbacks {
+  // `get` looks up a reply header (empty when absent); valid only during the call.
+  std::function<void(int status, const std::function<std::string(const char*)>& get)> on_headers;
+  std::function<void(std::string_view data)> on_data;
+  std::function<void(const call_end&)> on_end;  // exactly once, unless cancelled
+};
+
+class http_client {
+ public:
+  virtual ~http_client() = default;
+  virtual std::shared_ptr<client_call> Send(client_request request, client_callbacks callbacks) = 0;
+};
+
+std::unique_ptr<http_client> MakeHttpClient(timer_service& timers);
+
+struct whole_reply {
+  call_end end;
+  int status = 0;
+  std::string body;
+};
+
+// Sends a request and collects the whole reply, at most `max_body_bytes`.
+std::shared_ptr<client_call> Fetch(http_client& client, client_request request,
+                                   std::function<void(const whole_reply&)> done,
+                                   size_t max_body_bytes = 64 << 20);
+
+}  // namespace balsambay::net
--- /dev/null
+++ b/libs/net/include/net/http_server.h
@@ -0,0 +1,83 @@
+// HTTP server on the loop. Each request becomes an exchange that is answered whole or as a stream,
+// at once or later. Requests that break a limit are answered here and never reach the handler.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "base/result.h"
+#include "base/timer_service.h"
+
+namespace balsambay::net {
+
+struct header {
+  std::string name;
+  std::string value;
+};
+
+struct server_limits {
+  size_t max_body_bytes = 1 << 20;
+  duration body_timeout = std::chrono::seconds(10);  // from the request's headers to its whole body
+  duration idle_timeout = std::chrono::seconds(120);  // for the headers of the next request
+};
+
+// Why a request was answered before it reached the handler.
+enum class rejection { kTooLarge, kSlowSender };
+
+// One request and its reply. After the reply has ended or the caller has hung up, calls have no
+// effect.
+class exchange {
+ public:
+  virtual ~exchange() = default;
+
+  virtual std::string_view Method() const = 0;
+  virtual std::string_view Path() const = 0;
+  virtual std::string_view Query() const = 0;  // without '?', may be empty
+  // Value of a request header, empty when absent. Names are case-insensitive.
+  virtual std::string_view Header(const char* name) const = 0;
+  virtual std::string_view Body() const = 0;
+
+  // Sends a whole reply.
+  virtual void Respond(int status, std::span<const header> headers, std::string_view body) = 0;
+
+  // Starts a chunked reply; then any number of Write, then End.
+  virtual void BeginStream(int status, std::span<const header> headers) = 0;
+  virtual void Write(std::string_view data) = 0;
+  virtual void End() = 0;
+
+  // Bytes written but not yet taken by the socket. The owner stops producing while this is large.
+  virtual size_t PendingBytes() const = 0;
+
+  virtual bool IsOpen() const = 0;
+
+  // Called at most once, when the caller closes its connection before the reply has ended.
+  std::function<void()> on_hangup;
+  // Called when PendingBytes() has fallen to zero after being positive.
+  std::function<void()> on_drained;
+};
+
+using exchange_ptr = std::shared_ptr<exchange>;
+
+class http_server {
+ public:
+  virtual ~http_server() = default;
+  virtual int Port() const = 0;
+  // Stops accepting connections; open exchanges go on.
+  virtual void StopListening() = 0;
+};
+
+struct server_handlers {
+  std::function<void(exchange_ptr)> on_request;
+  // Builds the reply to a rejected request; the server sends it and closes the connection.
+  std::function<std::string(rejection, std::vector<header>&)> on_reject;
+};
+
+// Listens on `address` (IP:PORT, port 0 for any). Errors: kInvalidArgument for a bad address,
+// kUnavailable when the address is in use.
+result<std::unique_ptr<http_server>> ListenHttp(std::string_view address, server_limits limits,
+                                                timer_service& timers, server_handlers handlers);
+
+}  // namespace balsambay::net
--- /dev/null
+++ b/libs/net/src/http_client.cc
@@ -0,0 +1,225 @@
+// HTTP client over SoupSession.
+#include "net/http_client.h"
+
+#include <libsoup/soup.h>
+
+#include <array>
+
+namespace balsambay::net {
+namespace {
+
+constexpr gsize kReadBufferBytes = 65536;
+// Entry VMs hold one connection for each request in flight, so the default of 2 a host would queue
+// them.
+constexpr int kMaxConnections = 20000;
+
+class soup_call final : public client_call, public std::enable_shared_from_this<soup_call> {
+ public:
+  soup_call(timer_service& timers, client_callbacks callbacks)
+      : timers_(timers), callbacks_(std::move(callbacks)), cancellable_(g_cancellable_new()) {}
+
+  ~soup_call() override {
+    balsambay::Cancel(timers_, timer_);
+    if (stream_ != nullptr) g_object_unref(stream_);
+    if (message_ != nullptr) g_object_unref(message_);
+    g_object_unref(cancellable_);
+  }
+
+  void Start(SoupSession* session, client_request request) {
+    message_ = soup_message_new(request.method.c_str(), request.url.c_str());
+    if (message_ == nullptr) {
+      const auto self = shared_from_this();
+      timer_ = Subscribe(timers_, MonotonicNow(), [self, url = request.url](time_point) {
+        self->Finish({call_failure::kConnect, "invalid URL " + url});
+      });
+      return;
+    }
+    SoupMessageHeaders* headers = soup_message_get_request_headers(message_);
+    for (const header& entry : request.headers) {
+      soup_message_headers_replace(headers, entry.name.c_str(), entry.value.c_str());
+    }
+    if (!request.body.empty()) {
+      GBytes* bytes = g_bytes_new(request.body.data(), request.body.size());
+      soup_message_set_request_body_from_bytes(message_, "application/json", bytes);
+      g_bytes_unref(bytes);
+    }
+    soup_message_add_flags(message_, SOUP_MESSAGE_NO_REDIRECT);
+    if (request.fresh_connection) soup_message_add_flags(message_, SOUP_MESSAGE_NEW_CONNECTION);
+    g_signal_connect(message_, "starting", G_CALLBACK(OnStarting), this);
+    const std::weak_ptr<soup_call> weak = weak_from_this();
+    timer_ = Subscribe(timers_, MonotonicNow() + request.header_timeout, [weak](time_point) {
+      if (const auto self = weak.lock()) self->TimeOut();
+    });
+    soup_session_send_async(session, message_, G_PRIORITY_DEFAULT, cancellable_, OnHeaders,
+                            new std::shared_ptr<soup_call>(shared_from_this()));
+  }
+
+  void Cancel() override {
+    if (finished_) return;
+    finished_ = true;
+    callbacks_ = {};
+    balsambay::Cancel(timers_, timer_);
+    g_cancellable_cancel(cancellable_);
+    CloseStream();
+  }
+
+  void PauseReading() override { paused_ = true; }
+
+  void ResumeReading() override {
+    paused_ = false;
+    if (!reading_ && stream_ != nullptr && !finished_) Read();
+  }
+
+ private:
+  static void OnStarting(SoupMessage*, gpointer data) {
+    static_cast<soup_call*>(data)->started_ = true;
+  }
+
+  void TimeOut() {
+    g_cancellable_cancel(cancellable_);
+    Finish(
+        {started_ ? call_failure::kTimeout : call_failure::kConnect, "no reply headers in time"});
+  }
+
+  void Finish(call_end end) {
+    if (finished_) return;
+    finished_ = true;
+    balsambay::Cancel(timers_, timer_);
+    // The callbacks often own this call; they are dropped only after the last one has run.
+    const client_callbacks callbacks = std::exchange(callbacks_, {});
+    CloseStream();
+    if (callbacks.on_end) callbacks.on_end(end);
+  }
+
+  void CloseStream() {
+    if (stream_ == nullptr || reading_) return;
+    g_input_stream_close_async(stream_, G_PRIORITY_DEFAULT, nullptr, nullptr, nullptr);
+    g_object_unref(stream_);
+    stream_ = nullptr;
+  }
+
+  void Fail(GError* failure) {
+    std::string detail = failure->message;
+    g_error_free(failure);
+    Finish({started_ ? call_failure::kBroken : call_failure::kConnect, std::move(detail)});
+  }
+
+  static void OnHeaders(GObject* session, GAsyncResult* async, gpointer data) {
+    const std::unique_ptr<std::shared_ptr<soup_call>> holder(
+        static_cast<std::shared_ptr<soup_call>*>(data));
+    soup_call& self = **holder;
+    g_signal_handlers_disconnect_by_data(self.message_, &self);
+    GError* failure = nullptr;
+    self.stream_ = soup_session_send_finish(SOUP_SESSION(session), async, &failure);
+    if (self.finished_) {
+      if (failure != nullptr) g_error_free(failure);
+      self.CloseStream();
+      return;
+    }
+    if (failure != nullptr) {
+      self.Fail(failure);
+      return;
+    }
+    balsambay::Cancel(self.timers_, self.timer_);
+    SoupMessageHeaders* headers = soup_message_get_response_headers(self.message_);
+    const auto get = [headers](const char* name) {
+      const char* value = soup_message_headers_get_one(headers, name);
+      return value == nullptr ? std::string() : std::string(value);
+    };
+    if (self.callbacks_.on_headers) {
+      self.callbacks_.on_headers(static_cast<int>(soup_message_get_status(self.message_)), get);
+    }
+    if (!self.finished_ && !self.paused_) self.Read();
+  }
+
+  void Read() {
+    reading_ = true;
+    g_input_stream_read_bytes_async(stream_, kReadBufferBytes, G_PRIORITY_DEFAULT, cancellable_,
+                                    OnRead, new std::shared_ptr<soup_call>(shared_from_this()));
+  }
+
+  static void OnRead(GObject* stream, GAsyncResult* async, gpointer data) {
+    const std::unique_ptr<std::shared_ptr<soup_call>> holder(
+        static_cast<std::shared_ptr<soup_call>*>(data));
+    soup_call& self = **holder;
+    GError* failure = nullptr;
+    GBytes* bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(stream), async, &failure);
+    self.reading_ = false;
+    if (self.finished_) {
+      if (bytes != nullptr) g_bytes_unref(bytes);
+      if (failure != nullptr) g_error_free(failure);
+      self.CloseStream();
+      return;
+    }
+    if (bytes == nullptr) {
+      self.Fail(failure);
+      return;
+    }
+    gsize size = 0;
+    const auto* text = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+    if (size == 0) {
+      self.Finish({});
+    } else if (self.callbacks_.on_data) {
+      // A copy, because the callback may cancel this call and so drop its own function object.
+      const auto on_data = self.callbacks_.on_data;
+      on_data({text, size});
+    }
+    g_bytes_unref(bytes);
+    if (!self.finished_ && !self.paused_) self.Read();
+  }
+
+  timer_service& timers_;
+  client_callbacks callbacks_;
+  GCancellable* cancellable_;
+  SoupMessage* message_ = nullptr;
+  GInputStream* stream_ = nullptr;
+  timer_id timer_ = 0;
+  bool started_ = false;  // bytes of the request may have been written
+  bool finished_ = false;
+  bool paused_ = false;
+  bool reading_ = false;
+};
+
+class soup_http_client final : public http_client {
+ public:
+  explicit soup_http_client(timer_service& timers)
+      : timers_(timers),
+        session_(soup_session_new_with_options("max-conns", kMaxConnections, "max-conns-per-host",
+                                               kMaxConnections, "timeout", 0, "idle-timeout", 60,
+                                               nullptr)) {}
+  ~soup_http_client() override { g_object_unref(session_); }
+
+  std::shared_ptr<client_call> Send(client_request request, client_callbacks callbacks) override {
+    auto call = std::make_shared<soup_call>(timers_, std::move(callbacks));
+    call->Start(session_, std::move(request));
+    return call;
+  }
+
+ private:
+  timer_service& timers_;
+  SoupSession* session_;
+};
+
+}  // namespace
+
+std::unique_ptr<http_client> MakeHttpClient(timer_service& timers) {
+  return std::make_unique<soup_http_client>(timers);
+}
+
+std::shared_ptr<client_call> Fetch(http_client& client, client_request request,
+                                   std::function<void(const whole_reply&)> done,
+                                   size_t max_body_bytes) {
+  auto reply = std::make_shared<whole_reply>();
+  client_callbacks callbacks;
+  callbacks.on_headers = [reply](int status, const auto&) { reply->status = status; };
+  callbacks.on_data = [reply, max_body_bytes](std::string_view data) {
+    if (reply->body.size() + data.size() <= max_body_bytes) reply->body += data;
+  };
+  callbacks.on_end = [reply, done = std::move(done)](const call_end& end) {
+    reply->end = end;
+    done(*reply);
+  };
+  return client.Send(std::move(request), std::move(callbacks));
+}
+
+}  // namespace balsambay::net
--- /dev/null
+++ b/libs/net/src/http_server.cc
@@ -0,0 +1,346 @@
+// HTTP server over SoupServer. A reply is kept open by pausing the message; chunks are appended
+// from loop callbacks only: a handler of "wrote-chunk" that appends at once never gives the loop
+// back (seen: all other requests together fell to 5 a second with 50 streams open).
+#include "net/http_server.h"
+
+#include <libsoup/soup.h>
+#include <sys/socket.h>
+
+#include <charconv>
+#include <vector>
+
+namespace balsambay::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr const char* kExchangeKey = "balsambay-exchange";
+
+struct server_state {
+  server_limits limits;
+  timer_service* timers = nullptr;
+  server_handlers handlers;
+};
+
+void ShutdownConnection(SoupServerMessage* message) {
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket != nullptr) shutdown(g_socket_get_fd(socket), SHUT_RDWR);
+}
+
+class soup_exchange final : public exchange, public std::enable_shared_from_this<soup_exchange> {
+ public:
+  explicit soup_exchange(SoupServerMessage* message)
+      : message_(message), uri_(soup_server_message_get_uri(message)) {
+    g_object_ref(message_);
+  }
+
+  ~soup_exchange() override {
+    StopWatching();
+    g_object_unref(message_);
+  }
+
+  std::string_view Method() const override { return soup_server_message_get_method(message_); }
+  std::string_view Path() const override { return g_uri_get_path(uri_); }
+  std::string_view Query() const override {
+    const char* query = g_uri_get_query(uri_);
+    return query == nullptr ? std::string_view() : query;
+  }
+
+  std::string_view Header(const char* name) const override {
+    const char* value =
+        soup_message_headers_get_one(soup_server_message_get_request_headers(message_), name);
+    return value == nullptr ? std::string_view() : value;
+  }
+
+  std::string_view Body() const override {
+    const SoupMessageBody* body = soup_server_message_get_request_body(message_);
+    return body->data == nullptr ? std::string_view()
+                                 : std::string_view(body->data, static_cast<size_t>(body->length));
+  }
+
+  void Respond(int status, std::span<const header> headers, std::string_view body) override {
+    if (!open_) return;
+    SetHead(status, headers);
+    soup_message_body_append(soup_server_message_get_response_body(message_), SOUP_MEMORY_COPY,
+                             body.data(), body.size());
+    Finish();
+  }
+
+  void BeginStream(int status, std::span<const header> headers) override {
+    if (!open_) return;
+    SetHead(status, headers);
+    soup_message_headers_set_encoding(soup_server_message_get_response_headers(message_),
+                                      SOUP_ENCODING_CHUNKED);
+    soup_message_body_set_accumulate(soup_server_message_get_response_body(message_), FALSE);
+    streaming_ = true;
+    soup_server_message_unpause(message_);
+  }
+
+  void Write(std::string_view data) override {
+    if (!open_ || data.empty()) return;
+    pending_ += data.size();
+    soup_message_body_append(soup_server_message_get_response_body(message_), SOUP_MEMORY_COPY,
+                             data.data(), data.size());
+    soup_server_message_unpause(message_);
+  }
+
+  void End() override {
+    if (open_) Finish();
+  }
+
+  size_t PendingBytes() const override { return pending_; }
+  bool IsOpen() const override { return open_; }
+
+  // Keeps the exchange alive until libsoup reports the message as finished.
+  void Start() {
+    self_ = shared_from_this();
+    soup_server_message_pause(message_);
+    g_signal_connect(message_, "finished", G_CALLBACK(OnFinished), this);
+    g_signal_connect(message_, "wrote-body-data", G_CALLBACK(OnWroteData), this);
+    GSocket* socket = soup_server_message_get_socket(message_);
+    watch_ = g_socket_create_source(
+        socket, static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR), nullptr);
+    g_source_set_callback(watch_, G_SOURCE_FUNC(OnSocketEvent), this, nullptr);
+    g_source_attach(watch_, nullptr);
+  }
+
+ private:
+  void SetHead(int status, std::span<const header> headers) {
+    soup_server_message_set_status(message_, static_cast<guint>(status), nullptr);
+    SoupMessageHeaders* out = soup_server_message_get_response_headers(message_);
+    for (const header& entry : headers) {
+      soup_message_headers_replace(out, entry.name.c_str(), entry.value.c_str());
+    }
+  }
+
+  void Finish() {
+    open_ = false;
+    StopWatching();
+    soup_message_body_complete(soup_server_message_get_response_body(message_));
+    soup_server_message_unpause(message_);
+  }
+
+  void StopWatching() {
+    if (watch_ == nullptr) return;
+    g_source_destroy(watch_);
+    g_source_unref(watch_);
+    watch_ = nullptr;
+  }
+
+  void HangUp() {
+    if (!open_) return;
+    open_ = false;
+    StopWatching();
+    const auto keep = shared_from_this();
+    if (on_hangup) std::exchange(on_hangup, nullptr)();
+    on_drained = nullptr;
+  }
+
+  // A readable socket without data means that the caller has closed its side.
+  static gboolean OnSocketEvent(GSocket* socket, GIOCondition condition, gpointer data) {
+    auto* self = static_cast<soup_exchange*>(data);
+    char byte = 0;
+    const ssize_t got = recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool pipelined = got > 0 && (condition & (G_IO_HUP | G_IO_ERR)) == 0;
+    const auto keep = self->shared_from_this();
+    self->StopWatching();
+    if (pipelined) return G_SOURCE_REMOVE;
+    SoupServerMessage* message = self->message_;
+    self->HangUp();
+    ShutdownConnection(message);
+    soup_server_message_unpause(message);
+    return G_SOURCE_REMOVE;
+  }
+
+  static void OnFinished(SoupServerMessage* message, gpointer data) {
+    auto* self = static_cast<soup_exchange*>(data);
+    const auto keep = std::move(self->self_);
+    g_signal_handlers_disconnect_by_data(message, data);
+    self->HangUp();
+  }
+
+  static void OnWroteData(SoupServerMessage*, guint size, gpointer data) {
+    auto* self = static_cast<soup_exchange*>(data);
+    if (!self->streaming_) return;
+    const bool was_pending = self->pending_ > 0;
+    self->pending_ -= std::min<size_t>(self->pending_, size);
+    if (was_pending && self->pending_ == 0 && self->open_ && self->on_drained) self->on_drained();
+  }
+
+  SoupServerMessage* message_;
+  GUri* uri_;
+  GSource* watch_ = nullptr;
+  size_t pending_ = 0;
+  bool open_ = true;  // false once the reply has ended or the caller has hung up
+  bool streaming_ = false;
+  std::shared_ptr<soup_exchange> self_;
+};
+
+// Limits of one request before it reaches the handler. Owned by the message.
+struct intake {
+  server_state* server = nullptr;
+  SoupServerMessage* message = nullptr;
+  timer_id timer = 0;
+  size_t received = 0;
+  bool rejected = false;
+};
+
+void DeleteIntake(gpointer data) {
+  auto* state = static_cast<intake*>(data);
+  Cancel(*state->server->timers, state->timer);
+  delete state;
+}
+
+void Reject(intake& state, rejection why) {
+  if (state.rejected) return;
+  state.rejected = true;
+  std::vector<header> headers;
+  const std::string body = state.server->handlers.on_reject(why, headers);
+  SoupServerMessage* message = state.message;
+  soup_server_message_set_status(message, why == rejection::kTooLarge ? 413 : 408, nullptr);
+  SoupMessageHeaders* out = soup_server_message_get_response_headers(message);
+  for (const header& entry : headers) {
+    soup_message_headers_replace(out, entry.name.c_str(), entry.value.c_str());
+  }
+  soup_message_headers_replace(out, "Connection", "close");
+  soup_message_body_append(soup_server_message_get_response_body(message), SOUP_MEMORY_COPY,
+                           body.data(), body.size());
+}
+
+// A sender that stops in the middle of its body gets 408 on the raw socket, because libsoup replies
+// only after the whole body.
+void CutSlowSender(intake& state) {
+  std::vector<header> headers;
+  const std::string body = state.server->handlers.on_reject(rejection::kSlowSender, headers);
+  std::string text = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n";
+  for (const header& entry : headers) text += entry.name + ": " + entry.value + "\r\n";
+  text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  GSocket* socket = soup_server_message_get_socket(state.message);
+  if (socket != nullptr)
+    send(g_socket_get_fd(socket), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  ShutdownConnection(state.message);
+}
+
+intake* IntakeOf(SoupServerMessage* message) {
+  return static_cast<intake*>(g_object_get_data(G_OBJECT(message), kExchangeKey));
+}
+
+void OnGotChunk(SoupServerMessage* message, GBytes* chunk, gpointer) {
+  intake* state = IntakeOf(message);
+  state->received += g_bytes_get_size(chunk);
+  if (state->received <= state->server->limits.max_body_bytes || state->rejected) return;
+  soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+  Reject(*state, rejection::kTooLarge);
+}
+
+void OnGotHeaders(SoupServerMessage* message, gpointer) {
+  intake* state = IntakeOf(message);
+  Cancel(*state->server->timers, state->timer);
+  state->timer =
+      Subscribe(*state->server->timers, MonotonicNow() + state->server->limits.body_timeout,
+                [state](time_point) { CutSlowSender(*state); });
+  const goffset length =
+      soup_message_headers_get_content_length(soup_server_message_get_request_headers(message));
+  if (static_cast<size_t>(length) > state->server->limits.max_body_bytes) {
+    soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+    Reject(*state, rejection::kTooLarge);
+  }
+}
+
+void OnGotBody(SoupServerMessage* message, gpointer) {
+  intake* state = IntakeOf(message);
+  Cancel(*state->server->timers, state->timer);
+}
+
+void OnRequestStarted(SoupServer*, SoupServerMessage* message, gpointer data) {
+  auto* server = static_cast<server_state*>(data);
+  auto* state = new intake{server, message};
+  g_object_set_data_full(G_OBJECT(message), kExchangeKey, state, DeleteIntake);
+  state->timer = Subscribe(*server->timers, MonotonicNow() + server->limits.idle_timeout,
+                           [state](time_point) { ShutdownConnection(state->message); });
+  g_signal_connect(message, "got-headers", G_CALLBACK(OnGotHeaders), nullptr);
+  g_signal_connect(message, "got-chunk", G_CALLBACK(OnGotChunk), nullptr);
+  g_signal_connect(message, "got-body", G_CALLBACK(OnGotBody), nullptr);
+}
+
+void OnRequest(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer data) {
+  auto* server = static_cast<server_state*>(data);
+  const intake* state = IntakeOf(message);
+  if (state != nullptr && state->rejected) return;
+  auto made = std::make_shared<soup_exchange>(message);
+  made->Start();
+  server->handlers.on_request(made);
+}
+
+class soup_http_server final : public http_server {
+ public:
+  soup_http_server(server_limits limits, timer_service& timers, server_handlers handlers)
+      : state_{limits, &timers, std::move(handlers)},
+        server_(soup_server_new("server-header", "balsambay", nullptr)) {
+    g_signal_connect(server_, "request-started", G_CALLBACK(OnRequestStarted), &state_);
+    soup_server_add_handler(server_, nullptr, OnRequest, &state_, nullptr);
+  }
+
+  ~soup_http_server() override {
+    soup_server_disconnect(server_);
+    g_object_unref(server_);
+  }
+
+  result<void> Listen(std::string_view address) {
+    GSocketAddress* parsed = ParseAddress(address);
+    if (parsed == nullptr) {
+      return Failure(errc::kInvalidArgument, "\"" + std::string(address) + "\" is not IP:PORT");
+    }
+    GError* failure = nullptr;
+    const bool listening =
+        soup_server_listen(server_, parsed, static_cast<SoupServerListenOptions>(0), &failure);
+    g_object_unref(parsed);
+    if (listening) return Success();
+    std::string detail = failure->message;
+    g_error_free(failure);
+    return Failure(errc::kUnavailable, std::move(detail));
+  }
+
+  int Port() const override {
+    GSList* uris = soup_server_get_uris(server_);
+    const int port = uris == nullptr ? 0 : g_uri_get_port(static_cast<GUri*>(uris->data));
+    g_slist_free_full(uris, reinterpret_cast<GDestroyNotify>(g_uri_unref));
+    return port;
+  }
+
+  void StopListening() override {
+    GSList* listeners = soup_server_get_listeners(server_);
+    for (GSList* item = listeners; item != nullptr; item = item->next) {
+      g_socket_close(static_cast<GSocket*>(item->data), nullptr);
+    }
+    g_slist_free(listeners);
+  }
+
+ private:
+  static GSocketAddress* ParseAddress(std::string_view address) {
+    const size_t colon = address.rfind(':');
+    if (colon == std::string_view::npos) return nullptr;
+    const std::string host(address.substr(0, colon));
+    const std::string_view digits = address.substr(colon + 1);
+    unsigned port = 0;
+    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+    if (parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size() || port > 65535) {
+      return nullptr;
+    }
+    return g_inet_socket_address_new_from_string(host.c_str(), port);
+  }
+
+  server_state state_;
+  SoupServer* server_;
+};
+
+}  // namespace
+
+result<std::unique_ptr<http_server>> ListenHttp(std::string_view address, server_limits limits,
+                                                timer_service& timers, server_handlers handlers) {
+  auto server = std::make_unique<soup_http_server>(limits, timers, std::move(handlers));
+  BOOST_OUTCOME_TRYV(server->Listen(address));
+  return std::unique_ptr<http_server>(std::move(server));
+}
+
+}  // namespace balsambay::net
--- /dev/null
+++ b/libs/net/tests/net_test.cc
@@ -0,0 +1,173 @@
+// Tests of the HTTP server and client on loopback.
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+
+#include "net/http_client.h"
+#include "net/loop.h"
+
+using namespace std::chrono_literals;
+
+namespace balsambay::net {
+namespace {
+
+struct fixture {
+  loop main;
+  std::unique_ptr<http_server> server;
+  std::unique_ptr<http_client> client = MakeHttpClient(main.timers());
+  std::vector<exchange_ptr> held;
+  int hangups = 0;
+
+  explicit fixture(std::function<void(exchange_ptr)> on_request, server_limits limits = {}) {
+    server_handlers handlers;
+    handlers.on_request = std::move(on_request);
+    handlers.on_reject = [](rejection, std::vector<header>&) { return std::string("rejected"); };
+    server = ListenHttp("127.0.0.1:0", limits, main.timers(), std::move(handlers)).value();
+  }
+
+  std::string Url(const std::string& path) {
+    return "http://127.0.0.1:" + std::to_string(server->Port()) + path;
+  }
+
+  // Runs the loop until `done` or for 5 s.
+  void RunUntil(const std::function<bool()>& done) {
+    const time_point limit = MonotonicNow() + 5s;
+    std::function<void(time_point)> poll = [&](time_point now) {
+      if (done() || now > limit) return main.Quit();
+      Subscribe(main.timers(), now + 1ms, poll);
+    };
+    poll(MonotonicNow());
+    main.Run();
+  }
+
+  whole_reply Get(client_request request) {
+    whole_reply out;
+    bool done = false;
+    Fetch(*client, std::move(request), [&](const whole_reply& reply) {
+      out = reply;
+      done = true;
+    });
+    RunUntil([&] { return done; });
+    REQUIRE(done);
+    return out;
+  }
+};
+
+int ConnectRaw(int port) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+  return fd;
+}
+
+TEST_CASE("a whole and a streamed reply arrive complete") {
+  fixture f([](const exchange_ptr& request) {
+    if (request->Path() == "/whole") return request->Respond(201, {}, request->Body());
+    request->BeginStream(200, {});
+    request->Write("one ");
+    request->Write("two");
+    request->End();
+  });
+  const whole_reply whole = f.Get({.url = f.Url("/whole"), .headers = {}, .body = "{}"});
+  CHECK(whole.status == 201);
+  CHECK(whole.body == "{}");
+  CHECK(f.Get({.url = f.Url("/stream"), .headers = {}, .body = "{}"}).body == "one two");
+}
+
+TEST_CASE("a refused connection is reported as nothing sent; guards the not-run outcome") {
+  fixture f([](const exchange_ptr&) {});
+  const whole_reply reply = f.Get({.url = "http://127.0.0.1:1/", .headers = {}, .body = "x"});
+  CHECK(reply.end.failure == call_failure::kConnect);
+}
+
+TEST_CASE("a peer that reads the request and closes is not reported as nothing sent") {
+  fixture f([&](const exchange_ptr&) {});
+  const int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+  REQUIRE(listen(listener, 4) == 0);
+  socklen_t size = sizeof address;
+  getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+  whole_reply out;
+  bool done = false;
+  Fetch(*f.client,
+        {.url = "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port)) + "/",
+         .headers = {},
+         .body = "x"},
+        [&](const whole_reply& reply) {
+          out = reply;
+          done = true;
+        });
+  int accepted = -1;
+  f.RunUntil([&] {
+    if (accepted < 0) accepted = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+    char buffer[4096];
+    if (accepted >= 0 && recv(accepted, buffer, sizeof buffer, 0) > 0) close(accepted);
+    return done;
+  });
+  close(listener);
+  CHECK(out.end.failure == call_failure::kBroken);
+}
+
+TEST_CASE("a caller that hangs up is noticed while its reply is pending") {
+  std::vector<exchange_ptr> held;
+  int hangups = 0;
+  fixture f([&](const exchange_ptr& request) {
+    request->on_hangup = [&] { ++hangups; };
+    held.push_back(request);
+  });
+  const int fd = ConnectRaw(f.server->Port());
+  const std::string text = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  REQUIRE(write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+  f.RunUntil([&] { return !held.empty(); });
+  CHECK(hangups == 0);
+  close(fd);
+  f.RunUntil([&] { return hangups > 0; });
+  CHECK(hangups == 1);
+  CHECK_FALSE(held[0]->IsOpen());
+  held[0]->Respond(200, {}, "late");
+}
+
+TEST_CASE("oversized bodies and slow senders are refused before the handler") {
+  int handled = 0;
+  fixture f(
+      [&](const exchange_ptr& request) {
+        ++handled;
+        request->Respond(200, {}, "ok");
+      },
+      {.max_body_bytes = 100, .body_timeout = 100ms});
+  CHECK(f.Get({.url = f.Url("/"), .headers = {}, .body = std::string(200, 'x')}).status == 413);
+  CHECK(handled == 0);
+  const int fd = ConnectRaw(f.server->Port());
+  const std::string text = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 50\r\n\r\nabc";
+  REQUIRE(write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+  char buffer[1024] = {};
+  ssize_t got = 0;
+  f.RunUntil([&] { return (got = recv(fd, buffer, sizeof buffer - 1, MSG_DONTWAIT)) > 0; });
+  CHECK(std::string_view(buffer).starts_with("HTTP/1.1 408"));
+  close(fd);
+  CHECK(handled == 0);
+  CHECK(f.Get({.url = f.Url("/"), .headers = {}, .body = "small"}).status == 200);
+}
+
+TEST_CASE("a cancelled call runs no callback") {
+  std::vector<exchange_ptr> held;
+  fixture f([&](const exchange_ptr& request) { held.push_back(request); });
+  bool called = false;
+  const auto call = Fetch(*f.client, {.url = f.Url("/"), .headers = {}, .body = "x"},
+                          [&](const whole_reply&) { called = true; });
+  f.RunUntil([&] { return !held.empty(); });
+  call->Cancel();
+  f.RunUntil([&] { return !held[0]->IsOpen(); });
+  CHECK_FALSE(called);
+}
+
+}  // namespace
+}  // namespace balsambay::net
