Add attempts: token order and outcome of one request

Cause: late, repeated or lost messages of an old attempt must not change an answer, and 'not run' must be true. Change: attempt numbers and next expected index decide on each token; outcome rules; request phases in a chart.

--- /dev/null
+++ b/libs/attempts/src/attempts.cc
@@ -0,0 +1,83 @@
+// Token order and outcome rules.
+#include "attempts/attempts.h"
+
+#include <array>
+
+#include "base/result.h"
+#include "chart/chart.h"
+#include "request_chart.h"
+
+namespace balsambay::attempts {
+namespace {
+
+constexpr std::array<std::string_view, 6> kPhaseNames = {"queued",  "claiming", "ready",
+                                                         "running", "backoff",  "done"};
+constexpr std::array<std::string_view, 7> kEventNames = {
+    "admitted",       "admitted_with_claim", "granted", "dispatched",
+    "attempt_failed", "backoff_over",        "finished"};
+
+bool ProvesNotStarted(attempt_failure failure) {
+  return failure == attempt_failure::kNotSent || failure == attempt_failure::kRefused;
+}
+
+}  // namespace
+
+bool Advance(phase& current, phase_event event) {
+  static const chart::table kChart =
+      chart::ParseEmbedded(charts::request, kPhaseNames, kEventNames);
+  return chart::Step(kChart, current, event);
+}
+
+std::string_view ToString(outcome value) {
+  switch (value) {
+    case outcome::kNotRun:
+      return "not-run";
+    case outcome::kRan:
+      return "ran";
+    case outcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+uint32_t BeginAttempt(answer& state) {
+  CheckInvariant(!state.open && !state.complete, "one attempt of a request is open at a time");
+  state.open = true;
+  return ++state.attempt;
+}
+
+token_verdict OnToken(answer& state, uint32_t attempt, uint32_t index, std::string_view token,
+                      const faults& off) {
+  const bool current = state.open && attempt == state.attempt;
+  if (!current && !off.accept_stale_attempt) return token_verdict::kStaleAttempt;
+  state.maybe_ran = true;
+  if (index < state.tokens.size()) return token_verdict::kDuplicate;
+  if (index > state.tokens.size()) return token_verdict::kGap;
+  state.tokens.emplace_back(token);
+  return token_verdict::kDeliver;
+}
+
+end_verdict OnEnd(answer& state, uint32_t attempt, uint32_t token_count) {
+  if (!state.open || attempt != state.attempt) return end_verdict::kStaleAttempt;
+  state.maybe_ran = true;
+  if (token_count != state.tokens.size()) return end_verdict::kIncomplete;
+  state.open = false;
+  state.complete = true;
+  return end_verdict::kComplete;
+}
+
+next_step OnAttemptFailed(answer& state, uint32_t attempt, attempt_failure failure,
+                          const faults& off) {
+  if (!state.open || attempt != state.attempt) return next_step::kIgnore;
+  state.open = false;
+  if (!ProvesNotStarted(failure) && !off.not_run_after_reset) state.maybe_ran = true;
+  return state.repeatable || !state.maybe_ran ? next_step::kMayRetry : next_step::kGiveUp;
+}
+
+outcome OutcomeOf(const answer& state) {
+  if (state.complete) return outcome::kRan;
+  // An open attempt may be running even though nothing has come back yet.
+  return state.maybe_ran || state.open ? outcome::kUnknown : outcome::kNotRun;
+}
+
+}  // namespace balsambay::attempts
