--- a/tools/mock_endpoint/endpoint.h
+++ b/tools/mock_endpoint/endpoint.h
@@ -66,6 +66,7 @@
 
 void HandleRun(endpoint& self, const net::exchange_ptr& request);
 void HandleCancel(endpoint& self, const net::exchange_ptr& request);
+void HandleRelease(endpoint& self, const net::exchange_ptr& request);
 void HandleStage(endpoint& self, const net::exchange_ptr& request);
 void HandleServiceCall(endpoint& self, const net::exchange_ptr& request);
 
--- a/tools/mock_endpoint/engine.cc
+++ b/tools/mock_endpoint/engine.cc
@@ -18,9 +18,20 @@
   return duration(static_cast<int64_t>(1e6 * active / self.config.tokens_per_second));
 }
 
+// Lets the other stages drop the run's KV state.
+void ReleaseStages(endpoint& self, const run& job) {
+  for (size_t i = 1; i < job.route.size(); ++i) {
+    net::client_request call;
+    call.method = "DELETE";
+    call.url = "http://" + job.route[i].at("address").get<std::string>() + "/v1/stage/" + job.id;
+    net::Fetch(*self.client, std::move(call), [](const net::whole_reply&) {});
+  }
+}
+
 void FinishRun(endpoint& self, const std::shared_ptr<run>& job) {
   if (job->hop) job->hop->Cancel();
   job->reply->End();
+  ReleaseStages(self, *job);
   self.kv.erase(job->id);
   self.runs.erase(job->id);
   QuitWhenIdle(self);
@@ -158,6 +169,7 @@
   self.runs[job->id] = job;
   request->on_hangup = [&self, job] {
     if (job->hop) job->hop->Cancel();
+    ReleaseStages(self, *job);
     self.kv.erase(job->id);
     self.runs.erase(job->id);
     QuitWhenIdle(self);
@@ -176,11 +188,20 @@
   RespondJson(request, 200, json::object());
 }
 
+void HandleRelease(endpoint& self, const net::exchange_ptr& request) {
+  self.kv.erase(std::string(request->Path().substr(std::string_view("/v1/stage/").size())));
+  RespondJson(request, 200, json::object());
+  QuitWhenIdle(self);
+}
+
 void HandleStage(endpoint& self, const net::exchange_ptr& request) {
   const json body = json::parse(request->Body(), nullptr, false);
   if (!body.is_object()) return RespondJson(request, 400, {{"error", "body is not an object"}});
   const json& route = body.at("route");
   const std::string run_id = body.at("run");
+  if (self.leaving && !self.kv.contains(run_id)) {
+    return RespondJson(request, 503, {{"error", "leaving"}, {"endpoint", self.config.id}});
+  }
   const uint32_t index = body.at("index");
   const std::string error =
       ExecuteLayers(self, run_id, index, body.at("prefill"), route[0].at("layers"));
--- a/tools/mock_endpoint/main.cc
+++ b/tools/mock_endpoint/main.cc
@@ -41,7 +41,7 @@
 }
 
 void QuitWhenIdle(endpoint& self) {
-  if (!self.leaving || !self.runs.empty() || self.active_calls > 0) return;
+  if (!self.leaving || !self.runs.empty() || !self.kv.empty() || self.active_calls > 0) return;
   // The last reply is still in libsoup's hands.
   Subscribe(self.loop.timers(), MonotonicNow() + std::chrono::milliseconds(300),
             [&self](time_point) { self.loop.Quit(); });
@@ -78,6 +78,7 @@
   if (path == "/v1/status") return HandleStatus(self, request);
   if (path == "/v1/orders") return HandleOrder(self, request);
   if (path == "/v1/stage") return HandleStage(self, request);
+  if (path.starts_with("/v1/stage/")) return HandleRelease(self, request);
   if (path == "/v1/runs") return HandleRun(self, request);
   if (path.starts_with("/v1/runs/")) return HandleCancel(self, request);
   if (path.starts_with("/v1/call/")) return HandleServiceCall(self, request);
