--- /dev/null
+++ b/libs/router/include/router/settings.h
@@ -0,0 +1,31 @@
+// Settings of one entry daemon. The application reads them from flags and environment variables.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace balsambay::router {
+
+struct settings {
+  std::string id;                  // unique among all entry daemons
+  std::string zone;                // availability zone of this VM
+  std::string listen;              // IP:PORT for callers, operators and metrics
+  std::string peer_listen;         // IP:PORT for other entry daemons
+  std::vector<std::string> peers;  // peer addresses of some daemons of the zone
+  std::string peer_key;            // shared secret of all entry daemons
+  std::string platform;            // IP:PORT of the platform; empty: none
+  std::string admin_token;         // empty: the admin API is closed
+  std::string config_file;         // fixed configuration for trials without a platform
+  size_t max_body_bytes = 1 << 20;
+  duration body_timeout = std::chrono::seconds(10);
+  duration first_token_timeout = std::chrono::seconds(5);
+  duration token_timeout = std::chrono::seconds(1);
+  duration unready_delay = std::chrono::seconds(2);  // how long the balancer takes to notice
+  size_t max_pending_bytes = 256 * 1024;  // buffered for one slow caller before reading stops
+  duration slow_reader_timeout = std::chrono::seconds(30);
+  uint64_t seed = 0;  // of the random generator; 0 takes one from the system
+};
+
+}  // namespace balsambay::router
--- /dev/null
+++ b/libs/router/src/details/requests.h
@@ -0,0 +1,22 @@
+// The life of one request.
+#pragma once
+
+#include "details/replies.h"
+#include "details/state.h"
+
+namespace balsambay::router {
+
+// Takes over a parsed request and starts its way to an answer.
+void Accept(router_state& state, const request_ptr& item);
+
+// Ends a request with an error, at once.
+void GiveUp(router_state& state, const request_ptr& item, std::string_view reason,
+            std::string detail, std::optional<duration> retry_after = std::nullopt);
+
+// Cancels what runs for the request and forgets it. The reply has been sent, or nobody reads it.
+void Retire(router_state& state, const request_ptr& item);
+
+// Reports the stop when it was asked for and the last request has ended.
+void CheckStopped(router_state& state);
+
+}  // namespace balsambay::router
--- /dev/null
+++ b/libs/router/src/details/service_calls.h
@@ -0,0 +1,11 @@
+// Calls to plain services.
+#pragma once
+
+#include "details/state.h"
+
+namespace balsambay::router {
+
+// Starts the next attempt of a service request.
+void DispatchServiceCall(router_state& state, const request_ptr& item);
+
+}  // namespace balsambay::router
