--- a/libs/inventory/include/inventory/inventory.h
+++ b/libs/inventory/include/inventory/inventory.h
@@ -111,7 +111,7 @@
 
 struct parse_outcome {
   configuration config;             // meaningful only when `errors` is empty
-  std::vector<field_error> errors;  // all errors of the document, in document order
+  std::vector<field_error> errors;  // all errors of the document, by path
 };
 
 // Checks the whole document; never throws on any JSON value.
--- a/libs/inventory/src/inventory.cc
+++ b/libs/inventory/src/inventory.cc
@@ -1,8 +1,7 @@
-// Parser and validation of the configuration document.
+// Questions to a parsed configuration.
 #include "inventory/inventory.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 #include "base/hash.h"
 
