--- /dev/null
+++ b/tests/support/process.h
@@ -0,0 +1,40 @@
+// Child processes of the system tests.
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+namespace balsambay::system_test {
+
+// Path of a program of this build.
+std::string ProgramPath(const std::string& target);
+
+// A TCP port below the ephemeral range that nothing listens on at the moment.
+int FreePort();
+
+// One child process. Killed when the object goes away.
+class child_process {
+ public:
+  child_process(const std::string& program, const std::vector<std::string>& arguments,
+                const std::string& output_file);
+  ~child_process();
+  child_process(const child_process&) = delete;
+  child_process& operator=(const child_process&) = delete;
+
+  void Signal(int number) const;
+  // Waits for the end; exit code, 128 + signal, or -1 when it still runs after `timeout_ms`.
+  int Wait(int timeout_ms);
+  // SIGKILL, then waits.
+  void Kill();
+  bool Running();
+  pid_t Pid() const { return pid_; }
+
+ private:
+  pid_t pid_ = -1;
+  int exit_code_ = 0;
+  bool ended_ = false;
+};
+
+}  // namespace balsambay::system_test
