--- /dev/null
+++ b/libs/health/benchmarks/health_updates.cc
@@ -0,0 +1,56 @@
+// Cost of health updates and memory by number of endpoints. Prints JSON lines.
+#include <malloc.h>
+
+#include <cstdio>
+
+#include "health/health.h"
+
+using namespace balsambay;          // NOLINT(google-build-using-namespace)
+using namespace balsambay::health;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+template <class Fn>
+double NanosecondsPerCall(int calls, Fn fn) {
+  const time_point begin = MonotonicNow();
+  for (int i = 0; i < calls; ++i) fn(i);
+  return static_cast<double>((MonotonicNow() - begin).count()) * 1000 / calls;
+}
+
+void Measure(int count) {
+  random_generator rng(1);
+  const size_t before = mallinfo2().uordblks;
+  registry health;
+  std::vector<endpoint_spec> specs;
+  std::vector<vm_entry> list;
+  for (int i = 0; i < count; ++i) {
+    const std::string vm = "vm" + std::to_string(i);
+    specs.push_back({"endpoint" + std::to_string(i), vm, "group" + std::to_string(i / 8)});
+    list.push_back({vm, 1, false});
+  }
+  SetEndpoints(health, specs, time_point(0s));
+  OnVmList(health, list, time_point(0s));
+  const size_t bytes = mallinfo2().uordblks - before;
+  const double success = NanosecondsPerCall(200000, [&](int i) {
+    OnEvidence(health, {specs[i % count].id, evidence_kind::kSuccess, 1, 50ms}, time_point(1s),
+               rng);
+  });
+  const double change = NanosecondsPerCall(2000, [&](int i) {
+    const auto kind = i % 3 == 0 ? evidence_kind::kConnectRefused : evidence_kind::kProbeOk;
+    OnEvidence(health, {specs[i / 3 % count].id, kind, 1, {}}, time_point(1s) + i * 1ms, rng);
+  });
+  const double vm_list =
+      NanosecondsPerCall(200, [&](int i) { OnVmList(health, list, time_point(9s) + i * 1ms); });
+  const double sweep =
+      NanosecondsPerCall(200, [&](int i) { Tick(health, time_point(10s) + i * 1s, rng); });
+  std::printf(
+      "{\"benchmark\":\"health\",\"endpoints\":%d,\"success_ns\":%.0f,\"state_change_ns\":%.0f,"
+      "\"vm_list_us\":%.1f,\"sweep_us\":%.1f,\"bytes_per_endpoint\":%zu}\n",
+      count, success, change, vm_list / 1000, sweep / 1000, bytes / count);
+}
+
+}  // namespace
+
+int main() {
+  for (const int count : {50, 150, 500}) Measure(count);
+}
