Add first version of the ledger and of lease rows

Cause: the daemon needs the interface of the at-most-once records to build on. Change: libs/lease holds lease rows, the takeover rule of an observer and commit_attempt, which follows one conditional transaction through lost replies by read-back and repeated sends. libs/ledger holds shard owners (group commit, takeover, load, handover, expiry, stored results) and the claimant's side.

--- /dev/null
+++ b/libs/lease/src/commit_attempt.cc
@@ -0,0 +1,114 @@
+// Follows a transaction through lost replies, read-back and repeated sends.
+#include "lease/commit_attempt.h"
+
+#include <algorithm>
+
+namespace balsambay::lease {
+namespace {
+
+table::transaction Transaction(const commit_attempt& attempt, const faults& faults) {
+  table::transaction tx;
+  for (const guard& guard : attempt.guards) {
+    if (!faults.skip_epoch_condition) tx.conditions.push_back({guard.key, guard.version});
+    tx.writes.push_back({guard.key, guard.value});
+  }
+  tx.writes.insert(tx.writes.end(), attempt.writes.begin(), attempt.writes.end());
+  return tx;
+}
+
+table_call Open(commit_attempt& attempt, const timing& timing, uint64_t& next_id, time_point now) {
+  attempt.call = next_id++;
+  attempt.deadline = now + timing.call_timeout;
+  return {attempt.call, {}};
+}
+
+table_call ReadBack(commit_attempt& attempt, const timing& timing, uint64_t& next_id,
+                    time_point now) {
+  table_call call = Open(attempt, timing, next_id, now);
+  attempt.reading = true;
+  table::read_request read;
+  for (const guard& guard : attempt.guards) read.keys.push_back(guard.key);
+  call.request = std::move(read);
+  return call;
+}
+
+const table::row* FindRow(const table::read_reply& reply, std::string_view key) {
+  const auto it = std::ranges::find(reply.rows, key, &table::row::key);
+  return it == reply.rows.end() ? nullptr : &*it;
+}
+
+// One guard with the new value proves the commit. One changed guard proves that the transaction
+// did not and cannot commit, because its conditions can no longer hold.
+verdict Judge(commit_attempt& attempt, const table::read_reply& reply) {
+  for (const guard& guard : attempt.guards) {
+    const table::row* row = FindRow(reply, guard.key);
+    const uint64_t version = row == nullptr ? 0 : row->version;
+    if (version == guard.version) continue;
+    if (row != nullptr && row->value == guard.value) {
+      attempt.version = version;
+      attempt.lost.clear();
+      return verdict::kCommitted;
+    }
+    attempt.lost.push_back(guard.key);
+  }
+  return attempt.lost.empty() ? verdict::kOpen : verdict::kRejected;
+}
+
+progress WaitUntil(commit_attempt& attempt, time_point deadline) {
+  attempt.call = 0;
+  attempt.deadline = deadline;
+  return {};
+}
+
+// A table that answers reads but fails writes at once must not be flooded.
+progress SendAgain(commit_attempt& attempt, const timing& timing, const faults& faults,
+                   uint64_t& next_id, time_point now) {
+  const time_point earliest = attempt.last_sent + timing.retry_interval;
+  if (now < earliest) return WaitUntil(attempt, earliest);
+  return {verdict::kOpen, Send(attempt, timing, faults, next_id, now)};
+}
+
+progress OnUnknown(commit_attempt& attempt, const timing& timing, const faults& faults,
+                   uint64_t& next_id, time_point now) {
+  attempt.doubtful = true;
+  if (faults.skip_read_back) return {verdict::kCommitted, std::nullopt};
+  if (!attempt.reading) return {verdict::kOpen, ReadBack(attempt, timing, next_id, now)};
+  return WaitUntil(attempt, now + timing.retry_interval);
+}
+
+}  // namespace
+
+table_call Send(commit_attempt& attempt, const timing& timing, const faults& faults,
+                uint64_t& next_id, time_point now) {
+  if (attempt.sends == 0) attempt.first_sent = now;
+  attempt.last_sent = now;
+  ++attempt.sends;
+  attempt.reading = false;
+  table_call call = Open(attempt, timing, next_id, now);
+  call.request = Transaction(attempt, faults);
+  return call;
+}
+
+progress OnOutcome(commit_attempt& attempt, const table_outcome& reported, const timing& timing,
+                   const faults& faults, uint64_t& next_id, time_point now) {
+  if (const auto* reply = std::get_if<table::commit_reply>(&reported)) {
+    attempt.version = reply->version;
+    if (reply->committed) return {verdict::kCommitted, std::nullopt};
+    return {verdict::kOpen, ReadBack(attempt, timing, next_id, now)};
+  }
+  if (const auto* reply = std::get_if<table::read_reply>(&reported)) {
+    const verdict outcome = Judge(attempt, *reply);
+    if (outcome != verdict::kOpen) return {outcome, std::nullopt};
+    return SendAgain(attempt, timing, faults, next_id, now);
+  }
+  return OnUnknown(attempt, timing, faults, next_id, now);
+}
+
+progress OnTick(commit_attempt& attempt, const timing& timing, const faults& faults,
+                uint64_t& next_id, time_point now) {
+  if (now < attempt.deadline) return {};
+  if (attempt.call == 0) return {verdict::kOpen, ReadBack(attempt, timing, next_id, now)};
+  return OnUnknown(attempt, timing, faults, next_id, now);
+}
+
+}  // namespace balsambay::lease
--- /dev/null
+++ b/libs/ledger/src/claimant.cc
@@ -0,0 +1,55 @@
+// The claimant's side of a submission.
+#include "ledger/claimant.h"
+
+#include <array>
+
+#include "chart/chart.h"
+#include "claim_chart.h"
+
+namespace balsambay::ledger {
+namespace {
+
+enum class claim_event { kGrant, kAnswer, kDispatch, kNotStarted, kGiveUp, kEnd };
+
+constexpr std::array<std::string_view, 6> kStates = {"waiting",  "granted",  "dispatched",
+                                                     "given_up", "answered", "ended"};
+constexpr std::array<std::string_view, 6> kEvents = {"grant",       "answer",  "dispatch",
+                                                     "not_started", "give_up", "end"};
+
+bool Step(submission& submission, claim_event event) {
+  static const chart::table table = chart::ParseEmbedded(charts::claim, kStates, kEvents);
+  return chart::Step(table, submission.state, event);
+}
+
+}  // namespace
+
+submission Submit(claim request, time_point now) {
+  return {
+      .request = std::move(request), .state = claim_state::kWaiting, .sent = now, .expires = {}};
+}
+
+bool OnReply(submission& submission, const reply& reply) {
+  if (reply.kind == reply_kind::kRefused || reply.kind == reply_kind::kRecorded) return false;
+  if (reply.kind != reply_kind::kGrant) {
+    Step(submission, claim_event::kAnswer);
+    return false;
+  }
+  if (Step(submission, claim_event::kGrant)) {
+    submission.expires = submission.sent + reply.grant_time;
+  }
+  return submission.state == claim_state::kGivenUp;
+}
+
+bool TryDispatch(submission& submission, time_point now) {
+  return now < submission.expires && Step(submission, claim_event::kDispatch);
+}
+
+void OnNotStarted(submission& submission) { Step(submission, claim_event::kNotStarted); }
+
+bool GiveUp(submission& submission) {
+  return submission.state == claim_state::kGivenUp || Step(submission, claim_event::kGiveUp);
+}
+
+bool End(submission& submission) { return Step(submission, claim_event::kEnd); }
+
+}  // namespace balsambay::ledger
--- /dev/null
+++ b/libs/ledger/src/settings.cc
@@ -0,0 +1,20 @@
+// Checks of the settings.
+#include "ledger/ledger.h"
+
+namespace balsambay::ledger {
+
+result<void> Validate(const settings& settings) {
+  if (settings.self.empty()) return Failure(errc::kInvalidArgument, "self is empty");
+  if (settings.shard_count == 0) return Failure(errc::kInvalidArgument, "shard_count is 0");
+  if (settings.batch_interval >= settings.lease.renew_interval) {
+    return Failure(errc::kInvalidArgument, "batch_interval must be below the renew interval");
+  }
+  // The claimant's and the owner's clocks need not agree, so the distance must be ample.
+  if (settings.retention < settings.longest_run + 10 * settings.grant_time) {
+    return Failure(errc::kInvalidArgument,
+                   "retention must be at least longest_run plus ten times grant_time");
+  }
+  return lease::Validate(settings.lease);
+}
+
+}  // namespace balsambay::ledger
