Router: connect admission, retries, health, ledger and peers (in progress)

Cause: the thin path took every request and retried without limits. Change: requests pass the admission gate, retries draw on the budget, failures are evidence about endpoints, non-repeatable requests get a durable start record first.

--- a/apps/balsambayd/main.cc
+++ b/apps/balsambayd/main.cc
@@ -1,31 +1,27 @@
 // balsambayd: the entry daemon. Reads settings, starts the router, handles signals.
-#include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
 #include <signal.h>
 
 #include <cstdio>
 
+#include "flags.h"
 #include "router/router.h"
 
-ABSL_FLAG(std::string, id, "", "unique id of this daemon");
-ABSL_FLAG(std::string, zone, "", "availability zone of this VM");
-ABSL_FLAG(std::string, listen, "127.0.0.1:8080", "IP:PORT for callers, operators and metrics");
-ABSL_FLAG(std::string, config_file, "", "fixed configuration for trials without a platform");
-
-namespace balsambay {
+namespace balsambay::app {
 namespace {
 
+constexpr int kExitCannotStart = 1;
+constexpr int kExitWrongSettings = 2;
+constexpr int kExitCutRequests = 3;
+
 int Run() {
-  router::settings settings;
-  settings.id = absl::GetFlag(FLAGS_id);
-  settings.zone = absl::GetFlag(FLAGS_zone);
-  settings.listen = absl::GetFlag(FLAGS_listen);
-  settings.config_file = absl::GetFlag(FLAGS_config_file);
+  const settings_outcome read = ReadSettings();
+  for (const std::string& error : read.errors) std::fprintf(stderr, "%s\n", error.c_str());
+  if (!read.errors.empty()) return kExitWrongSettings;
   net::loop loop;
-  auto started = router::Start(settings, loop);
+  auto started = router::Start(read.settings, loop);
   if (started.has_error()) {
     std::fprintf(stderr, "cannot start: %s\n", started.error().detail.c_str());
-    return 1;
+    return kExitCannotStart;
   }
   int cut_requests = 0;
   const auto stop = [&] {
@@ -39,13 +35,15 @@
   std::printf("listening on port %d\n", started.value()->Port());
   std::fflush(stdout);
   loop.Run();
-  return cut_requests == 0 ? 0 : 3;
+  if (cut_requests == 0) return 0;
+  std::fprintf(stderr, "forced stop: %d requests were cut\n", cut_requests);
+  return kExitCutRequests;
 }
 
 }  // namespace
-}  // namespace balsambay
+}  // namespace balsambay::app
 
 int main(int argc, char** argv) {
-  absl::ParseCommandLine(argc, argv);
-  return balsambay::Run();
+  balsambay::app::ParseFlags(argc, argv);
+  return balsambay::app::Run();
 }
--- a/libs/router/include/router/settings.h
+++ b/libs/router/include/router/settings.h
@@ -13,6 +13,7 @@
   std::string zone;                // availability zone of this VM
   std::string listen;              // IP:PORT for callers, operators and metrics
   std::string peer_listen;         // IP:PORT for other entry daemons
+  std::string peer_advertise;      // IP:PORT that other entry daemons use
   std::vector<std::string> peers;  // peer addresses of some daemons of the zone
   std::string peer_key;            // shared secret of all entry daemons
   std::string platform;            // IP:PORT of the platform; empty: none
@@ -25,6 +26,7 @@
   duration unready_delay = std::chrono::seconds(2);  // how long the balancer takes to notice
   size_t max_pending_bytes = 256 * 1024;  // buffered for one slow caller before reading stops
   duration slow_reader_timeout = std::chrono::seconds(30);
+  uint32_t shards = 8;  // of at-most-once records; the same for all daemons
   uint64_t seed = 0;  // of the random generator; 0 takes one from the system
 };
 
--- /dev/null
+++ b/libs/router/src/admission_driver.cc
@@ -0,0 +1,91 @@
+// Applies the effects of the admission gate.
+#include "details/admission_driver.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "details/planning.h"
+#include "details/requests.h"
+
+namespace balsambay::router {
+namespace {
+
+std::string PoolOf(const request& item) {
+  return item.service.empty() ? "model/" + item.model : "service/" + item.service;
+}
+
+void Apply(router_state& state, const admission::effects& effects) {
+  for (const admission::effect& effect : effects) {
+    const auto found = state.by_number.find(effect.id);
+    if (found == state.by_number.end()) continue;
+    const request_ptr item = found->second;
+    if (effect.kind == admission::effect_kind::kDispatch) {
+      OnAdmitted(state, item);
+      continue;
+    }
+    const auto retry_after = effect.retry_after > duration::zero() ? std::optional(effect.retry_after) : std::nullopt;
+    GiveUp(state, item, admission::ToString(effect.reason), "refused by admission", retry_after);
+  }
+}
+
+void ScheduleTick(router_state& state) {
+  Cancel(state.loop.timers(), state.gate_timer);
+  const time_point deadline = admission::NextDeadline(state.gate);
+  if (deadline == kNever) return;
+  state.gate_timer = Subscribe(state.loop.timers(), deadline, [&state](time_point now) {
+    Apply(state, admission::Tick(state.gate, now));
+    ScheduleTick(state);
+  });
+}
+
+void ApplyAndSchedule(router_state& state, const admission::effects& effects) {
+  Apply(state, effects);
+  ScheduleTick(state);
+}
+
+}  // namespace
+
+void ConfigureAdmission(router_state& state) {
+  std::vector<admission::workspace_policy> policies;
+  for (const auto& [id, workspace] : state.inventory.workspaces) {
+    policies.push_back({.workspace = id,
+                        .priority = workspace.priority,
+                        .share = workspace.share,
+                        .max_requests = workspace.max_requests,
+                        .max_tokens = workspace.max_tokens,
+                        .max_queue = state.inventory.policy.max_queue_per_workspace});
+  }
+  state.retry_budget.config.ratio = state.inventory.policy.retry_budget_ratio;
+  ApplyAndSchedule(state, admission::SetWorkspaces(state.gate, policies, MonotonicNow()));
+}
+
+void UpdateCapacity(router_state& state) {
+  const auto daemons = std::max<size_t>(1, state.live_daemons.size());
+  for (const pool_limit& limit : PoolLimits(state)) {
+    // Each daemon takes its part of what the endpoints can run at a time.
+    const int part = static_cast<int>(std::ceil(static_cast<double>(limit.max_runs) / static_cast<double>(daemons)));
+    const admission::pool_capacity capacity{
+        .max_in_flight = part, .tokens_per_second = limit.tokens_per_second / static_cast<double>(daemons)};
+    ApplyAndSchedule(state, admission::SetPool(state.gate, limit.pool, capacity, MonotonicNow()));
+  }
+}
+
+void OfferRequest(router_state& state, const request_ptr& item) {
+  const std::string pool = PoolOf(*item);
+  const admission::request offer{.id = item->number,
+                                 .workspace = item->workspace,
+                                 .pool = pool,
+                                 .tokens = std::max<int64_t>(1, item->max_tokens),
+                                 .deadline = item->deadline,
+                                 .service_time = EstimateServiceTime(state, *item)};
+  ApplyAndSchedule(state, admission::Offer(state.gate, offer, MonotonicNow()));
+}
+
+void ReleaseAdmission(router_state& state, const request& item) {
+  const time_point now = MonotonicNow();
+  auto effects = admission::Abandon(state.gate, item.number, now);
+  std::ranges::move(admission::Finish(state.gate, item.number, now), std::back_inserter(effects));
+  ApplyAndSchedule(state, effects);
+}
+
+}  // namespace balsambay::router
--- a/libs/router/src/caller_api.cc
+++ b/libs/router/src/caller_api.cc
@@ -67,6 +67,9 @@
   if (!item.answer.repeatable && item.idempotency_key.empty()) {
     return BadRequest("a request that may not repeat needs the header Idempotency-Key");
   }
+  if (!item.answer.repeatable) {
+    item.body_digest = Sha256Hex(std::string(item.exchange->Path()) + '\n' + std::string(item.exchange->Body()));
+  }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
@@ -132,7 +135,7 @@
 }  // namespace
 
 void HandleCallerRequest(router_state& state, const net::exchange_ptr& exchange) {
-  if (state.draining) {
+  if (state.draining) {  // the balancer was told before
     return RespondProblem(state, exchange,
                           {.reason = "draining",
                            .detail = "this entry VM is stopping",
@@ -147,7 +150,8 @@
   auto item = std::make_shared<request>();
   item->exchange = exchange;
   item->arrived = MonotonicNow();
-  item->id = state.config.id + "-" + state.start_id + "-" + std::to_string(state.next_request++);
+  item->number = state.next_request++;
+  item->id = state.config.id + "-" + state.start_id + "-" + std::to_string(item->number);
   const parse_result parsed = ParseRequest(state, *item);
   if (parsed.has_error()) {
     return RespondProblem(state, exchange,
--- a/libs/router/src/details/dispatch.h
+++ b/libs/router/src/details/dispatch.h
@@ -1,6 +1,7 @@
-// Starts attempts and handles their events.
+// Starts attempts and handles their failures.
 #pragma once
 
+#include "admission/reason.h"
 #include "details/state.h"
 
 namespace balsambay::router {
@@ -8,11 +9,20 @@
 // Starts the next attempt. Precondition: phase kReady.
 void Dispatch(router_state& state, const request_ptr& item);
 
-// Closes the attempt and retries or gives up. `endpoint` names the one to avoid, empty when not
-// known.
+// Marks the attempt as open on item->route and returns its number. False when a non-repeatable request may no
+// longer be dispatched; then it has been given up.
+bool BeginDispatch(router_state& state, const request_ptr& item);
+
+struct attempt_error {
+  attempts::attempt_failure failure;
+  admission::retry_reason reason;
+  std::string endpoint = {};  // the one that failed; empty when not known
+  std::string detail = {};
+};
+
+// Closes the attempt and retries or gives up.
 void HandleAttemptFailure(router_state& state, const request_ptr& item, uint32_t attempt,
-                          attempts::attempt_failure failure, std::string_view retry_reason,
-                          std::string_view endpoint, std::string_view detail);
+                          const attempt_error& error);
 
 // Counts the attempt on the endpoints of its route; `delta` is 1 or -1.
 void CountInFlight(router_state& state, const request& item, int delta);
--- /dev/null
+++ b/libs/router/src/details/logging.h
@@ -0,0 +1,4 @@
+// Short names for the structured log.
+#pragma once
+
+#include "log/log.h"
--- a/libs/router/src/details/state.h
+++ b/libs/router/src/details/state.h
@@ -3,30 +3,41 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
+#include "admission/gate.h"
+#include "admission/retry.h"
 #include "attempts/attempts.h"
 #include "base/random.h"
+#include "details/telemetry.h"
+#include "health/health.h"
 #include "inventory/inventory.h"
+#include "ledger/claimant.h"
+#include "ledger/ledger.h"
 #include "net/engine_client.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/loop.h"
+#include "peer/peer.h"
 #include "router/settings.h"
 
 namespace balsambay::router {
 
-// One request of a caller. Owned by router_state::requests from acceptance to its final answer;
-// timers and callbacks hold weak pointers, so that nothing acts on a request that has ended.
+// One request of a caller. Owned by router_state::requests from acceptance to its final answer; timers and
+// callbacks hold weak pointers, so that nothing acts on a request that has ended.
 struct request {
   std::string id;
+  admission::request_id number = 0;  // the same request for the gate
   std::string workspace;
   std::string model;    // empty for services
   std::string service;  // empty for model requests
   std::string prompt;   // model requests
   std::string body;     // service calls
+  std::string body_digest;
   uint32_t max_tokens = 0;
   bool stream = false;
   std::string idempotency_key;
@@ -40,51 +51,86 @@
   std::string chunk_prefix;  // constant parts of each streamed event
   std::string chunk_suffix;
 
+  // Non-repeatable requests only.
+  std::optional<ledger::submission> submission;
+
   // The open attempt.
   std::vector<net::run_stage> route;
   std::shared_ptr<net::engine_run> run;
   std::shared_ptr<net::client_call> call;
   bool reading_paused = false;
+  time_point attempt_started;
   time_point last_progress;
   std::set<std::string, std::less<>> excluded;  // endpoints that failed for this request
-  uint32_t failures = 0;
 
   timer_id deadline_timer = 0;
   timer_id progress_timer = 0;
   timer_id backoff_timer = 0;
+  timer_id claim_timer = 0;
 };
 
 using request_ptr = std::shared_ptr<request>;
 
+// The end of a submission that the shard's owner has not confirmed yet.
+struct closing {
+  ledger::claim claim;
+  bool abandoned = false;  // not dispatched: the record says "not run"
+  ledger::end_state end = ledger::end_state::kUnknown;
+  std::string result;
+  time_point give_up_at;
+};
+
+struct reported_load {
+  int active = 0;
+  time_point at;
+};
+
 struct router_state {
   router_state(const settings& values, net::loop& main_loop)
       : config(values),
         loop(main_loop),
         client(net::MakeHttpClient(main_loop.timers())),
-        rng(values.seed != 0 ? values.seed : std::random_device{}()) {}
+        rng(values.seed != 0 ? values.seed : std::random_device{}()),
+        start_id(std::to_string(WallClockMs())),
+        instance_id(values.id + "#" + start_id) {}
 
   settings config;
   net::loop& loop;
   std::unique_ptr<net::http_client> client;
   std::unique_ptr<net::http_server> server;
   random_generator rng;
+  std::string start_id;     // distinguishes this process from an earlier one with the same id
+  std::string instance_id;  // "ID#START": how other daemons know this process
 
   uint64_t version = 0;  // of `inventory`; 0: none yet, the daemon is not ready
   inventory::configuration inventory;
   std::map<std::string, int, std::less<>> in_flight;  // attempts by endpoint, of this daemon
+  std::set<std::string, std::less<>> drained;         // endpoints that an operator drains
 
   std::map<std::string, request_ptr> requests;
-  // Distinguishes the request ids of this process from those of an earlier one with the same id.
-  std::string start_id = std::to_string(WallClockMs());
+  std::unordered_map<admission::request_id, request_ptr> by_number;
   uint64_t next_request = 1;
-  uint64_t accepted_requests = 0;
 
-  bool unready = false;   // told to the balancer
-  bool draining = false;  // takes no new work
+  health::registry health;
+  std::map<std::string, reported_load, std::less<>> reported_load;
+  timer_id health_timer = 0;
+
+  admission::gate gate;
+  admission::retry_budget retry_budget;
+  timer_id gate_timer = 0;
+
+  std::unique_ptr<peer::peer_node> peers;
+  std::vector<std::string> live_daemons;  // instance ids, this daemon included
+  ledger::shard_set_ptr shards;           // null without a platform
+  timer_id ledger_timer = 0;
+  std::map<std::string, closing> closings;  // by request id
+
+  bool unready = false;    // told to the balancer
+  bool draining = false;   // takes no new work
+  bool releasing = false;  // hands over the shards
   std::function<void(int)> on_stopped;
 
-  std::map<std::string, uint64_t, std::less<>> refusals;  // by reason
-  std::map<std::string, uint64_t, std::less<>> retries;   // by reason
+  telemetry metrics;
 };
 
 }  // namespace balsambay::router
--- /dev/null
+++ b/libs/router/src/details/table_client.h
@@ -0,0 +1,16 @@
+// Calls to the platform's table service.
+#pragma once
+
+#include <functional>
+
+#include "details/state.h"
+#include "lease/table_call.h"
+
+namespace balsambay::router {
+
+// Sends the call and reports its outcome once. Anything but a valid reply is unknown_outcome, because a request
+// that was sent can take effect later.
+void SendTableCall(router_state& state, const lease::table_call& call,
+                   std::function<void(const lease::table_outcome&)> done);
+
+}  // namespace balsambay::router
--- /dev/null
+++ b/libs/router/src/details/telemetry.h
@@ -0,0 +1,39 @@
+// Counters and histograms of one daemon.
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "base/time.h"
+#include "metrics/metrics.h"
+
+namespace balsambay::router {
+
+struct telemetry {
+  telemetry();
+
+  metrics::registry registry;
+  std::map<std::string, metrics::counter_id, std::less<>> refusals;  // by reason
+  std::map<std::string, metrics::counter_id, std::less<>> retries;   // by reason
+  metrics::counter_id accepted;
+  metrics::counter_id completed;
+  metrics::counter_id cancelled;
+  metrics::counter_id tokens;
+  metrics::counter_id stale_messages;
+  metrics::counter_id peer_errors;
+  metrics::counter_id config_applied;
+  metrics::gauge_id in_flight;
+  metrics::gauge_id config_version;
+  metrics::gauge_id bound;
+  metrics::histogram_id first_token;
+  metrics::histogram_id duration_seconds;
+  metrics::histogram_id claim;
+};
+
+void CountRefusal(telemetry& out, std::string_view reason);
+void CountRetry(telemetry& out, std::string_view reason);
+
+inline double Seconds(duration value) { return std::chrono::duration<double>(value).count(); }
+
+}  // namespace balsambay::router
--- /dev/null
+++ b/libs/router/src/model_attempt.cc
@@ -0,0 +1,183 @@
+// Attempts of model requests.
+#include "details/model_attempt.h"
+
+#include <algorithm>
+
+#include "details/dispatch.h"
+#include "details/endpoint_monitor.h"
+#include "details/planning.h"
+#include "details/replies.h"
+#include "details/requests.h"
+#include "details/stored_result.h"
+
+namespace balsambay::router {
+namespace {
+
+using admission::retry_reason;
+using attempts::attempt_failure;
+
+constexpr duration kUncoveredComeBack = std::chrono::seconds(5);
+
+attempt_error Classify(net::run_failure failure) {
+  switch (failure) {
+    case net::run_failure::kNotSent:
+      return {attempt_failure::kNotSent, retry_reason::kConnectFailed};
+    case net::run_failure::kRefused:
+      return {attempt_failure::kRefused, retry_reason::kOverloaded};
+    case net::run_failure::kLeaving:
+      return {attempt_failure::kRefused, retry_reason::kRefused};
+    case net::run_failure::kStageLost:
+      return {attempt_failure::kStageLost, retry_reason::kStageLost};
+    case net::run_failure::kTimeout:
+      return {attempt_failure::kStalled, retry_reason::kStalled};
+    case net::run_failure::kBroken:
+      break;
+  }
+  return {attempt_failure::kBroken, retry_reason::kReset};
+}
+
+attempt_error ProtocolError(const request& item, std::string detail) {
+  return {attempt_failure::kBroken, retry_reason::kReset, item.route.front().endpoint, std::move(detail)};
+}
+
+duration ProgressLimit(const router_state& state, const request& item) {
+  return item.answer.maybe_ran ? state.config.token_timeout : state.config.first_token_timeout;
+}
+
+void WatchProgress(router_state& state, const request_ptr& item);
+
+// Fails the attempt when no token came in time. The time while the caller does not read is not counted.
+void CheckProgress(router_state& state, const request_ptr& item, time_point now) {
+  if (item->phase != attempts::phase::kRunning) return;
+  if (item->reading_paused) item->last_progress = now;
+  if (now - item->last_progress < ProgressLimit(state, *item)) return WatchProgress(state, item);
+  HandleAttemptFailure(state, item, item->answer.attempt,
+                       {attempt_failure::kStalled, retry_reason::kStalled, "", "no token in time"});
+}
+
+void WatchProgress(router_state& state, const request_ptr& item) {
+  const std::weak_ptr<request> weak = item;
+  Cancel(state.loop.timers(), item->progress_timer);
+  const time_point deadline = item->last_progress + ProgressLimit(state, *item);
+  item->progress_timer = Subscribe(state.loop.timers(), deadline, [&state, weak](time_point now) {
+    if (const auto held = weak.lock()) CheckProgress(state, held, now);
+  });
+}
+
+void OnSlowReaderTimeout(router_state& state, const request_ptr& item) {
+  if (!item->reading_paused) return;
+  GiveUp(state, item, "slow_reader", "the caller did not read the answer");
+}
+
+// Stops reading from the engine while a slow caller has much left to take, so that memory stays bounded.
+void ApplyBackPressure(router_state& state, const request_ptr& item) {
+  if (item->exchange->PendingBytes() < state.config.max_pending_bytes || item->reading_paused) return;
+  item->reading_paused = true;
+  item->run->PauseReading();
+  const std::weak_ptr<request> weak = item;
+  Cancel(state.loop.timers(), item->backoff_timer);
+  item->backoff_timer = Subscribe(state.loop.timers(), MonotonicNow() + state.config.slow_reader_timeout,
+                                  [&state, weak](time_point) {
+                                    if (const auto held = weak.lock()) OnSlowReaderTimeout(state, held);
+                                  });
+  item->exchange->on_drained = [weak] {
+    const auto held = weak.lock();
+    if (!held || !held->reading_paused) return;
+    held->reading_paused = false;
+    held->last_progress = MonotonicNow();
+    if (held->run) held->run->ResumeReading();
+  };
+}
+
+void OnFirstToken(router_state& state, const request_ptr& item, time_point now) {
+  metrics::Observe(state.metrics.registry, state.metrics.first_token, Seconds(now - item->arrived));
+  WatchProgress(state, item);
+}
+
+// Tokens that the library accepts go to the caller in one write.
+void OnTokens(router_state& state, const request_ptr& item, uint32_t attempt, uint32_t first_index,
+              std::span<const std::string> tokens) {
+  const size_t before = item->answer.tokens.size();
+  uint32_t index = first_index;
+  for (const std::string& token : tokens) {
+    const auto verdict = attempts::OnToken(item->answer, attempt, index++, token);
+    if (verdict == attempts::token_verdict::kGap) {
+      return HandleAttemptFailure(state, item, attempt, ProtocolError(*item, "token index out of order"));
+    }
+    if (verdict != attempts::token_verdict::kDeliver) {
+      metrics::Increment(state.metrics.registry, state.metrics.stale_messages);
+    }
+  }
+  const size_t delivered = item->answer.tokens.size() - before;
+  if (delivered == 0) return;
+  item->last_progress = MonotonicNow();
+  if (before == 0) OnFirstToken(state, item, item->last_progress);
+  metrics::Increment(state.metrics.registry, state.metrics.tokens, delivered);
+  SendTokens(*item, std::span(item->answer.tokens).subspan(before));
+  if (item->stream) ApplyBackPressure(state, item);
+}
+
+void OnEnd(router_state& state, const request_ptr& item, uint32_t attempt, uint32_t count,
+           std::string_view finish_reason) {
+  if (attempts::OnEnd(item->answer, attempt, count) != attempts::end_verdict::kComplete) {
+    return HandleAttemptFailure(state, item, attempt, ProtocolError(*item, "end mark does not match the tokens"));
+  }
+  std::ranges::for_each(item->route, [&](const net::run_stage& stage) {
+    ReportEvidence(state, stage.endpoint, health::evidence_kind::kSuccess);
+  });
+  OnRouteSucceeded(state, *item);
+  SendCompletion(*item, finish_reason);
+  Complete(state, item, item->submission ? EncodeModelResult(*item, finish_reason) : "");
+}
+
+net::run_request MakeRun(const router_state& state, const request& item) {
+  net::run_request run;
+  run.run_id = item.id;
+  run.attempt = item.answer.attempt;
+  run.model = item.model;
+  run.stages = item.route;
+  run.prompt = item.prompt;
+  run.delivered = item.answer.tokens;
+  run.max_tokens = item.max_tokens;
+  run.repeatable = item.answer.repeatable;
+  run.header_timeout = state.config.first_token_timeout;
+  const auto workspace = state.inventory.workspaces.find(item.workspace);
+  if (workspace != state.inventory.workspaces.end()) run.priority = workspace->second.priority;
+  return run;
+}
+
+net::run_events MakeEvents(router_state& state, const request_ptr& item) {
+  const std::weak_ptr<request> weak = item;
+  net::run_events events;
+  events.on_tokens = [&state, weak](uint32_t attempt, uint32_t first, std::span<const std::string> tokens) {
+    if (const auto held = weak.lock()) OnTokens(state, held, attempt, first, tokens);
+  };
+  events.on_end = [&state, weak](uint32_t attempt, uint32_t count, std::string_view finish_reason) {
+    if (const auto held = weak.lock()) OnEnd(state, held, attempt, count, finish_reason);
+  };
+  events.on_failed = [&state, weak](uint32_t attempt, net::run_failure failure,
+                                    std::string_view endpoint, std::string_view detail) {
+    const auto held = weak.lock();
+    if (!held) return;
+    attempt_error error = Classify(failure);
+    error.endpoint = endpoint;
+    error.detail = detail;
+    HandleAttemptFailure(state, held, attempt, error);
+  };
+  return events;
+}
+
+}  // namespace
+
+void DispatchModelRequest(router_state& state, const request_ptr& item) {
+  item->route = ChooseRoute(state, *item);
+  if (item->route.empty()) {
+    return GiveUp(state, item, "uncovered_model", DescribeUncovered(state, item->model), kUncoveredComeBack);
+  }
+  if (!BeginDispatch(state, item)) return;
+  item->last_progress = MonotonicNow();
+  WatchProgress(state, item);
+  item->run = net::StartRun(*state.client, MakeRun(state, *item), MakeEvents(state, item));
+}
+
+}  // namespace balsambay::router
--- /dev/null
+++ b/libs/router/src/peers.cc
@@ -0,0 +1,82 @@
+// Peer links and message dispatch.
+#include "details/peers.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "details/config_driver.h"
+#include "details/ledger_driver.h"
+#include "details/logging.h"
+#include "details/membership_driver.h"
+
+namespace balsambay::router {
+namespace {
+
+using nlohmann::json;
+
+bool IsLedgerMessage(std::string_view type) {
+  return type == "claim" || type == "claim_reply" || type == "abandon" || type == "finish" || type == "handover";
+}
+
+void Handle(router_state& state, std::string_view peer, const json& message) {
+  const std::string type = message.at("type");
+  if (IsLedgerMessage(type)) return HandleLedgerMessage(state, peer, message);
+  if (type == "config") return HandleConfigMessage(state, peer, message);
+  if (type == "swim") return HandleMembershipMessage(state, peer, message);
+}
+
+void OnMessage(router_state& state, std::string_view peer, const json& message) {
+  try {
+    Handle(state, peer, message);
+  } catch (const json::exception& failure) {
+    metrics::Increment(state.metrics.registry, state.metrics.peer_errors);
+    log::Log(log::level::kWarning, "message of a peer is not valid", {{"peer", peer}, {"detail", failure.what()}});
+  }
+}
+
+void OnLinkChange(router_state& state, std::string_view peer, bool up) {
+  log::Log(log::level::kInfo, up ? "peer link is up" : "peer link is down", {{"peer", peer}});
+  UpdateLedgerMembers(state);
+  if (up) GreetPeer(state, peer);
+}
+
+}  // namespace
+
+result<void> StartPeers(router_state& state) {
+  if (state.config.peer_listen.empty()) return Success();
+  peer::peer_settings settings;
+  settings.id = state.instance_id;
+  settings.listen_address = state.config.peer_listen;
+  settings.key = state.config.peer_key;
+  settings.seed = state.rng();
+  peer::peer_callbacks callbacks;
+  callbacks.on_message = [&state](std::string_view peer, const json& message) { OnMessage(state, peer, message); };
+  callbacks.on_up = [&state](std::string_view peer) { OnLinkChange(state, peer, true); };
+  callbacks.on_down = [&state](std::string_view peer) { OnLinkChange(state, peer, false); };
+  BOOST_OUTCOME_TRY(node, peer::peer_node::Create(state.loop.timers(), std::move(settings), std::move(callbacks)));
+  state.peers = std::move(node);
+  for (const std::string& address : state.config.peers) {
+    BOOST_OUTCOME_TRYV(state.peers->Connect(address));
+  }
+  return Success();
+}
+
+bool SendToPeer(router_state& state, std::string_view peer, const json& message) {
+  return state.peers && state.peers->Send(peer, message);
+}
+
+void SendToAllPeers(router_state& state, const json& message) {
+  if (!state.peers) return;
+  std::ranges::for_each(state.peers->UpPeers(),
+                        [&](const std::string& peer) { state.peers->Send(peer, message); });
+}
+
+std::vector<std::string> LiveDaemons(const router_state& state) {
+  std::vector<std::string> out;
+  if (state.peers) out = state.peers->UpPeers();
+  out.push_back(state.instance_id);
+  std::ranges::sort(out);
+  return out;
+}
+
+}  // namespace balsambay::router
--- a/libs/router/src/replies.cc
+++ b/libs/router/src/replies.cc
@@ -24,6 +24,7 @@
                                   reason_status{"slow_sender", 408},
                                   reason_status{"duplicate_in_progress", 409},
                                   reason_status{"duplicate_unknown", 409},
+    reason_status{"result_not_kept", 409},
                                   reason_status{"too_large", 413},
                                   reason_status{"key_conflict", 422},
                                   reason_status{"quarantined", 422},
@@ -82,7 +83,7 @@
 }
 
 void RespondProblem(router_state& state, const net::exchange_ptr& exchange, const problem& error) {
-  ++state.refusals[std::string(error.reason)];
+  CountRefusal(state.metrics, error.reason);
   std::vector<net::header> headers = {
       {"Content-Type", "application/problem+json"},
       {"Balsambay-Outcome", std::string(attempts::ToString(error.outcome))}};
@@ -133,7 +134,7 @@
 }
 
 void SendStreamError(router_state& state, request& item, const problem& error) {
-  ++state.refusals[std::string(error.reason)];
+  CountRefusal(state.metrics, error.reason);
   json event = {{"error", json::parse(ProblemBody(error))}};
   event["error"]["code"] = error.reason;
   event["error"]["message"] = error.detail;
--- a/libs/router/src/router.cc
+++ b/libs/router/src/router.cc
@@ -47,7 +47,7 @@
   const problem error{.reason = large ? "too_large" : "slow_sender",
                       .detail = large ? "the body is larger than this entry VM accepts"
                                       : "the body did not arrive in time"};
-  ++state.refusals[std::string(error.reason)];
+  CountRefusal(state.metrics, error.reason);
   headers.push_back({"Content-Type", "application/problem+json"});
   headers.push_back({"Balsambay-Outcome", "not-run"});
   return ProblemBody(error);
--- a/libs/router/src/service_calls.cc
+++ b/libs/router/src/service_calls.cc
@@ -1,19 +1,22 @@
-// One attempt of a service call: the body goes to the endpoint as it is, the reply comes back
-// whole.
+// One attempt of a service call: the body goes to the endpoint as it is, the reply comes back whole.
 #include "details/service_calls.h"
 
 #include <array>
 
 #include "details/dispatch.h"
+#include "details/endpoint_monitor.h"
+#include "details/planning.h"
 #include "details/requests.h"
-#include "details/route_choice.h"
+#include "details/stored_result.h"
 
 namespace balsambay::router {
 namespace {
 
+using admission::retry_reason;
 using attempts::attempt_failure;
 
 constexpr size_t kMaxReplyBytes = 16 << 20;
+constexpr duration kNoRouteComeBack = std::chrono::seconds(5);
 
 struct service_reply {
   int status = 0;
@@ -23,67 +26,58 @@
   std::string body;
 };
 
-void Complete(router_state& state, const request_ptr& item, uint32_t attempt,
-              const service_reply& reply) {
+void FinishCall(router_state& state, const request_ptr& item, uint32_t attempt, const service_reply& reply) {
   attempts::OnEnd(item->answer, attempt, 0);
-  const std::array<net::header, 3> headers = {
-      net::header{"Content-Type",
-                  reply.content_type.empty() ? "application/json" : reply.content_type},
-      net::header{"Balsambay-Outcome", "ran"}, net::header{"Balsambay-Request-Id", item->id}};
+  ReportEvidence(state, item->route.front().endpoint, health::evidence_kind::kSuccess,
+                 MonotonicNow() - item->attempt_started);
+  const std::string type = reply.content_type.empty() ? "application/json" : reply.content_type;
+  const std::array<net::header, 3> headers = {net::header{"Content-Type", type},
+                                              net::header{"Balsambay-Outcome", "ran"},
+                                              net::header{"Balsambay-Request-Id", item->id}};
   item->exchange->Respond(reply.status, headers, reply.body);
-  Retire(state, item);
+  Complete(state, item, item->submission ? EncodeServiceResult(reply.status, type, reply.body) : "");
 }
 
-void OnReplyEnd(router_state& state, const request_ptr& item, uint32_t attempt,
-                const service_reply& reply, const net::call_end& end) {
-  const std::string endpoint = item->route.front().endpoint;
-  if (end.failure == net::call_failure::kConnect) {
-    return HandleAttemptFailure(state, item, attempt, attempt_failure::kNotSent, "connect_failed",
-                                endpoint, end.detail);
-  }
-  if (end.failure == net::call_failure::kTimeout) {
-    return HandleAttemptFailure(state, item, attempt, attempt_failure::kStalled, "stalled",
-                                endpoint, end.detail);
-  }
-  if (end.failure != net::call_failure::kNone) {
-    return HandleAttemptFailure(state, item, attempt, attempt_failure::kBroken, "reset", endpoint,
-                                end.detail);
+std::optional<attempt_error> ErrorOf(const service_reply& reply, const net::call_end& end) {
+  switch (end.failure) {
+    case net::call_failure::kConnect:
+      return attempt_error{attempt_failure::kNotSent, retry_reason::kConnectFailed, "", end.detail};
+    case net::call_failure::kTimeout:
+      return attempt_error{attempt_failure::kStalled, retry_reason::kStalled, "", end.detail};
+    case net::call_failure::kBroken:
+      return attempt_error{attempt_failure::kBroken, retry_reason::kReset, "", end.detail};
+    case net::call_failure::kNone:
+      break;
   }
   if (reply.not_started) {
-    return HandleAttemptFailure(state, item, attempt, attempt_failure::kRefused,
-                                reply.leaving ? "refused" : "overloaded", endpoint,
-                                "refused before starting");
-  }
-  if (reply.body.size() > kMaxReplyBytes) {
-    return HandleAttemptFailure(state, item, attempt, attempt_failure::kBroken, "reset", endpoint,
-                                "reply too large");
+    return attempt_error{attempt_failure::kRefused,
+                         reply.leaving ? retry_reason::kRefused : retry_reason::kOverloaded, "",
+                         "refused before starting"};
   }
-  Complete(state, item, attempt, reply);
+  if (reply.body.size() <= kMaxReplyBytes) return std::nullopt;
+  return attempt_error{attempt_failure::kBroken, retry_reason::kReset, "", "reply too large"};
 }
 
-net::client_request MakeCall(const router_state& state, const request& item,
-                             const std::string& address) {
+void OnReplyEnd(router_state& state, const request_ptr& item, uint32_t attempt, const service_reply& reply,
+                const net::call_end& end) {
+  auto error = ErrorOf(reply, end);
+  if (!error) return FinishCall(state, item, attempt, reply);
+  error->endpoint = item->route.front().endpoint;
+  HandleAttemptFailure(state, item, attempt, *error);
+}
+
+net::client_request MakeCall(const request& item, time_point now) {
   net::client_request call;
-  call.url = "http://" + address + "/v1/call/" + item.service;
+  call.url = "http://" + item.route.front().address + "/v1/call/" + item.service;
   call.headers = {{"Balsambay-Request-Id", item.id}};
   call.body = item.body.empty() ? "{}" : item.body;
   call.fresh_connection = !item.answer.repeatable;
-  call.header_timeout = state.config.first_token_timeout;
+  // A service may take as long as its caller waits.
+  call.header_timeout = item.deadline - now;
   return call;
 }
 
-}  // namespace
-
-void DispatchServiceCall(router_state& state, const request_ptr& item) {
-  const inventory::endpoint* chosen = ChooseServiceEndpoint(state, *item);
-  if (chosen == nullptr) {
-    return GiveUp(state, item, "no_route", "no endpoint of service " + item->service + " is usable",
-                  std::chrono::seconds(5));
-  }
-  item->route = {{chosen->id, chosen->address, 0, 0}};
-  attempts::Advance(item->phase, attempts::phase_event::kDispatched);
-  const uint32_t attempt = attempts::BeginAttempt(item->answer);
-  CountInFlight(state, *item, 1);
+net::client_callbacks MakeCallbacks(router_state& state, const request_ptr& item) {
   auto reply = std::make_shared<service_reply>();
   const std::weak_ptr<request> weak = item;
   net::client_callbacks callbacks;
@@ -94,13 +88,26 @@
     reply->content_type = get("Content-Type");
   };
   callbacks.on_data = [reply](std::string_view data) {
-    // One byte above the limit is kept as the mark of a reply that is too large.
+    // One piece above the limit is kept as the mark of a reply that is too large.
     if (reply->body.size() <= kMaxReplyBytes) reply->body += data;
   };
-  callbacks.on_end = [&state, weak, reply, attempt](const net::call_end& end) {
+  callbacks.on_end = [&state, weak, reply, attempt = item->answer.attempt](const net::call_end& end) {
     if (const auto held = weak.lock()) OnReplyEnd(state, held, attempt, *reply, end);
   };
-  item->call = state.client->Send(MakeCall(state, *item, chosen->address), std::move(callbacks));
+  return callbacks;
+}
+
+}  // namespace
+
+void DispatchServiceCall(router_state& state, const request_ptr& item) {
+  const inventory::endpoint* chosen = ChooseServiceEndpoint(state, *item);
+  if (chosen == nullptr) {
+    return GiveUp(state, item, "no_route", "no endpoint of service " + item->service + " is usable",
+                  kNoRouteComeBack);
+  }
+  item->route = {{chosen->id, chosen->address, 0, 0}};
+  if (!BeginDispatch(state, item)) return;
+  item->call = state.client->Send(MakeCall(*item, item->attempt_started), MakeCallbacks(state, item));
 }
 
 }  // namespace balsambay::router
--- /dev/null
+++ b/libs/router/src/stored_result.cc
@@ -0,0 +1,56 @@
+// Stored results as CBOR.
+#include "details/stored_result.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+#include "details/replies.h"
+
+namespace balsambay::router {
+namespace {
+
+using nlohmann::json;
+
+std::string Encode(const json& value) {
+  std::string out;
+  json::to_cbor(value, out);
+  return out;
+}
+
+void RespondStoredService(request& item, const json& value) {
+  const std::array<net::header, 3> headers = {
+      net::header{"Content-Type", value.at("content_type").get<std::string>()},
+      net::header{"Balsambay-Outcome", "ran"}, net::header{"Balsambay-Replayed", "1"}};
+  const auto& body = value.at("body").get_binary();
+  item.exchange->Respond(value.at("status"), headers, std::string(body.begin(), body.end()));
+}
+
+}  // namespace
+
+std::string EncodeModelResult(const request& item, std::string_view finish_reason) {
+  return Encode({{"tokens", item.answer.tokens}, {"finish_reason", finish_reason}});
+}
+
+std::string EncodeServiceResult(int status, std::string_view content_type, std::string_view body) {
+  return Encode({{"status", status},
+                 {"content_type", content_type},
+                 {"body", json::binary(std::vector<uint8_t>(body.begin(), body.end()))}});
+}
+
+bool RespondStored(request& item, std::string_view stored) {
+  const json value = json::from_cbor(stored, true, false);
+  try {
+    if (!item.service.empty()) {
+      RespondStoredService(item, value);
+      return true;
+    }
+    item.answer.tokens = value.at("tokens").get<std::vector<std::string>>();
+    SendTokens(item, item.answer.tokens);
+    SendCompletion(item, value.at("finish_reason").get<std::string>());
+    return true;
+  } catch (const json::exception&) {
+    return false;
+  }
+}
+
+}  // namespace balsambay::router
