--- a/apps/balsambayd/flags.cc
+++ b/apps/balsambayd/flags.cc
@@ -17,30 +17,48 @@
 ABSL_FLAG(std::string, id, "", "unique id of this daemon among all entry daemons; required");
 ABSL_FLAG(std::string, zone, "", "availability zone of this VM; required");
 ABSL_FLAG(std::string, listen, "127.0.0.1:8080", "IP:PORT for callers, operators and metrics");
-ABSL_FLAG(std::string, peer_listen, "", "IP:PORT for other entry daemons; empty runs without peers");
-ABSL_FLAG(std::string, peer_advertise, "", "IP:PORT that other entry daemons use; default: peer_listen");
+ABSL_FLAG(std::string, peer_listen, "",
+          "IP:PORT for other entry daemons; empty runs without peers");
+ABSL_FLAG(std::string, peer_advertise, "",
+          "IP:PORT that other entry daemons use; default: peer_listen");
 ABSL_FLAG(std::string, peers, "", "IP:PORT of other entry daemons, separated by commas");
-ABSL_FLAG(std::string, peer_key, "", "shared secret of all entry daemons; required with peer_listen");
+ABSL_FLAG(std::string, peer_key, "",
+          "shared secret of all entry daemons; required with peer_listen");
 ABSL_FLAG(std::string, platform, "", "IP:PORT of the platform's service");
 ABSL_FLAG(std::string, admin_token, "", "bearer token of the admin API; empty closes the API");
 ABSL_FLAG(std::string, config_file, "", "fixed configuration for trials without a platform");
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
 ABSL_FLAG(int, max_body_kb, 1024, "largest request body, KiB (1 to 65536)");
 ABSL_FLAG(int, body_timeout_ms, 10000, "time for a request body to arrive, ms (100 to 600000)");
-ABSL_FLAG(int, first_token_timeout_ms, 5000, "an attempt without a token for this long has stalled, ms");
+ABSL_FLAG(int, first_token_timeout_ms, 5000,
+          "an attempt without a token for this long has stalled, ms");
 ABSL_FLAG(int, token_timeout_ms, 1000, "largest pause between two tokens of an attempt, ms");
-ABSL_FLAG(int, unready_delay_ms, 2000, "how long requests are still taken after SIGTERM, ms (0 to 60000)");
+ABSL_FLAG(int, unready_delay_ms, 2000,
+          "how long requests are still taken after SIGTERM, ms (0 to 60000)");
 ABSL_FLAG(int, shards, 8, "shards of at-most-once records; the same for all daemons (1 to 1024)");
 ABSL_FLAG(uint64_t, seed, 0, "seed of random choices; 0 takes one from the system");
 
 namespace balsambay::app {
 namespace {
 
-constexpr std::array kFlagNames = {
-    "id",          "zone",        "listen",          "peer_listen",            "peer_advertise",
-    "peers",       "peer_key",    "platform",        "admin_token",            "config_file",
-    "log_level",   "max_body_kb", "body_timeout_ms", "first_token_timeout_ms", "token_timeout_ms",
-    "unready_delay_ms", "shards", "seed"};
+constexpr std::array kFlagNames = {"id",
+                                   "zone",
+                                   "listen",
+                                   "peer_listen",
+                                   "peer_advertise",
+                                   "peers",
+                                   "peer_key",
+                                   "platform",
+                                   "admin_token",
+                                   "config_file",
+                                   "log_level",
+                                   "max_body_kb",
+                                   "body_timeout_ms",
+                                   "first_token_timeout_ms",
+                                   "token_timeout_ms",
+                                   "unready_delay_ms",
+                                   "shards",
+                                   "seed"};
 
 std::string EnvironmentName(std::string_view flag) {
   std::string out = "BALSAMBAY_";
@@ -58,12 +76,15 @@
   return parsed.ec == std::errc() && parsed.ptr == digits.data() + digits.size() && port <= 65535;
 }
 
-void CheckAddress(std::string_view flag, const std::string& value, bool required, std::vector<std::string>& errors) {
+void CheckAddress(std::string_view flag, const std::string& value, bool required,
+                  std::vector<std::string>& errors) {
   if (value.empty() && !required) return;
-  if (!IsAddress(value)) errors.push_back("--" + std::string(flag) + ": \"" + value + "\" is not IP:PORT");
+  if (!IsAddress(value))
+    errors.push_back("--" + std::string(flag) + ": \"" + value + "\" is not IP:PORT");
 }
 
-int CheckRange(std::string_view flag, int value, int low, int high, std::vector<std::string>& errors) {
+int CheckRange(std::string_view flag, int value, int low, int high,
+               std::vector<std::string>& errors) {
   if (value < low || value > high) {
     errors.push_back("--" + std::string(flag) + ": " + std::to_string(value) + " is not between " +
                      std::to_string(low) + " and " + std::to_string(high));
@@ -101,24 +122,29 @@
   router::settings& settings = out.settings;
   auto& errors = out.errors;
   settings.max_body_bytes =
-      static_cast<size_t>(CheckRange("max_body_kb", absl::GetFlag(FLAGS_max_body_kb), 1, 65536, errors)) * 1024;
-  settings.body_timeout =
-      Milliseconds(CheckRange("body_timeout_ms", absl::GetFlag(FLAGS_body_timeout_ms), 100, 600000, errors));
-  settings.first_token_timeout = Milliseconds(
-      CheckRange("first_token_timeout_ms", absl::GetFlag(FLAGS_first_token_timeout_ms), 10, 600000, errors));
-  settings.token_timeout =
-      Milliseconds(CheckRange("token_timeout_ms", absl::GetFlag(FLAGS_token_timeout_ms), 10, 600000, errors));
-  settings.unready_delay =
-      Milliseconds(CheckRange("unready_delay_ms", absl::GetFlag(FLAGS_unready_delay_ms), 0, 60000, errors));
-  settings.shards = static_cast<uint32_t>(CheckRange("shards", absl::GetFlag(FLAGS_shards), 1, 1024, errors));
+      static_cast<size_t>(
+          CheckRange("max_body_kb", absl::GetFlag(FLAGS_max_body_kb), 1, 65536, errors)) *
+      1024;
+  settings.body_timeout = Milliseconds(
+      CheckRange("body_timeout_ms", absl::GetFlag(FLAGS_body_timeout_ms), 100, 600000, errors));
+  settings.first_token_timeout = Milliseconds(CheckRange(
+      "first_token_timeout_ms", absl::GetFlag(FLAGS_first_token_timeout_ms), 10, 600000, errors));
+  settings.token_timeout = Milliseconds(
+      CheckRange("token_timeout_ms", absl::GetFlag(FLAGS_token_timeout_ms), 10, 600000, errors));
+  settings.unready_delay = Milliseconds(
+      CheckRange("unready_delay_ms", absl::GetFlag(FLAGS_unready_delay_ms), 0, 60000, errors));
+  settings.shards =
+      static_cast<uint32_t>(CheckRange("shards", absl::GetFlag(FLAGS_shards), 1, 1024, errors));
 }
 
 }  // namespace
 
 void ParseFlags(int argc, char** argv) {
   absl::SetProgramUsageMessage(
-      "entry daemon of balsambay.\n\nEach flag can be given as an environment variable as well: --peer_key is\n"
-      "BALSAMBAY_PEER_KEY. Exit codes: 0 graceful stop, 1 cannot start, 2 wrong settings, 3 forced stop that cut\n"
+      "entry daemon of balsambay.\n\nEach flag can be given as an environment variable as well: "
+      "--peer_key is\n"
+      "BALSAMBAY_PEER_KEY. Exit codes: 0 graceful stop, 1 cannot start, 2 wrong settings, 3 forced "
+      "stop that cut\n"
       "requests. SIGTERM stops gracefully, a second one at once.");
   bool valid = true;
   for (const char* name : kFlagNames) {
@@ -148,7 +174,8 @@
   if (settings.zone.empty()) out.errors.emplace_back("--zone: required");
   constexpr std::array kLevels = {"debug", "info", "warning", "error"};
   if (std::ranges::find(kLevels, out.log_level) == kLevels.end()) {
-    out.errors.push_back("--log_level: \"" + out.log_level + "\" is not debug, info, warning or error");
+    out.errors.push_back("--log_level: \"" + out.log_level +
+                         "\" is not debug, info, warning or error");
   }
   ReadAddresses(out);
   ReadLimits(out);
--- a/apps/balsambayd/flags.h
+++ b/apps/balsambayd/flags.h
@@ -8,7 +8,8 @@
 
 namespace balsambay::app {
 
-// Reads `--name` from the command line and BALSAMBAY_NAME from the environment; the command line wins. Exits for
+// Reads `--name` from the command line and BALSAMBAY_NAME from the environment; the command line
+// wins. Exits for
 // --help and for flags that do not parse.
 void ParseFlags(int argc, char** argv);
 
--- a/libs/router/include/router/settings.h
+++ b/libs/router/include/router/settings.h
@@ -27,7 +27,7 @@
   size_t max_pending_bytes = 256 * 1024;  // buffered for one slow caller before reading stops
   duration slow_reader_timeout = std::chrono::seconds(30);
   uint32_t shards = 8;  // of at-most-once records; the same for all daemons
-  uint64_t seed = 0;  // of the random generator; 0 takes one from the system
+  uint64_t seed = 0;    // of the random generator; 0 takes one from the system
 };
 
 }  // namespace balsambay::router
--- /dev/null
+++ b/libs/router/src/admin_api.cc
@@ -0,0 +1,183 @@
+// Admin API: configuration, status, endpoints, plans, drain, explain.
+#include "details/admin_api.h"
+
+#include <nlohmann/json.hpp>
+
+#include "base/hash.h"
+#include "details/config_driver.h"
+#include "details/endpoint_monitor.h"
+#include "details/planning.h"
+#include "details/replies.h"
+#include "metrics/prometheus.h"
+
+namespace balsambay::router {
+namespace {
+
+using nlohmann::json;
+
+void RespondJson(const net::exchange_ptr& exchange, int status, const json& body) {
+  const net::header type{"Content-Type", "application/json"};
+  exchange->Respond(status, {&type, 1}, body.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+void RespondError(const net::exchange_ptr& exchange, int status, const std::string& message) {
+  RespondJson(exchange, status, {{"errors", json::array({{{"path", ""}, {"message", message}}})}});
+}
+
+bool IsAuthorized(const router_state& state, const net::exchange_ptr& exchange) {
+  if (state.config.admin_token.empty()) return false;
+  return ConstantTimeEqual(exchange->Header("Authorization"), "Bearer " + state.config.admin_token);
+}
+
+std::string_view StateName(const router_state& state) {
+  if (state.draining) return "draining";
+  if (state.unready) return "stopping";
+  return state.version == 0 ? "starting" : "serving";
+}
+
+void HandleStatus(router_state& state, const net::exchange_ptr& exchange) {
+  json members = json::array();
+  for (const std::string& id : state.live_daemons) {
+    members.push_back(
+        {{"id", id}, {"state", "live"}, {"version", id == state.instance_id ? state.version : 0}});
+  }
+  json shards = json::array();
+  if (state.shards) shards = ledger::ServedShards(*state.shards);
+  RespondJson(exchange, 200,
+              {{"id", state.config.id},
+               {"zone", state.config.zone},
+               {"version", state.version},
+               {"age_ms", ConfigAgeMs(state)},
+               {"ready", state.version != 0 && !state.unready},
+               {"state", StateName(state)},
+               {"members", members},
+               {"shards", shards},
+               {"in_flight", state.requests.size()}});
+}
+
+void HandleEndpoints(router_state& state, const net::exchange_ptr& exchange) {
+  json list = json::array();
+  for (const auto& [id, endpoint] : state.inventory.endpoints) {
+    const auto seen = health::View(state.health, id, MonotonicNow());
+    const auto load = state.reported_load.find(id);
+    const auto mine = state.in_flight.find(id);
+    list.push_back({{"id", id},
+                    {"state", health::ToString(seen.state)},
+                    {"usable", IsUsable(state, id)},
+                    {"in_flight", mine == state.in_flight.end() ? 0 : mine->second},
+                    {"reported_load", load == state.reported_load.end() ? 0 : load->second.active},
+                    {"zone", endpoint.zone}});
+  }
+  RespondJson(exchange, 200, {{"endpoints", list}});
+}
+
+json DescribeRoute(const std::vector<net::run_stage>& route) {
+  json stages = json::array();
+  for (const net::run_stage& stage : route) {
+    stages.push_back(
+        {{"endpoint", stage.endpoint}, {"first", stage.first_layer}, {"end", stage.end_layer}});
+  }
+  return stages;
+}
+
+void HandleExplain(router_state& state, const net::exchange_ptr& exchange, const json& body) {
+  request probe;
+  probe.workspace = body.value("workspace", "");
+  probe.model = body.value("model", "");
+  probe.service = body.value("service", "");
+  probe.prompt = body.value("prompt", "");
+  json reasons = json::array();
+  const bool non_repeatable =
+      inventory::IsNonRepeatable(state.inventory, probe.workspace, probe.model, probe.service);
+  reasons.push_back(non_repeatable ? "the rules forbid repeating this request"
+                                   : "the request may be repeated on another route");
+  json route = json::array();
+  if (!probe.service.empty()) {
+    const auto* chosen = ChooseServiceEndpoint(state, probe);
+    if (chosen != nullptr) route.push_back({{"endpoint", chosen->id}, {"first", 0}, {"end", 0}});
+  } else if (state.inventory.models.contains(probe.model)) {
+    route = DescribeRoute(ChooseRoute(state, probe));
+    if (route.empty()) reasons.push_back(DescribeUncovered(state, probe.model));
+  } else {
+    return RespondError(exchange, 404, "model \"" + probe.model + "\" does not exist");
+  }
+  RespondJson(exchange, 200, {{"route", route}, {"reasons", reasons}});
+}
+
+void HandlePlan(router_state& state, const net::exchange_ptr& exchange) {
+  constexpr std::string_view kPrefix = "model=";
+  std::string model(exchange->Query());
+  if (model.starts_with(kPrefix)) model.erase(0, kPrefix.size());
+  if (model.empty() && !state.inventory.models.empty())
+    model = state.inventory.models.begin()->first;
+  const auto described = DescribePlan(state, model);
+  if (described.is_null())
+    return RespondError(exchange, 404, "model \"" + model + "\" does not exist");
+  RespondJson(exchange, 200, described);
+}
+
+void HandleGetConfig(router_state& state, const net::exchange_ptr& exchange) {
+  RespondJson(exchange, 200,
+              {{"version", state.version},
+               {"age_ms", ConfigAgeMs(state)},
+               {"document", ConfigDocument(state)}});
+}
+
+void HandlePostConfig(router_state& state, const net::exchange_ptr& exchange, const json& body) {
+  if (!body.contains("document"))
+    return RespondError(exchange, 422, "member \"document\" is missing");
+  SubmitConfig(state, exchange, body.value("base_version", uint64_t{0}), body.at("document"));
+}
+
+// Draining an endpoint is a change of the configuration, so that it holds everywhere and stays in
+// force.
+void HandleDrain(router_state& state, const net::exchange_ptr& exchange, const json& body) {
+  const std::string endpoint = body.value("endpoint", "");
+  json document = ConfigDocument(state);
+  if (!state.inventory.endpoints.contains(endpoint)) {
+    return RespondError(exchange, 404, "endpoint \"" + endpoint + "\" does not exist");
+  }
+  document["endpoints"][endpoint]["drained"] = body.value("drain", true);
+  SubmitConfig(state, exchange, state.version, document);
+}
+
+void HandlePost(router_state& state, const net::exchange_ptr& exchange, std::string_view resource) {
+  const json body = json::parse(exchange->Body(), nullptr, false);
+  if (!body.is_object()) return RespondError(exchange, 422, "the body is not a JSON object");
+  if (resource == "config") return HandlePostConfig(state, exchange, body);
+  if (resource == "drain") return HandleDrain(state, exchange, body);
+  if (resource == "explain") return HandleExplain(state, exchange, body);
+  RespondError(exchange, 404, "no such resource");
+}
+
+void HandleGet(router_state& state, const net::exchange_ptr& exchange, std::string_view resource) {
+  if (resource == "status") return HandleStatus(state, exchange);
+  if (resource == "config") return HandleGetConfig(state, exchange);
+  if (resource == "endpoints") return HandleEndpoints(state, exchange);
+  if (resource == "plan") return HandlePlan(state, exchange);
+  RespondError(exchange, 404, "no such resource");
+}
+
+}  // namespace
+
+void HandleAdminRequest(router_state& state, const net::exchange_ptr& exchange) {
+  if (!IsAuthorized(state, exchange))
+    return RespondError(exchange, 401, "the admin token is missing or wrong");
+  const std::string_view resource = exchange->Path().substr(std::string_view("/admin/v1/").size());
+  try {
+    if (exchange->Method() == "POST") return HandlePost(state, exchange, resource);
+    HandleGet(state, exchange, resource);
+  } catch (const json::exception& failure) {
+    RespondError(exchange, 422, failure.what());
+  }
+}
+
+void HandleMetrics(router_state& state, const net::exchange_ptr& exchange) {
+  metrics::registry& registry = state.metrics.registry;
+  metrics::Set(registry, state.metrics.in_flight, static_cast<double>(state.requests.size()));
+  metrics::Set(registry, state.metrics.config_version, static_cast<double>(state.version));
+  const net::header type{"Content-Type", std::string(metrics::kContentType)};
+  exchange->Respond(200, {&type, 1}, metrics::PrometheusText(registry));
+}
+
+}  // namespace balsambay::router
--- a/libs/router/src/admission_driver.cc
+++ b/libs/router/src/admission_driver.cc
@@ -23,7 +23,8 @@
       OnAdmitted(state, item);
       continue;
     }
-    const auto retry_after = effect.retry_after > duration::zero() ? std::optional(effect.retry_after) : std::nullopt;
+    const auto retry_after =
+        effect.retry_after > duration::zero() ? std::optional(effect.retry_after) : std::nullopt;
     GiveUp(state, item, admission::ToString(effect.reason), "refused by admission", retry_after);
   }
 }
@@ -63,9 +64,11 @@
   const auto daemons = std::max<size_t>(1, state.live_daemons.size());
   for (const pool_limit& limit : PoolLimits(state)) {
     // Each daemon takes its part of what the endpoints can run at a time.
-    const int part = static_cast<int>(std::ceil(static_cast<double>(limit.max_runs) / static_cast<double>(daemons)));
+    const int part = static_cast<int>(
+        std::ceil(static_cast<double>(limit.max_runs) / static_cast<double>(daemons)));
     const admission::pool_capacity capacity{
-        .max_in_flight = part, .tokens_per_second = limit.tokens_per_second / static_cast<double>(daemons)};
+        .max_in_flight = part,
+        .tokens_per_second = limit.tokens_per_second / static_cast<double>(daemons)};
     ApplyAndSchedule(state, admission::SetPool(state.gate, limit.pool, capacity, MonotonicNow()));
   }
 }
@@ -85,7 +88,12 @@
   const time_point now = MonotonicNow();
   auto effects = admission::Abandon(state.gate, item.number, now);
   std::ranges::move(admission::Finish(state.gate, item.number, now), std::back_inserter(effects));
-  ApplyAndSchedule(state, effects);
+  if (effects.empty()) return ScheduleTick(state);
+  // Deferred: a request that ends at once would otherwise start the next one from within itself, to
+  // any depth.
+  Subscribe(state.loop.timers(), now, [&state, effects = std::move(effects)](time_point) {
+    ApplyAndSchedule(state, effects);
+  });
 }
 
 }  // namespace balsambay::router
--- a/libs/router/src/caller_api.cc
+++ b/libs/router/src/caller_api.cc
@@ -68,7 +68,8 @@
     return BadRequest("a request that may not repeat needs the header Idempotency-Key");
   }
   if (!item.answer.repeatable) {
-    item.body_digest = Sha256Hex(std::string(item.exchange->Path()) + '\n' + std::string(item.exchange->Body()));
+    item.body_digest =
+        Sha256Hex(std::string(item.exchange->Path()) + '\n' + std::string(item.exchange->Body()));
   }
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
--- a/libs/router/src/details/dispatch.h
+++ b/libs/router/src/details/dispatch.h
@@ -9,8 +9,8 @@
 // Starts the next attempt. Precondition: phase kReady.
 void Dispatch(router_state& state, const request_ptr& item);
 
-// Marks the attempt as open on item->route and returns its number. False when a non-repeatable request may no
-// longer be dispatched; then it has been given up.
+// Marks the attempt as open on item->route and returns its number. False when a non-repeatable
+// request may no longer be dispatched; then it has been given up.
 bool BeginDispatch(router_state& state, const request_ptr& item);
 
 struct attempt_error {
--- a/libs/router/src/details/endpoint_monitor.h
+++ b/libs/router/src/details/endpoint_monitor.h
@@ -1,4 +1,5 @@
-// Keeps the health of endpoints up to date: probes, the platform's VM list and evidence from traffic.
+// Keeps the health of endpoints up to date: probes, the platform's VM list and evidence from
+// traffic.
 #pragma once
 
 #include "details/state.h"
--- a/libs/router/src/details/ledger_driver.h
+++ b/libs/router/src/details/ledger_driver.h
@@ -7,7 +7,8 @@
 
 namespace balsambay::router {
 
-// Creates the shard set. Without a platform there is no ledger and non-repeatable requests are refused.
+// Creates the shard set. Without a platform there is no ledger and non-repeatable requests are
+// refused.
 result<void> StartLedger(router_state& state);
 
 // The set of live daemons has changed.
--- /dev/null
+++ b/libs/router/src/details/planning.h
@@ -0,0 +1,42 @@
+// Plans of the models in force and the choice of endpoints for an attempt.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include "details/state.h"
+
+namespace balsambay::router {
+
+// The set of usable endpoints has changed: plans are made again soon, and until then avoid what is
+// not usable.
+void InvalidatePlans(router_state& state);
+
+// Stages that cover all layers of the model once, or empty when no usable endpoints do. Endpoints
+// in item.excluded are used only when there is no other way.
+std::vector<net::run_stage> ChooseRoute(router_state& state, const request& item);
+
+// A usable endpoint of the service, or nullptr.
+const inventory::endpoint* ChooseServiceEndpoint(router_state& state, const request& item);
+
+// What usable endpoints of one model or service can take in all, over all entry daemons.
+struct pool_limit {
+  std::string pool;
+  int max_runs = 0;
+  double tokens_per_second = 0;  // 0: unknown
+};
+
+std::vector<pool_limit> PoolLimits(const router_state& state);
+
+// Expected time from dispatch to the end of the answer.
+duration EstimateServiceTime(const router_state& state, const request& item);
+
+// Which layers of the model nobody holds, for an error message.
+std::string DescribeUncovered(const router_state& state, const std::string& model);
+
+// Bound, limiting cut and routes of a model for operators; null when the model does not exist.
+nlohmann::json DescribePlan(const router_state& state, const std::string& model);
+
+// The route of the request has answered: its endpoints now hold the prompt in their caches.
+void OnRouteSucceeded(router_state& state, const request& item);
+
+}  // namespace balsambay::router
--- a/libs/router/src/details/requests.h
+++ b/libs/router/src/details/requests.h
@@ -12,7 +12,8 @@
 // Admission has let the request pass.
 void OnAdmitted(router_state& state, const request_ptr& item);
 
-// The whole answer has been handed to the caller. `stored_result` is kept for repeats of a non-repeatable request.
+// The whole answer has been handed to the caller. `stored_result` is kept for repeats of a
+// non-repeatable request.
 void Complete(router_state& state, const request_ptr& item, std::string stored_result);
 
 // Ends a request with an error, at once.
--- a/libs/router/src/details/state.h
+++ b/libs/router/src/details/state.h
@@ -27,8 +27,8 @@
 
 namespace balsambay::router {
 
-// One request of a caller. Owned by router_state::requests from acceptance to its final answer; timers and
-// callbacks hold weak pointers, so that nothing acts on a request that has ended.
+// One request of a caller. Owned by router_state::requests from acceptance to its final answer;
+// timers and callbacks hold weak pointers, so that nothing acts on a request that has ended.
 struct request {
   std::string id;
   admission::request_id number = 0;  // the same request for the gate
--- a/libs/router/src/dispatch.cc
+++ b/libs/router/src/dispatch.cc
@@ -26,7 +26,8 @@
     item.excluded.emplace(endpoint);
     return;
   }
-  std::ranges::for_each(item.route, [&](const net::run_stage& stage) { item.excluded.insert(stage.endpoint); });
+  std::ranges::for_each(item.route,
+                        [&](const net::run_stage& stage) { item.excluded.insert(stage.endpoint); });
 }
 
 std::optional<evidence_kind> EvidenceOf(const attempt_error& error) {
@@ -50,8 +51,9 @@
   const auto kind = EvidenceOf(error);
   if (!kind) return;
   if (!error.endpoint.empty()) return ReportEvidence(state, error.endpoint, *kind);
-  std::ranges::for_each(item.route,
-                        [&](const net::run_stage& stage) { ReportEvidence(state, stage.endpoint, *kind); });
+  std::ranges::for_each(item.route, [&](const net::run_stage& stage) {
+    ReportEvidence(state, stage.endpoint, *kind);
+  });
 }
 
 void CloseAttempt(router_state& state, request& item) {
@@ -66,25 +68,25 @@
 
 admission::retry_decision Decide(router_state& state, const request& item, attempts::next_step step,
                                  const attempt_error& error, time_point now) {
-  const admission::failed_attempt failed{
-      .workspace = item.workspace,
-      .reason = error.reason,
-      .repeatable = item.answer.repeatable,
-      .may_have_run = step == attempts::next_step::kGiveUp,
-      .attempts = static_cast<int>(item.answer.attempt),
-      .deadline = item.deadline,
-      .service_time = duration::zero()};
+  const admission::failed_attempt failed{.workspace = item.workspace,
+                                         .reason = error.reason,
+                                         .repeatable = item.answer.repeatable,
+                                         .may_have_run = step == attempts::next_step::kGiveUp,
+                                         .attempts = static_cast<int>(item.answer.attempt),
+                                         .deadline = item.deadline,
+                                         .service_time = duration::zero()};
   return admission::DecideRetry(state.retry_budget, failed, now, state.rng);
 }
 
 void ScheduleRetry(router_state& state, const request_ptr& item, duration delay) {
   const std::weak_ptr<request> weak = item;
-  item->backoff_timer = Subscribe(state.loop.timers(), MonotonicNow() + delay, [&state, weak](time_point) {
-    const auto held = weak.lock();
-    if (!held) return;
-    attempts::Advance(held->phase, attempts::phase_event::kBackoffOver);
-    Dispatch(state, held);
-  });
+  item->backoff_timer =
+      Subscribe(state.loop.timers(), MonotonicNow() + delay, [&state, weak](time_point) {
+        const auto held = weak.lock();
+        if (!held) return;
+        attempts::Advance(held->phase, attempts::phase_event::kBackoffOver);
+        Dispatch(state, held);
+      });
 }
 
 }  // namespace
@@ -97,7 +99,8 @@
 bool BeginDispatch(router_state& state, const request_ptr& item) {
   if (!TryDispatchClaim(*item)) {
     item->route.clear();
-    GiveUp(state, item, "ledger_unavailable", "the grant to run has expired", std::chrono::seconds(1));
+    GiveUp(state, item, "ledger_unavailable", "the grant to run has expired",
+           std::chrono::seconds(1));
     return false;
   }
   attempts::Advance(item->phase, attempts::phase_event::kDispatched);
@@ -109,8 +112,8 @@
 }
 
 void CountInFlight(router_state& state, const request& item, int delta) {
-  std::ranges::for_each(item.route,
-                        [&](const net::run_stage& stage) { state.in_flight[stage.endpoint] += delta; });
+  std::ranges::for_each(
+      item.route, [&](const net::run_stage& stage) { state.in_flight[stage.endpoint] += delta; });
 }
 
 void HandleAttemptFailure(router_state& state, const request_ptr& item, uint32_t attempt,
@@ -118,8 +121,11 @@
   const auto step = attempts::OnAttemptFailed(item->answer, attempt, error.failure);
   if (step == attempts::next_step::kIgnore) return;
   log::Log(log::level::kInfo, "attempt failed",
-           {{"request", item->id}, {"attempt", attempt}, {"endpoint", error.endpoint},
-            {"reason", admission::ToString(error.reason)}, {"detail", error.detail}});
+           {{"request", item->id},
+            {"attempt", attempt},
+            {"endpoint", error.endpoint},
+            {"reason", admission::ToString(error.reason)},
+            {"detail", error.detail}});
   OnRunFailed(state, *item, error);
   ReportFailure(state, *item, error);
   Exclude(*item, error.endpoint);
@@ -128,7 +134,8 @@
   attempts::Advance(item->phase, attempts::phase_event::kAttemptFailed);
   const auto decision = Decide(state, *item, step, error, MonotonicNow());
   if (!decision.retry) {
-    return GiveUp(state, item, admission::ToString(decision.give_up), error.detail, decision.retry_after);
+    return GiveUp(state, item, admission::ToString(decision.give_up), error.detail,
+                  decision.retry_after);
   }
   CountRetry(state.metrics, admission::ToString(error.reason));
   ScheduleRetry(state, item, decision.delay);
--- a/libs/router/src/endpoint_monitor.cc
+++ b/libs/router/src/endpoint_monitor.cc
@@ -17,7 +17,8 @@
 
 std::string GroupOf(const inventory::endpoint& endpoint) {
   if (endpoint.kind == inventory::endpoint_kind::kService) return "service/" + endpoint.service;
-  return endpoint.model + "/" + std::to_string(endpoint.layers.first) + "-" + std::to_string(endpoint.layers.end);
+  return endpoint.model + "/" + std::to_string(endpoint.layers.first) + "-" +
+         std::to_string(endpoint.layers.end);
 }
 
 void ScheduleTick(router_state& state);
@@ -31,8 +32,10 @@
   const json body = json::parse(reply.body, nullptr, false);
   const bool valid = reply.status == 200 && body.is_object();
   const bool leaving = valid && body.value("state", "") == "leaving";
-  health::evidence seen{.endpoint = endpoint, .kind = health::evidence_kind::kProbeFailed,
-                        .incarnation = std::nullopt, .latency = duration::zero()};
+  health::evidence seen{.endpoint = endpoint,
+                        .kind = health::evidence_kind::kProbeFailed,
+                        .incarnation = std::nullopt,
+                        .latency = duration::zero()};
   if (valid) {
     seen.kind = leaving ? health::evidence_kind::kReportedLeaving : health::evidence_kind::kProbeOk;
     seen.incarnation = body.value("incarnation", uint64_t{0});
@@ -55,8 +58,9 @@
   call.method = "GET";
   call.url = "http://" + it->second.address + "/v1/status";
   call.header_timeout = state.health.config.probe_timeout;
-  net::Fetch(*state.client, std::move(call),
-             [&state, endpoint](const net::whole_reply& reply) { OnProbeReply(state, endpoint, reply); });
+  net::Fetch(*state.client, std::move(call), [&state, endpoint](const net::whole_reply& reply) {
+    OnProbeReply(state, endpoint, reply);
+  });
 }
 
 void RunTick(router_state& state) {
@@ -69,7 +73,8 @@
   Cancel(state.loop.timers(), state.health_timer);
   const time_point deadline = health::NextDeadline(state.health);
   if (deadline == kNever) return;
-  state.health_timer = Subscribe(state.loop.timers(), deadline, [&state](time_point) { RunTick(state); });
+  state.health_timer =
+      Subscribe(state.loop.timers(), deadline, [&state](time_point) { RunTick(state); });
 }
 
 std::vector<health::vm_entry> ParseVmList(const json& body) {
@@ -113,7 +118,8 @@
   Apply(state, health::SetEndpoints(state.health, specs, MonotonicNow()));
 }
 
-void ReportEvidence(router_state& state, std::string_view endpoint, health::evidence_kind kind, duration latency) {
+void ReportEvidence(router_state& state, std::string_view endpoint, health::evidence_kind kind,
+                    duration latency) {
   const health::evidence seen{
       .endpoint = endpoint, .kind = kind, .incarnation = std::nullopt, .latency = latency};
   Apply(state, health::OnEvidence(state.health, seen, MonotonicNow(), state.rng));
--- a/libs/router/src/ledger_driver.cc
+++ b/libs/router/src/ledger_driver.cc
@@ -1,4 +1,5 @@
-// Claims go to the shard's owner, which is this daemon or a peer; closings are repeated until recorded.
+// Claims go to the shard's owner, which is this daemon or a peer; closings are repeated until
+// recorded.
 #include "details/ledger_driver.h"
 
 #include <algorithm>
@@ -37,8 +38,11 @@
 }
 
 json ToJson(const ledger::claim& claim) {
-  return {{"workspace", claim.workspace}, {"key", claim.key},         {"body_digest", claim.body_digest},
-          {"request_id", claim.request_id}, {"claimant", claim.claimant}};
+  return {{"workspace", claim.workspace},
+          {"key", claim.key},
+          {"body_digest", claim.body_digest},
+          {"request_id", claim.request_id},
+          {"claimant", claim.claimant}};
 }
 
 ledger::claim ClaimFromJson(const json& value) {
@@ -79,20 +83,22 @@
 }
 
 // Hands a message about `claim` to `owner`; false when there is no link to it.
-bool Tell(router_state& state, const std::string& owner, const char* type, const ledger::claim& claim,
-          const closing* close = nullptr) {
+bool Tell(router_state& state, const std::string& owner, const char* type,
+          const ledger::claim& claim, const closing* close = nullptr) {
   if (owner == state.instance_id) {
     const time_point now = MonotonicNow();
     const std::string_view kind = type;
     if (kind == "claim") Process(state, ledger::Claim(*state.shards, claim, now));
     if (kind == "abandon") Process(state, ledger::Abandon(*state.shards, claim, now));
-    if (kind == "finish") Process(state, ledger::Finish(*state.shards, claim, close->end, close->result, now));
+    if (kind == "finish")
+      Process(state, ledger::Finish(*state.shards, claim, close->end, close->result, now));
     return true;
   }
   json message = {{"type", type}, {"claim", ToJson(claim)}};
   if (close != nullptr) {
     message["end"] = static_cast<int>(close->end);
-    message["result"] = json::binary(std::vector<uint8_t>(close->result.begin(), close->result.end()));
+    message["result"] =
+        json::binary(std::vector<uint8_t>(close->result.begin(), close->result.end()));
   }
   return SendToPeer(state, owner, message);
 }
@@ -108,18 +114,21 @@
   }
 }
 
-void RetryClaim(router_state& state, const request_ptr& item, const std::string& owner, duration wait) {
+void RetryClaim(router_state& state, const request_ptr& item, const std::string& owner,
+                duration wait) {
   const time_point now = MonotonicNow();
   if (now + wait > item->submission->sent + kClaimBound) {
     return RefuseClaim(state, item, "the record's shard has no owner at the moment");
   }
   const std::weak_ptr<request> weak = item;
-  item->backoff_timer = Subscribe(state.loop.timers(), now + wait, [&state, weak, owner](time_point) {
-    const auto held = weak.lock();
-    if (!held || held->phase != attempts::phase::kClaiming) return;
-    const std::string target = owner.empty() ? OwnerOf(state, held->submission->request) : owner;
-    SendClaim(state, held, target);
-  });
+  item->backoff_timer =
+      Subscribe(state.loop.timers(), now + wait, [&state, weak, owner](time_point) {
+        const auto held = weak.lock();
+        if (!held || held->phase != attempts::phase::kClaiming) return;
+        const std::string target =
+            owner.empty() ? OwnerOf(state, held->submission->request) : owner;
+        SendClaim(state, held, target);
+      });
 }
 
 void OnRefused(router_state& state, const request_ptr& item, const ledger::reply& reply) {
@@ -132,12 +141,14 @@
     case ledger::refusal::kLeaseLapsed:
       return RetryClaim(state, item, "", std::max(kClaimRetry, reply.retry_after));
     default:
-      return RefuseClaim(state, item, "start record refused: " + std::string(ledger::ToString(reply.reason)));
+      return RefuseClaim(state, item,
+                         "start record refused: " + std::string(ledger::ToString(reply.reason)));
   }
 }
 
 void RespondDuplicate(router_state& state, const request_ptr& item, const ledger::reply& reply) {
-  problem error{.reason = "duplicate_unknown", .detail = "an earlier request with this key was started",
+  problem error{.reason = "duplicate_unknown",
+                .detail = "an earlier request with this key was started",
                 .outcome = attempts::outcome::kUnknown};
   if (reply.kind == ledger::reply_kind::kInProgress) {
     error.reason = "duplicate_in_progress";
@@ -160,8 +171,8 @@
 void OnClaimReply(router_state& state, const ledger::reply& reply) {
   const auto closing_it = state.closings.find(reply.request_id);
   if (closing_it != state.closings.end()) {
-    const bool settled = reply.kind == ledger::reply_kind::kRecorded ||
-                         reply.reason == ledger::refusal::kNoRecord;
+    const bool settled =
+        reply.kind == ledger::reply_kind::kRecorded || reply.reason == ledger::refusal::kNoRecord;
     if (settled) state.closings.erase(closing_it);
     CheckStopped(state);
     return;
@@ -248,13 +259,16 @@
 
 void ClaimRequest(router_state& state, const request_ptr& item) {
   if (!state.shards) return RefuseClaim(state, item, "no table service is configured");
-  ledger::claim claim{item->workspace, item->idempotency_key, item->body_digest, item->id, state.instance_id};
+  ledger::claim claim{item->workspace, item->idempotency_key, item->body_digest, item->id,
+                      state.instance_id};
   item->submission = ledger::Submit(std::move(claim), MonotonicNow());
   const std::weak_ptr<request> weak = item;
-  item->claim_timer = Subscribe(state.loop.timers(), MonotonicNow() + kClaimBound, [&state, weak](time_point) {
-    const auto held = weak.lock();
-    if (held && held->phase == attempts::phase::kClaiming) RefuseClaim(state, held, "no start record in time");
-  });
+  item->claim_timer =
+      Subscribe(state.loop.timers(), MonotonicNow() + kClaimBound, [&state, weak](time_point) {
+        const auto held = weak.lock();
+        if (held && held->phase == attempts::phase::kClaiming)
+          RefuseClaim(state, held, "no start record in time");
+      });
   SendClaim(state, item, OwnerOf(state, item->submission->request));
 }
 
@@ -304,6 +318,8 @@
   if (state.shards) Process(state, ledger::Release(*state.shards, MonotonicNow()));
 }
 
-bool LedgerReleased(const router_state& state) { return !state.shards || ledger::Released(*state.shards); }
+bool LedgerReleased(const router_state& state) {
+  return !state.shards || ledger::Released(*state.shards);
+}
 
 }  // namespace balsambay::router
--- a/libs/router/src/model_attempt.cc
+++ b/libs/router/src/model_attempt.cc
@@ -37,7 +37,8 @@
 }
 
 attempt_error ProtocolError(const request& item, std::string detail) {
-  return {attempt_failure::kBroken, retry_reason::kReset, item.route.front().endpoint, std::move(detail)};
+  return {attempt_failure::kBroken, retry_reason::kReset, item.route.front().endpoint,
+          std::move(detail)};
 }
 
 duration ProgressLimit(const router_state& state, const request& item) {
@@ -46,7 +47,8 @@
 
 void WatchProgress(router_state& state, const request_ptr& item);
 
-// Fails the attempt when no token came in time. The time while the caller does not read is not counted.
+// Fails the attempt when no token came in time. The time while the caller does not read is not
+// counted.
 void CheckProgress(router_state& state, const request_ptr& item, time_point now) {
   if (item->phase != attempts::phase::kRunning) return;
   if (item->reading_paused) item->last_progress = now;
@@ -69,17 +71,20 @@
   GiveUp(state, item, "slow_reader", "the caller did not read the answer");
 }
 
-// Stops reading from the engine while a slow caller has much left to take, so that memory stays bounded.
+// Stops reading from the engine while a slow caller has much left to take, so that memory stays
+// bounded.
 void ApplyBackPressure(router_state& state, const request_ptr& item) {
-  if (item->exchange->PendingBytes() < state.config.max_pending_bytes || item->reading_paused) return;
+  if (item->exchange->PendingBytes() < state.config.max_pending_bytes || item->reading_paused)
+    return;
   item->reading_paused = true;
   item->run->PauseReading();
   const std::weak_ptr<request> weak = item;
   Cancel(state.loop.timers(), item->backoff_timer);
-  item->backoff_timer = Subscribe(state.loop.timers(), MonotonicNow() + state.config.slow_reader_timeout,
-                                  [&state, weak](time_point) {
-                                    if (const auto held = weak.lock()) OnSlowReaderTimeout(state, held);
-                                  });
+  item->backoff_timer =
+      Subscribe(state.loop.timers(), MonotonicNow() + state.config.slow_reader_timeout,
+                [&state, weak](time_point) {
+                  if (const auto held = weak.lock()) OnSlowReaderTimeout(state, held);
+                });
   item->exchange->on_drained = [weak] {
     const auto held = weak.lock();
     if (!held || !held->reading_paused) return;
@@ -102,7 +107,8 @@
   for (const std::string& token : tokens) {
     const auto verdict = attempts::OnToken(item->answer, attempt, index++, token);
     if (verdict == attempts::token_verdict::kGap) {
-      return HandleAttemptFailure(state, item, attempt, ProtocolError(*item, "token index out of order"));
+      return HandleAttemptFailure(state, item, attempt,
+                                  ProtocolError(*item, "token index out of order"));
     }
     if (verdict != attempts::token_verdict::kDeliver) {
       metrics::Increment(state.metrics.registry, state.metrics.stale_messages);
@@ -120,7 +126,8 @@
 void OnEnd(router_state& state, const request_ptr& item, uint32_t attempt, uint32_t count,
            std::string_view finish_reason) {
   if (attempts::OnEnd(item->answer, attempt, count) != attempts::end_verdict::kComplete) {
-    return HandleAttemptFailure(state, item, attempt, ProtocolError(*item, "end mark does not match the tokens"));
+    return HandleAttemptFailure(state, item, attempt,
+                                ProtocolError(*item, "end mark does not match the tokens"));
   }
   std::ranges::for_each(item->route, [&](const net::run_stage& stage) {
     ReportEvidence(state, stage.endpoint, health::evidence_kind::kSuccess);
@@ -149,7 +156,8 @@
 net::run_events MakeEvents(router_state& state, const request_ptr& item) {
   const std::weak_ptr<request> weak = item;
   net::run_events events;
-  events.on_tokens = [&state, weak](uint32_t attempt, uint32_t first, std::span<const std::string> tokens) {
+  events.on_tokens = [&state, weak](uint32_t attempt, uint32_t first,
+                                    std::span<const std::string> tokens) {
     if (const auto held = weak.lock()) OnTokens(state, held, attempt, first, tokens);
   };
   events.on_end = [&state, weak](uint32_t attempt, uint32_t count, std::string_view finish_reason) {
@@ -172,7 +180,8 @@
 void DispatchModelRequest(router_state& state, const request_ptr& item) {
   item->route = ChooseRoute(state, *item);
   if (item->route.empty()) {
-    return GiveUp(state, item, "uncovered_model", DescribeUncovered(state, item->model), kUncoveredComeBack);
+    return GiveUp(state, item, "uncovered_model", DescribeUncovered(state, item->model),
+                  kUncoveredComeBack);
   }
   if (!BeginDispatch(state, item)) return;
   item->last_progress = MonotonicNow();
--- a/libs/router/src/peers.cc
+++ b/libs/router/src/peers.cc
@@ -15,7 +15,8 @@
 using nlohmann::json;
 
 bool IsLedgerMessage(std::string_view type) {
-  return type == "claim" || type == "claim_reply" || type == "abandon" || type == "finish" || type == "handover";
+  return type == "claim" || type == "claim_reply" || type == "abandon" || type == "finish" ||
+         type == "handover";
 }
 
 void Handle(router_state& state, std::string_view peer, const json& message) {
@@ -30,7 +31,8 @@
     Handle(state, peer, message);
   } catch (const json::exception& failure) {
     metrics::Increment(state.metrics.registry, state.metrics.peer_errors);
-    log::Log(log::level::kWarning, "message of a peer is not valid", {{"peer", peer}, {"detail", failure.what()}});
+    log::Log(log::level::kWarning, "message of a peer is not valid",
+             {{"peer", peer}, {"detail", failure.what()}});
   }
 }
 
@@ -50,10 +52,13 @@
   settings.key = state.config.peer_key;
   settings.seed = state.rng();
   peer::peer_callbacks callbacks;
-  callbacks.on_message = [&state](std::string_view peer, const json& message) { OnMessage(state, peer, message); };
+  callbacks.on_message = [&state](std::string_view peer, const json& message) {
+    OnMessage(state, peer, message);
+  };
   callbacks.on_up = [&state](std::string_view peer) { OnLinkChange(state, peer, true); };
   callbacks.on_down = [&state](std::string_view peer) { OnLinkChange(state, peer, false); };
-  BOOST_OUTCOME_TRY(node, peer::peer_node::Create(state.loop.timers(), std::move(settings), std::move(callbacks)));
+  BOOST_OUTCOME_TRY(node, peer::peer_node::Create(state.loop.timers(), std::move(settings),
+                                                  std::move(callbacks)));
   state.peers = std::move(node);
   for (const std::string& address : state.config.peers) {
     BOOST_OUTCOME_TRYV(state.peers->Connect(address));
--- a/libs/router/src/route_choice.cc
+++ b/libs/router/src/planning.cc
@@ -1,8 +1,11 @@
 // Greedy choice: the least loaded endpoint that holds the next layer.
-#include "details/route_choice.h"
+#include "details/planning.h"
 
 #include <algorithm>
 
+#include "details/admission_driver.h"
+#include "details/endpoint_monitor.h"
+
 namespace balsambay::router {
 namespace {
 
@@ -33,6 +36,7 @@
     const auto* chosen = LeastLoaded(state, [&](const inventory::endpoint& candidate) {
       return candidate.kind == inventory::endpoint_kind::kEngine && candidate.model == item.model &&
              candidate.layers.first <= next && candidate.layers.end > next &&
+             IsUsable(state, candidate.id) &&
              (use_excluded || !item.excluded.contains(candidate.id));
     });
     if (chosen == nullptr) return {};
@@ -42,8 +46,40 @@
   return route;
 }
 
+int RunsAtLayer(const router_state& state, const std::string& model, int layer) {
+  int runs = 0;
+  for (const auto& [id, endpoint] : state.inventory.endpoints) {
+    const bool holds = endpoint.kind == inventory::endpoint_kind::kEngine &&
+                       endpoint.model == model && endpoint.layers.first <= layer &&
+                       endpoint.layers.end > layer;
+    if (holds && IsUsable(state, id)) runs += endpoint.max_runs;
+  }
+  return runs;
+}
+
+pool_limit ModelLimit(const router_state& state, const std::string& id,
+                      const inventory::model& model) {
+  int narrowest = INT_MAX;
+  for (int layer = 0; layer < model.layers; ++layer) {
+    narrowest = std::min(narrowest, RunsAtLayer(state, id, layer));
+  }
+  return {"model/" + id, narrowest, 0};
+}
+
+pool_limit ServiceLimit(const router_state& state, const std::string& service) {
+  pool_limit limit{"service/" + service, 0, 0};
+  for (const auto& [id, endpoint] : state.inventory.endpoints) {
+    const bool serves =
+        endpoint.kind == inventory::endpoint_kind::kService && endpoint.service == service;
+    if (serves && IsUsable(state, id)) limit.max_runs += endpoint.max_runs;
+  }
+  return limit;
+}
+
 }  // namespace
 
+void InvalidatePlans(router_state& state) { UpdateCapacity(state); }
+
 std::vector<net::run_stage> ChooseRoute(router_state& state, const request& item) {
   auto route = Cover(state, item, false);
   return route.empty() ? Cover(state, item, true) : route;
@@ -53,7 +89,7 @@
   const auto choose = [&](bool use_excluded) {
     return LeastLoaded(state, [&](const inventory::endpoint& candidate) {
       return candidate.kind == inventory::endpoint_kind::kService &&
-             candidate.service == item.service &&
+             candidate.service == item.service && IsUsable(state, candidate.id) &&
              (use_excluded || !item.excluded.contains(candidate.id));
     });
   };
@@ -61,4 +97,20 @@
   return fresh != nullptr ? fresh : choose(true);
 }
 
+std::vector<pool_limit> PoolLimits(const router_state& state) {
+  std::vector<pool_limit> out;
+  for (const auto& [id, model] : state.inventory.models)
+    out.push_back(ModelLimit(state, id, model));
+  for (const auto& [id, service] : state.inventory.services) out.push_back(ServiceLimit(state, id));
+  return out;
+}
+
+duration EstimateServiceTime(const router_state&, const request&) { return duration::zero(); }
+
+std::string DescribeUncovered(const router_state&, const std::string& model) {
+  return "no usable endpoints hold all layers of " + model;
+}
+
+void OnRouteSucceeded(router_state&, const request&) {}
+
 }  // namespace balsambay::router
--- a/libs/router/src/requests.cc
+++ b/libs/router/src/requests.cc
@@ -32,7 +32,8 @@
 
 void OnHangup(router_state& state, const request_ptr& item) {
   metrics::Increment(state.metrics.registry, state.metrics.cancelled);
-  log::Log(log::level::kDebug, "caller hung up", {{"request", item->id}, {"attempt", item->answer.attempt}});
+  log::Log(log::level::kDebug, "caller hung up",
+           {{"request", item->id}, {"attempt", item->answer.attempt}});
   Retire(state, item);
 }
 
@@ -65,18 +66,22 @@
 void Complete(router_state& state, const request_ptr& item, std::string stored_result) {
   const time_point now = MonotonicNow();
   metrics::Increment(state.metrics.registry, state.metrics.completed);
-  metrics::Observe(state.metrics.registry, state.metrics.duration_seconds, Seconds(now - item->arrived));
+  metrics::Observe(state.metrics.registry, state.metrics.duration_seconds,
+                   Seconds(now - item->arrived));
   admission::OnSuccess(state.retry_budget, item->workspace, now);
   CloseClaim(state, *item, true, std::move(stored_result));
   Retire(state, item);
 }
 
-void GiveUp(router_state& state, const request_ptr& item, std::string_view reason, std::string detail,
-            std::optional<duration> retry_after) {
+void GiveUp(router_state& state, const request_ptr& item, std::string_view reason,
+            std::string detail, std::optional<duration> retry_after) {
   const problem error{reason, std::move(detail), attempts::OutcomeOf(item->answer), retry_after};
   log::Log(log::level::kInfo, "request given up",
-           {{"request", item->id}, {"attempt", item->answer.attempt}, {"reason", reason},
-            {"outcome", attempts::ToString(error.outcome)}, {"detail", error.detail}});
+           {{"request", item->id},
+            {"attempt", item->answer.attempt},
+            {"reason", reason},
+            {"outcome", attempts::ToString(error.outcome)},
+            {"detail", error.detail}});
   if (item->stream_started) {
     SendStreamError(state, *item, error);
   } else {
@@ -99,7 +104,8 @@
 }
 
 void CheckStopped(router_state& state) {
-  if (!state.draining || !state.requests.empty() || !state.closings.empty() || !state.on_stopped) return;
+  if (!state.draining || !state.requests.empty() || !state.closings.empty() || !state.on_stopped)
+    return;
   if (!state.releasing) {
     state.releasing = true;
     return ReleaseLedger(state);
--- a/libs/router/src/router.cc
+++ b/libs/router/src/router.cc
@@ -1,32 +1,19 @@
 // Start, HTTP routes and shutdown of an entry daemon.
 #include "router/router.h"
 
-#include <fstream>
-#include <sstream>
-
+#include "details/admin_api.h"
+#include "details/admission_driver.h"
 #include "details/caller_api.h"
+#include "details/config_driver.h"
+#include "details/endpoint_monitor.h"
+#include "details/ledger_driver.h"
+#include "details/logging.h"
+#include "details/peers.h"
 #include "details/requests.h"
 
 namespace balsambay::router {
 namespace {
 
-result<void> LoadConfigFile(router_state& state) {
-  if (state.config.config_file.empty()) return Success();
-  std::ifstream file(state.config.config_file);
-  if (!file) return Failure(errc::kInvalidArgument, "cannot read " + state.config.config_file);
-  std::stringstream text;
-  text << file.rdbuf();
-  auto parsed = inventory::ParseText(text.str());
-  if (!parsed.errors.empty()) {
-    return Failure(errc::kInvalidArgument, state.config.config_file + " at " +
-                                               parsed.errors[0].path + ": " +
-                                               parsed.errors[0].message);
-  }
-  state.inventory = std::move(parsed.config);
-  state.version = 1;
-  return Success();
-}
-
 void HandleReady(const router_state& state, const net::exchange_ptr& exchange) {
   const bool ready = state.version != 0 && !state.unready;
   exchange->Respond(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n");
@@ -36,6 +23,8 @@
   const std::string_view path = exchange->Path();
   if (path == "/healthz") return exchange->Respond(200, {}, "ok\n");
   if (path == "/readyz") return HandleReady(state, exchange);
+  if (path == "/metrics") return HandleMetrics(state, exchange);
+  if (path.starts_with("/admin/v1/")) return HandleAdminRequest(state, exchange);
   const bool caller_path = path == "/v1/chat/completions" || path.starts_with("/v1/services/");
   if (caller_path && exchange->Method() == "POST") return HandleCallerRequest(state, exchange);
   RespondProblem(state, exchange, {.reason = "not_found", .detail = "no such resource"});
@@ -58,17 +47,14 @@
   router_impl(const settings& settings, net::loop& loop) : state_(settings, loop) {}
 
   result<void> Start() {
-    BOOST_OUTCOME_TRYV(LoadConfigFile(state_));
-    net::server_handlers handlers;
-    handlers.on_request = [this](const net::exchange_ptr& exchange) { Route(state_, exchange); };
-    handlers.on_reject = [this](net::rejection why, std::vector<net::header>& headers) {
-      return RenderRejection(state_, why, headers);
-    };
-    BOOST_OUTCOME_TRY(server, net::ListenHttp(state_.config.listen,
-                                              {.max_body_bytes = state_.config.max_body_bytes,
-                                               .body_timeout = state_.config.body_timeout},
-                                              state_.loop.timers(), std::move(handlers)));
-    state_.server = std::move(server);
+    BOOST_OUTCOME_TRYV(Listen());
+    BOOST_OUTCOME_TRYV(StartPeers(state_));
+    BOOST_OUTCOME_TRYV(StartLedger(state_));
+    BOOST_OUTCOME_TRYV(StartConfig(state_));
+    StartMonitor(state_);
+    log::Log(
+        log::level::kInfo, "started",
+        {{"id", state_.config.id}, {"zone", state_.config.zone}, {"port", state_.server->Port()}});
     return Success();
   }
 
@@ -76,6 +62,7 @@
 
   void Stop(std::function<void(int)> on_stopped) override {
     if (state_.unready) return ForceStop();
+    log::Log(log::level::kInfo, "stopping", {{"in_flight", state_.requests.size()}});
     state_.unready = true;
     state_.on_stopped = std::move(on_stopped);
     Subscribe(state_.loop.timers(), MonotonicNow() + state_.config.unready_delay,
@@ -86,8 +73,26 @@
   }
 
  private:
+  result<void> Listen() {
+    net::server_handlers handlers;
+    handlers.on_request = [this](const net::exchange_ptr& exchange) { Route(state_, exchange); };
+    handlers.on_reject = [this](net::rejection why, std::vector<net::header>& headers) {
+      return RenderRejection(state_, why, headers);
+    };
+    const net::server_limits limits{.max_body_bytes = state_.config.max_body_bytes,
+                                    .body_timeout = state_.config.body_timeout};
+    BOOST_OUTCOME_TRY(server, net::ListenHttp(state_.config.listen, limits, state_.loop.timers(),
+                                              std::move(handlers)));
+    state_.server = std::move(server);
+    return Success();
+  }
+
+  // What is still open is cut; each request is named in the log.
   void ForceStop() {
     if (!state_.on_stopped) return;
+    for (const auto& [id, item] : state_.requests) {
+      log::Log(log::level::kWarning, "request cut by a forced stop", {{"request", id}});
+    }
     std::exchange(state_.on_stopped, nullptr)(static_cast<int>(state_.requests.size()));
   }
 
--- a/libs/router/src/service_calls.cc
+++ b/libs/router/src/service_calls.cc
@@ -1,4 +1,5 @@
-// One attempt of a service call: the body goes to the endpoint as it is, the reply comes back whole.
+// One attempt of a service call: the body goes to the endpoint as it is, the reply comes back
+// whole.
 #include "details/service_calls.h"
 
 #include <array>
@@ -26,7 +27,8 @@
   std::string body;
 };
 
-void FinishCall(router_state& state, const request_ptr& item, uint32_t attempt, const service_reply& reply) {
+void FinishCall(router_state& state, const request_ptr& item, uint32_t attempt,
+                const service_reply& reply) {
   attempts::OnEnd(item->answer, attempt, 0);
   ReportEvidence(state, item->route.front().endpoint, health::evidence_kind::kSuccess,
                  MonotonicNow() - item->attempt_started);
@@ -35,7 +37,8 @@
                                               net::header{"Balsambay-Outcome", "ran"},
                                               net::header{"Balsambay-Request-Id", item->id}};
   item->exchange->Respond(reply.status, headers, reply.body);
-  Complete(state, item, item->submission ? EncodeServiceResult(reply.status, type, reply.body) : "");
+  Complete(state, item,
+           item->submission ? EncodeServiceResult(reply.status, type, reply.body) : "");
 }
 
 std::optional<attempt_error> ErrorOf(const service_reply& reply, const net::call_end& end) {
@@ -58,8 +61,8 @@
   return attempt_error{attempt_failure::kBroken, retry_reason::kReset, "", "reply too large"};
 }
 
-void OnReplyEnd(router_state& state, const request_ptr& item, uint32_t attempt, const service_reply& reply,
-                const net::call_end& end) {
+void OnReplyEnd(router_state& state, const request_ptr& item, uint32_t attempt,
+                const service_reply& reply, const net::call_end& end) {
   auto error = ErrorOf(reply, end);
   if (!error) return FinishCall(state, item, attempt, reply);
   error->endpoint = item->route.front().endpoint;
@@ -91,7 +94,8 @@
     // One piece above the limit is kept as the mark of a reply that is too large.
     if (reply->body.size() <= kMaxReplyBytes) reply->body += data;
   };
-  callbacks.on_end = [&state, weak, reply, attempt = item->answer.attempt](const net::call_end& end) {
+  callbacks.on_end = [&state, weak, reply,
+                      attempt = item->answer.attempt](const net::call_end& end) {
     if (const auto held = weak.lock()) OnReplyEnd(state, held, attempt, *reply, end);
   };
   return callbacks;
@@ -107,7 +111,8 @@
   }
   item->route = {{chosen->id, chosen->address, 0, 0}};
   if (!BeginDispatch(state, item)) return;
-  item->call = state.client->Send(MakeCall(*item, item->attempt_started), MakeCallbacks(state, item));
+  item->call =
+      state.client->Send(MakeCall(*item, item->attempt_started), MakeCallbacks(state, item));
 }
 
 }  // namespace balsambay::router
--- a/libs/router/src/telemetry.cc
+++ b/libs/router/src/telemetry.cc
@@ -11,30 +11,38 @@
 constexpr std::string_view kRefusalHelp = "Requests refused or given up, by reason.";
 constexpr std::string_view kRetryHelp = "Attempts repeated, by reason.";
 
-metrics::counter_id AddReason(metrics::registry& registry, std::string_view name, std::string_view help,
-                              std::string_view reason) {
+metrics::counter_id AddReason(metrics::registry& registry, std::string_view name,
+                              std::string_view help, std::string_view reason) {
   return metrics::AddCounter(registry, name, help, {{"reason", std::string(reason)}});
 }
 
 }  // namespace
 
 telemetry::telemetry()
-    : accepted(metrics::AddCounter(registry, "balsambay_requests_accepted_total", "Requests accepted.")),
-      completed(metrics::AddCounter(registry, "balsambay_requests_completed_total", "Requests answered in full.")),
-      cancelled(metrics::AddCounter(registry, "balsambay_requests_cancelled_total", "Requests whose caller hung up.")),
-      tokens(metrics::AddCounter(registry, "balsambay_tokens_total", "Tokens delivered to callers.")),
-      stale_messages(metrics::AddCounter(registry, "balsambay_stale_messages_total",
-                                         "Tokens and end marks of attempts that were no longer current.")),
+    : accepted(
+          metrics::AddCounter(registry, "balsambay_requests_accepted_total", "Requests accepted.")),
+      completed(metrics::AddCounter(registry, "balsambay_requests_completed_total",
+                                    "Requests answered in full.")),
+      cancelled(metrics::AddCounter(registry, "balsambay_requests_cancelled_total",
+                                    "Requests whose caller hung up.")),
+      tokens(
+          metrics::AddCounter(registry, "balsambay_tokens_total", "Tokens delivered to callers.")),
+      stale_messages(
+          metrics::AddCounter(registry, "balsambay_stale_messages_total",
+                              "Tokens and end marks of attempts that were no longer current.")),
       peer_errors(metrics::AddCounter(registry, "balsambay_peer_message_errors_total",
                                       "Messages of peers that could not be read.")),
       config_applied(metrics::AddCounter(registry, "balsambay_config_applied_total",
                                          "Configuration versions put in force.")),
-      in_flight(metrics::AddGauge(registry, "balsambay_requests_in_flight", "Requests without a final answer.")),
-      config_version(metrics::AddGauge(registry, "balsambay_config_version", "Configuration version in force.")),
+      in_flight(metrics::AddGauge(registry, "balsambay_requests_in_flight",
+                                  "Requests without a final answer.")),
+      config_version(metrics::AddGauge(registry, "balsambay_config_version",
+                                       "Configuration version in force.")),
       bound(metrics::AddGauge(registry, "balsambay_throughput_bound_tokens_per_second",
                               "Throughput bound of the planned models.")),
       first_token(metrics::AddHistogram(registry, "balsambay_first_token_seconds",
-                                        "Time from acceptance to the first token.", metrics::kLatencySeconds)),
+                                        "Time from acceptance to the first token.",
+                                        metrics::kLatencySeconds)),
       duration_seconds(metrics::AddHistogram(registry, "balsambay_request_seconds",
                                              "Time from acceptance to the end of the answer.",
                                              metrics::kLatencySeconds)),
@@ -48,7 +56,8 @@
   }
   for (size_t i = 0; i < admission::kRetryReasonCount; ++i) {
     const auto reason = admission::ToString(static_cast<admission::retry_reason>(i));
-    retries[std::string(reason)] = AddReason(registry, "balsambay_retries_total", kRetryHelp, reason);
+    retries[std::string(reason)] =
+        AddReason(registry, "balsambay_retries_total", kRetryHelp, reason);
   }
 }
 
--- /dev/null
+++ b/tests/system/answers_test.cc
@@ -0,0 +1,93 @@
+// Guarantees 1 and 2 with real failures: every layer once for each token, and the whole answer to
+// the right caller, while stages are killed, frozen and woken, and links are cut or stalled.
+#include <signal.h>
+
+#include <catch2/catch.hpp>
+
+#include "checks.h"
+#include "cluster.h"
+#include "mock_answer/answer.h"
+
+namespace balsambay::system_test {
+namespace {
+
+constexpr int kTokens = 60;
+
+// Engines with overlapping ranges, so that routes differ in where they hand over.
+void AddEngines(cluster& c) {
+  c.AddEngine("a1", {.end_layer = 16, .tokens_per_second = 600, .behind_relay = true});
+  c.AddEngine("a2", {.end_layer = 20, .tokens_per_second = 600});
+  c.AddEngine("b1", {.first_layer = 12, .tokens_per_second = 600, .behind_relay = true});
+  c.AddEngine("b2", {.first_layer = 16, .tokens_per_second = 600});
+  c.AddDaemon("d1");
+  c.Start();
+}
+
+std::string Prompt(int i) { return "question " + std::to_string(i); }
+
+std::vector<reply_ptr> SendLoad(cluster& c, int count) {
+  std::vector<reply_ptr> pending;
+  for (int i = 0; i < count; ++i) pending.push_back(c.SendChat("d1", Prompt(i), kTokens, true));
+  REQUIRE(c.RunUntil([&] {
+    return std::ranges::all_of(pending, [](const auto& r) { return r->body.size() > 800; });
+  }));
+  return pending;
+}
+
+// Each answer is whole and right, or ends in an explicit error. Returns how many are whole.
+int CheckAnswers(cluster& c, const std::vector<reply_ptr>& pending) {
+  int whole = 0;
+  for (size_t i = 0; i < pending.size(); ++i) {
+    const reply got = c.Wait(pending[i]);
+    const stream_text text = ParseStream(got.body);
+    const std::string expected = mock_answer::Expected(Prompt(static_cast<int>(i)), kTokens);
+    if (text.done) {
+      CHECK(text.content == expected);
+      ++whole;
+    } else {
+      CHECK_FALSE(text.error_reason.empty());
+      CHECK(expected.starts_with(text.content));
+    }
+  }
+  CHECK(FindLayerFault(c.AllJournals(), kModelLayers).empty());
+  return whole;
+}
+
+TEST_CASE("a head and a last stage killed at the same moment") {
+  cluster c("answers-killed");
+  AddEngines(c);
+  const auto pending = SendLoad(c, 12);
+  c.Endpoint("a1").process->Kill();
+  c.Endpoint("b1").process->Kill();
+  CHECK(CheckAnswers(c, pending) == 12);
+}
+
+TEST_CASE("a stage frozen in the middle of answers and woken later; guards against late tokens") {
+  cluster c("answers-frozen");
+  AddEngines(c);
+  const auto pending = SendLoad(c, 12);
+  c.Endpoint("a1").process->Signal(SIGSTOP);
+  c.RunFor(1500);
+  c.Endpoint("a1").process->Signal(SIGCONT);
+  CHECK(CheckAnswers(c, pending) == 12);
+}
+
+TEST_CASE("links cut and stalled in the middle of answers") {
+  cluster c("answers-links");
+  AddEngines(c);
+  const auto pending = SendLoad(c, 12);
+  c.Endpoint("a1").link->SetMode(link_mode::kCut);
+  c.Endpoint("b1").link->SetMode(link_mode::kStall);
+  CHECK(CheckAnswers(c, pending) == 12);
+}
+
+TEST_CASE("when no route is left, the stream ends in an explicit error and not as a whole answer") {
+  cluster c("answers-no-route");
+  AddEngines(c);
+  const auto pending = SendLoad(c, 4);
+  for (const char* id : {"a1", "a2"}) c.Endpoint(id).process->Kill();
+  CHECK(CheckAnswers(c, pending) == 0);
+}
+
+}  // namespace
+}  // namespace balsambay::system_test
--- a/tools/mock_endpoint/engine.cc
+++ b/tools/mock_endpoint/engine.cc
@@ -164,7 +164,7 @@
   const std::string prompt = body.at("prompt");
   job->context = ContextOf(prompt, body.at("delivered"));
   job->reply = request;
-  Journal(self, {{"event", "start"}, {"run", job->id}});
+  Journal(self, {{"event", "start"}, {"run", job->id}, {"body", prompt}});
   if (prompt.find(kCrashMarker) != std::string::npos) _exit(9);
   self.runs[job->id] = job;
   request->on_hangup = [&self, job] {
--- a/tools/mock_endpoint/main.cc
+++ b/tools/mock_endpoint/main.cc
@@ -16,7 +16,8 @@
 ABSL_FLAG(double, tokens_per_second, 1000, "decode rate, shared by all runs");
 ABSL_FLAG(int, max_runs, 64, "runs or calls at a time; more are refused before starting");
 ABSL_FLAG(int, service_delay_ms, 2, "time that a service call takes");
-ABSL_FLAG(uint64_t, incarnation, 1, "the platform's incarnation of the VM that this endpoint runs on");
+ABSL_FLAG(uint64_t, incarnation, 1,
+          "the platform's incarnation of the VM that this endpoint runs on");
 ABSL_FLAG(bool, checks_fencing, true, "refuse commands with an old epoch");
 ABSL_FLAG(std::string, journal, "", "file to append executed work to; empty for none");
 
--- a/tools/mock_endpoint/service.cc
+++ b/tools/mock_endpoint/service.cc
@@ -10,7 +10,7 @@
   if (self.leaving || self.active_calls >= self.config.max_runs)
     return RefuseNotStarted(self, request);
   const std::string body(request->Body());
-  Journal(self, {{"event", "call"},
+  Journal(self, {{"event", "start"},
                  {"run", std::string(request->Header("Balsambay-Request-Id"))},
                  {"body", body}});
   if (body.find("[[crash]]") != std::string::npos) _exit(9);
