--- a/libs/inventory/include/inventory/inventory.h
+++ b/libs/inventory/include/inventory/inventory.h
@@ -44,6 +44,7 @@
   std::string address;  // IP:PORT
   int max_runs = 16;    // concurrent requests, > 0
   bool checks_fencing = false;
+  bool drained = false;  // set by operators: gets no new work
   // Engines only:
   std::string accelerator;  // kind, for example "a100"
   int accelerator_count = 1;
--- a/libs/inventory/src/details/sections.cc
+++ b/libs/inventory/src/details/sections.cc
@@ -72,6 +72,7 @@
   ReadAddress(reader, out);
   ReadInteger(reader, "max_runs", kOptional, kCount, out.max_runs);
   ReadBool(reader, "checks_fencing", kOptional, out.checks_fencing);
+  ReadBool(reader, "drained", kOptional, out.drained);
   if (out.kind == endpoint_kind::kEngine) {
     ReadEngine(reader, out);
   } else {
--- a/libs/router/src/details/planning.h
+++ b/libs/router/src/details/planning.h
@@ -7,10 +7,19 @@
 
 namespace balsambay::router {
 
+// Plans all models of a new configuration.
+void ConfigurePlans(router_state& state);
+
 // The set of usable endpoints has changed: plans are made again soon, and until then avoid what is
 // not usable.
 void InvalidatePlans(router_state& state);
 
+// An attempt on the endpoint has begun (1) or ended (-1).
+void NoteInFlight(router_state& state, std::string_view endpoint, int delta);
+
+// The endpoint has reported its own load.
+void NoteReportedLoad(router_state& state, std::string_view endpoint, int active);
+
 // Stages that cover all layers of the model once, or empty when no usable endpoints do. Endpoints
 // in item.excluded are used only when there is no other way.
 std::vector<net::run_stage> ChooseRoute(router_state& state, const request& item);
--- a/libs/router/src/details/state.h
+++ b/libs/router/src/details/state.h
@@ -23,7 +23,10 @@
 #include "net/http_server.h"
 #include "net/loop.h"
 #include "peer/peer.h"
+#include "planner/planner.h"
 #include "router/settings.h"
+#include "routing/prefix_table.h"
+#include "routing/routing.h"
 
 namespace balsambay::router {
 
@@ -85,6 +88,20 @@
   time_point at;
 };
 
+// One model's plan. `router` points into `topo`, so this is never moved.
+// Invariant: views[i] describes topo.endpoints[i].
+struct model_plan {
+  planner::topology topo;
+  planner::plan plan;
+  routing::router router;
+  std::vector<routing::endpoint_view> views;
+};
+
+struct plan_position {
+  model_plan* plan = nullptr;
+  planner::endpoint_index index = 0;
+};
+
 struct router_state {
   router_state(const settings& values, net::loop& main_loop)
       : config(values),
@@ -105,7 +122,6 @@
   uint64_t version = 0;  // of `inventory`; 0: none yet, the daemon is not ready
   inventory::configuration inventory;
   std::map<std::string, int, std::less<>> in_flight;  // attempts by endpoint, of this daemon
-  std::set<std::string, std::less<>> drained;         // endpoints that an operator drains
 
   std::map<std::string, request_ptr> requests;
   std::unordered_map<admission::request_id, request_ptr> by_number;
@@ -115,6 +131,12 @@
   std::map<std::string, reported_load, std::less<>> reported_load;
   timer_id health_timer = 0;
 
+  std::map<std::string, std::unique_ptr<model_plan>, std::less<>> plans;  // by model
+  std::map<std::string, plan_position, std::less<>> plan_index;           // by engine
+  routing::prefix_table prefixes;
+  timer_id replan_timer = 0;
+  timer_id view_timer = 0;
+
   admission::gate gate;
   admission::retry_budget retry_budget;
   timer_id gate_timer = 0;
--- a/libs/router/src/endpoint_monitor.cc
+++ b/libs/router/src/endpoint_monitor.cc
@@ -13,7 +13,6 @@
 
 constexpr duration kVmListInterval = std::chrono::seconds(1);
 constexpr duration kVmListTimeout = std::chrono::milliseconds(800);
-// Drained endpoints are excluded by the operator and not by their health.
 
 std::string GroupOf(const inventory::endpoint& endpoint) {
   if (endpoint.kind == inventory::endpoint_kind::kService) return "service/" + endpoint.service;
@@ -39,7 +38,9 @@
   if (valid) {
     seen.kind = leaving ? health::evidence_kind::kReportedLeaving : health::evidence_kind::kProbeOk;
     seen.incarnation = body.value("incarnation", uint64_t{0});
-    state.reported_load[endpoint] = {body.value("active", 0), MonotonicNow()};
+    const int active = body.value("active", 0);
+    state.reported_load[endpoint] = {active, MonotonicNow()};
+    NoteReportedLoad(state, endpoint, active);
   } else if (reply.end.failure == net::call_failure::kConnect) {
     seen.kind = health::evidence_kind::kConnectRefused;
   }
@@ -126,7 +127,8 @@
 }
 
 bool IsUsable(const router_state& state, std::string_view endpoint) {
-  if (state.drained.contains(endpoint)) return false;
+  const auto it = state.inventory.endpoints.find(endpoint);
+  if (it == state.inventory.endpoints.end() || it->second.drained) return false;
   return health::View(state.health, endpoint, MonotonicNow()).usable;
 }
 
