--- a/libs/router/src/details/state.h
+++ b/libs/router/src/details/state.h
@@ -83,7 +83,7 @@
   time_point give_up_at;
 };
 
-struct reported_load {
+struct load_report {
   int active = 0;
   time_point at;
 };
@@ -128,7 +128,7 @@
   uint64_t next_request = 1;
 
   health::registry health;
-  std::map<std::string, reported_load, std::less<>> reported_load;
+  std::map<std::string, load_report, std::less<>> reported_load;
   timer_id health_timer = 0;
 
   std::map<std::string, std::unique_ptr<model_plan>, std::less<>> plans;  // by model
--- a/libs/router/src/ledger_driver.cc
+++ b/libs/router/src/ledger_driver.cc
@@ -108,7 +108,6 @@
 }
 
 void SendClaim(router_state& state, const request_ptr& item, const std::string& owner) {
-  item->claim_owner = owner;
   if (owner.empty() || !Tell(state, owner, "claim", item->submission->request)) {
     RefuseClaim(state, item, "the owner of the record's shard cannot be reached");
   }
