Add the planner library

Cause: the daemon needs routes that cover each layer once, the throughput bound of the hardware and the cut that limits it.

Change: topology from the configuration, bound by parametric max-flow over segments, balanced shares, greedy decomposition, and a route program with column generation where links or nested engines keep the greedy plan short of the bound. Interim plans drop routes through lost engines.

--- /dev/null
+++ b/libs/planner/src/details/cheapest_route.h
@@ -0,0 +1,34 @@
+// The cheapest route through the segments when groups and links have prices.
+#pragma once
+
+#include <vector>
+
+#include "details/problem.h"
+
+namespace balsambay::planner::details {
+
+struct route_prices {
+  std::vector<double> group = {};  // per layer run
+  std::vector<double> link = {};   // per token, by topology::links
+};
+
+struct priced_route {
+  std::vector<group_stage> stages = {};
+  double cost = 0;
+  uint64_t operations = 0;  // comparisons made
+};
+
+enum class revisits {
+  kAllowed,    // the true minimum over all routes
+  kForbidden,  // no group is entered more often than its members can share; a good route, not
+               // always the cheapest
+};
+
+// Precondition: prices are not negative and every segment is held by a group. The cost is infinite
+// when the search finds no route without revisits.
+priced_route FindCheapestRoute(const problem& p, const route_prices& prices, revisits mode);
+
+// Whether some group is entered more often than its members can share.
+bool HasRevisit(const problem& p, const std::vector<group_stage>& stages);
+
+}  // namespace balsambay::planner::details
--- /dev/null
+++ b/libs/planner/src/planner.cc
@@ -0,0 +1,185 @@
+// Assembly of plans from the coverage flow and, where links limit it, the route program.
+#include "planner/planner.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "details/coverage_flow.h"
+#include "details/decompose.h"
+#include "details/expand.h"
+#include "details/problem.h"
+#include "details/route_lp.h"
+
+namespace balsambay::planner {
+namespace {
+
+using details::coverage_flow;
+using details::group_route;
+using details::problem;
+
+// A greedy plan this close to the bound counts as complete.
+constexpr double kComplete = 1 - 1e-6;
+
+// Dual prices below this are rounding noise.
+constexpr double kPriceNoise = 1e-7;
+
+void AddMembers(const details::engine_group& group, limiting_cut& cut) {
+  cut.endpoints.insert(cut.endpoints.end(), group.members.begin(), group.members.end());
+}
+
+limiting_cut CoverageCut(const problem& p, const coverage_flow& coverage) {
+  limiting_cut cut{.layers = details::MergeSegments(p, coverage.cut_segments)};
+  for (const details::engine_group& group : p.groups) {
+    const auto first = coverage.cut_segments.begin() + group.first;
+    const auto end = coverage.cut_segments.begin() + group.end;
+    if (std::find(first, end, 1) != end) AddMembers(group, cut);
+  }
+  std::ranges::sort(cut.endpoints);
+  return cut;
+}
+
+limiting_cut PriceCut(const problem& p, const details::route_lp_solution& solution) {
+  limiting_cut cut;
+  std::vector<uint8_t> marked(p.Segments(), 0);
+  for (size_t s = 0; s < marked.size(); ++s) {
+    marked[s] = std::ranges::all_of(
+        p.groups_by_segment[s], [&](uint32_t g) { return solution.group_price[g] > kPriceNoise; });
+  }
+  cut.layers = details::MergeSegments(p, marked);
+  for (size_t g = 0; g < p.groups.size(); ++g) {
+    if (solution.group_price[g] > kPriceNoise) AddMembers(p.groups[g], cut);
+  }
+  for (uint32_t l = 0; l < solution.link_price.size(); ++l) {
+    if (solution.link_price[l] > kPriceNoise) cut.links.push_back(l);
+  }
+  std::ranges::sort(cut.endpoints);
+  return cut;
+}
+
+// Expands the routes and keeps them when they carry more than the plan's present ones.
+void Offer(const problem& p, const std::vector<group_route>& routes, plan& out) {
+  plan candidate;
+  candidate.bound = out.bound;
+  candidate.routes = details::Expand(p, routes, out.bound);
+  details::SumFlows(*p.topo, candidate);
+  if (candidate.planned_tokens_per_second <= out.planned_tokens_per_second) return;
+  out.routes = std::move(candidate.routes);
+  out.stages = std::move(candidate.stages);
+  out.hops = std::move(candidate.hops);
+  out.planned_tokens_per_second = candidate.planned_tokens_per_second;
+}
+
+bool IsComplete(const plan& p) { return p.planned_tokens_per_second >= p.bound * kComplete; }
+
+// Lowers the bound to what links allow, and scales the weights, which are relative to it.
+void ApplyLinkBound(const problem& p, const std::optional<details::route_lp_solution>& solution,
+                    plan& out) {
+  out.bound_is_exact = solution.has_value() && solution->is_optimal;
+  if (!solution.has_value() || solution->bound >= out.bound) return;
+  for (weighted_route& r : out.routes) r.weight *= out.bound / solution->bound;
+  out.bound = solution->bound;
+  out.cut = PriceCut(p, *solution);
+}
+
+// Improves a greedy plan that is short of the bound because of links or revisits.
+void Improve(const problem& p, const std::vector<group_route>& greedy, plan& out) {
+  using details::revisits;
+  if (!p.topo->links.empty()) {
+    const auto relaxed = details::SolveRouteLp(p, out.bound, greedy, revisits::kAllowed);
+    ApplyLinkBound(p, relaxed, out);
+    if (relaxed.has_value()) Offer(p, relaxed->routes, out);
+  }
+  // Optima differ in how many revisits they contain, so a second start and then a search without
+  // revisits can do better.
+  if (!IsComplete(out) && out.bound_is_exact) {
+    const auto restarted = details::SolveRouteLp(p, out.bound, {}, revisits::kAllowed);
+    if (restarted.has_value()) Offer(p, restarted->routes, out);
+  }
+  if (!IsComplete(out)) {
+    const auto simple = details::SolveRouteLp(p, out.bound, greedy, revisits::kForbidden);
+    if (simple.has_value()) Offer(p, simple->routes, out);
+  }
+}
+
+std::vector<uint8_t> SelectZone(const topology& topo, std::span<const uint8_t> usable,
+                                uint32_t zone) {
+  std::vector<uint8_t> selected(usable.begin(), usable.end());
+  if (zone == kNoZone) return selected;
+  for (size_t i = 0; i < selected.size(); ++i) {
+    if (topo.endpoints[i].zone != zone) selected[i] = 0;
+  }
+  return selected;
+}
+
+std::string DescribeRange(const inventory::layer_range& range) {
+  const std::string first = std::to_string(range.first);
+  return range.end - range.first == 1 ? first : first + "-" + std::to_string(range.end - 1);
+}
+
+std::string Join(const std::vector<std::string>& parts, std::string_view separator) {
+  std::string joined;
+  for (const std::string& part : parts) {
+    if (!joined.empty()) joined += separator;
+    joined += part;
+  }
+  return joined;
+}
+
+}  // namespace
+
+result<plan> MakePlan(const topology& topo, std::span<const uint8_t> usable,
+                      const plan_options& options) {
+  if (usable.size() != topo.endpoints.size()) {
+    return Failure(errc::kInvalidArgument,
+                   "`usable` has " + std::to_string(usable.size()) + " entries for " +
+                       std::to_string(topo.endpoints.size()) + " endpoints");
+  }
+  if (options.only_zone != kNoZone && options.only_zone >= topo.zones.size()) {
+    return Failure(errc::kInvalidArgument, "zone index out of range");
+  }
+  const problem p = details::BuildProblem(topo, SelectZone(topo, usable, options.only_zone));
+  plan out;
+  out.uncovered = details::FindUncovered(p);
+  if (!out.uncovered.empty()) return out;
+  const coverage_flow coverage = details::SolveCoverage(p);
+  out.bound = coverage.bound;
+  out.cut = CoverageCut(p, coverage);
+  const std::vector<group_route> greedy = details::Decompose(p, coverage);
+  Offer(p, greedy, out);
+  if (!IsComplete(out)) Improve(p, greedy, out);
+  return out;
+}
+
+plan WithoutUnusable(const topology& topo, const plan& old_plan, std::span<const uint8_t> usable) {
+  plan reduced{.bound = old_plan.bound,
+               .bound_is_exact = old_plan.bound_is_exact,
+               .cut = old_plan.cut,
+               .uncovered = old_plan.uncovered};
+  std::ranges::copy_if(old_plan.routes, std::back_inserter(reduced.routes),
+                       [&](const weighted_route& r) {
+                         return std::ranges::all_of(
+                             r.stages, [&](const stage& s) { return usable[s.endpoint] != 0; });
+                       });
+  details::SumFlows(topo, reduced);
+  return reduced;
+}
+
+std::string DescribeLayers(std::span<const inventory::layer_range> layers) {
+  std::vector<std::string> parts;
+  std::ranges::transform(layers, std::back_inserter(parts), DescribeRange);
+  return "layers " + Join(parts, ", ");
+}
+
+std::string DescribeCut(const topology& topo, const limiting_cut& cut) {
+  std::vector<std::string> ids;
+  for (const endpoint_index e : cut.endpoints) ids.push_back(topo.endpoints[e].id);
+  std::vector<std::string> parts;
+  if (!cut.layers.empty()) parts.push_back(DescribeLayers(cut.layers));
+  if (!ids.empty()) parts.push_back("endpoints " + Join(ids, ", "));
+  for (const uint32_t l : cut.links) {
+    parts.push_back("link " + topo.links[l].from + " -> " + topo.links[l].to);
+  }
+  return Join(parts, "; ");
+}
+
+}  // namespace balsambay::planner
