--- a/libs/router/src/details/state.h
+++ b/libs/router/src/details/state.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
 #include <string>
@@ -121,6 +122,8 @@
 
   uint64_t version = 0;  // of `inventory`; 0: none yet, the daemon is not ready
   inventory::configuration inventory;
+  nlohmann::json document;
+  uint64_t config_row_version = 0;
   std::map<std::string, int, std::less<>> in_flight;  // attempts by endpoint, of this daemon
 
   std::map<std::string, request_ptr> requests;
