Look ahead along the route in weighted choices

A stage of few layers looked cheaper than one of many, because the cost of the remaining layers was not counted, and full stages piled up.

Change: each weighted choice computes the expected cost from every boundary to the end and adds it to a candidate's cost. Prefill over links counts, and BuildTopology takes the number of hidden states per planned token.

--- a/libs/planner/include/planner/planner.h
+++ b/libs/planner/include/planner/planner.h
@@ -31,7 +31,8 @@
   std::string from;
   std::string to;
   double latency_us = 0;
-  double tokens_per_second = 0;  // bandwidth divided by the model's hidden state per token
+  double hidden_states_per_second = 0;  // bandwidth / hidden state of one token
+  double tokens_per_second = 0;         // planned tokens: hidden_states_per_second / link_load
 };
 
 // The part of a plan that changes only with the configuration. Endpoints are all engines of the
@@ -53,9 +54,12 @@
   std::vector<uint8_t> vm_has_link = {};  // by VM: 1 when vm_links mentions it
 };
 
-// Errors: kNotFound for an unknown model; kInvalidArgument, naming the endpoint or link, for a rate
-// that is not positive and finite or a range outside the model.
-result<topology> BuildTopology(const inventory::configuration& config, std::string_view model_id);
+// `link_load` is the number of hidden states that cross a link for each planned token: 1 for output
+// tokens alone, more when prompts are counted, because engines prefill faster than they decode but
+// links carry both alike. Errors: kNotFound for an unknown model; kInvalidArgument, naming the
+// endpoint or link, for a rate that is not positive and finite or a range outside the model.
+result<topology> BuildTopology(const inventory::configuration& config, std::string_view model_id,
+                               double link_load = 1);
 
 // The link that carries hidden states from one endpoint to another; null when unlimited.
 const planned_link* FindLink(const topology& topo, endpoint_index from, endpoint_index to);
--- a/libs/planner/src/topology.cc
+++ b/libs/planner/src/topology.cc
@@ -82,7 +82,7 @@
   b.topo.vm_has_link[to->second] = 1;
 }
 
-result<void> AddLinks(builder& b, const inventory::configuration& config) {
+result<void> AddLinks(builder& b, const inventory::configuration& config, double link_load) {
   b.topo.zone_links.assign(b.topo.zones.size() * b.topo.zones.size(), -1);
   b.topo.vm_has_link.assign(b.topo.vms.size(), 0);
   const double token_megabytes = std::max(1, b.topo.model.hidden_bytes_per_token) * 1e-6;
@@ -92,10 +92,12 @@
                      "link " + link.from + " -> " + link.to + " has no positive bandwidth");
     }
     PlaceLink(b, link, static_cast<int32_t>(b.topo.links.size()));
+    const double states = link.megabytes_per_second / token_megabytes;
     b.topo.links.push_back({.from = link.from,
                             .to = link.to,
                             .latency_us = link.latency_us,
-                            .tokens_per_second = link.megabytes_per_second / token_megabytes});
+                            .hidden_states_per_second = states,
+                            .tokens_per_second = states / link_load});
   }
   std::ranges::sort(b.topo.vm_links, {}, [](const auto& l) { return std::tie(l.from, l.to); });
   return Success();
@@ -112,7 +114,9 @@
 
 }  // namespace
 
-result<topology> BuildTopology(const inventory::configuration& config, std::string_view model_id) {
+result<topology> BuildTopology(const inventory::configuration& config, std::string_view model_id,
+                               double link_load) {
+  if (!IsPositive(link_load)) return Failure(errc::kInvalidArgument, "link_load is not positive");
   const auto model = config.models.find(model_id);
   if (model == config.models.end()) {
     return Failure(errc::kNotFound, "unknown model " + std::string(model_id));
@@ -125,7 +129,7 @@
   b.topo.model = model->second;
   b.zones = IndexNames(config.zones, b.topo.zones);
   BOOST_OUTCOME_TRY(AddEngines(b, config));
-  BOOST_OUTCOME_TRY(AddLinks(b, config));
+  BOOST_OUTCOME_TRY(AddLinks(b, config, link_load));
   return std::move(b.topo);
 }
 
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -21,7 +21,7 @@
   kRoundRobin,     // each boundary takes its stages in turn
   kLeastInFlight,  // fewest own requests
   kPowerOfTwo,     // two random stages, the one with less reported load
-  kWeighted,       // draws by planned flow, corrected by load, prefix and link cost (default)
+  kWeighted,       // draws two by planned flow, takes the earlier finish (default)
 };
 
 inline constexpr duration kNoReport = duration::max();
@@ -65,6 +65,7 @@
   uint32_t end_boundary = 0;  // index into route_graph::boundaries
   uint32_t zone = 0;
   float flow = 0;                 // tokens/s
+  float model_share = 1;          // layers of the stage divided by layers of the model
   float seconds_per_token = 0;    // decode time for this sub-range, when alone
   float seconds_per_prefill = 0;  // per prompt token
 };
@@ -86,15 +87,24 @@
   std::vector<float> zone_latency = {};   // [from * zones + to]: seconds one way
 };
 
+// Load of one endpoint during one choice.
+struct endpoint_load {
+  float in_flight = 0;
+  float excess = 0;  // requests beyond the batch slots, in units of the slots
+  float weight = 0;  // factor on planned flow; 0 when the endpoint may not be used
+};
+
 // Graph and scratch space of one daemon and model. Build a new one for each plan.
 struct router {
   route_graph graph;
   std::vector<uint32_t> next_in_turn = {};  // round robin, by boundary
   // Scratch; meaningless between calls.
-  std::vector<uint8_t> allowed = {};    // by endpoint
-  std::vector<uint8_t> completes = {};  // by boundary: a usable way to the end exists
-  std::vector<int> cached = {};         // by endpoint: tokens; zero between calls
+  std::vector<endpoint_load> load = {};  // by endpoint
+  std::vector<uint8_t> completes = {};   // by boundary: a usable way to the end exists
+  std::vector<int> cached = {};          // by endpoint: tokens; zero between calls
   std::vector<float> weights = {};
+  std::vector<float> stage_seconds = {};  // by graph stage: cost under present load
+  std::vector<float> rest_seconds = {};   // by boundary: expected cost from there to the end
 };
 
 // `entry_zone` is the daemon's own zone. An uncovered plan gives a router that refuses every
--- a/libs/routing/src/choose_route.cc
+++ b/libs/routing/src/choose_route.cc
@@ -11,11 +11,10 @@
 
 constexpr uint32_t kNone = UINT32_MAX;
 
-void MarkAllowed(router& r, const route_request& request, std::span<const endpoint_view> views) {
-  std::ranges::transform(views, r.allowed.begin(),
-                         [](const endpoint_view& v) { return v.usable && v.slow_start > 0; });
+void MeasureLoads(router& r, const route_request& request, std::span<const endpoint_view> views) {
+  std::ranges::transform(views, r.load.begin(), details::MeasureLoad);
   for (const endpoint_index e : request.excluded) {
-    if (e < r.allowed.size()) r.allowed[e] = 0;
+    if (e < r.load.size()) r.load[e].weight = 0;
   }
 }
 
@@ -28,7 +27,7 @@
     const auto first = r.graph.stages.begin() + here.first_stage;
     const auto end = r.graph.stages.begin() + here.last_stage;
     r.completes[b] = std::any_of(first, end, [&](const graph_stage& s) {
-      return r.allowed[s.stage.endpoint] != 0 && r.completes[s.end_boundary] != 0;
+      return r.load[s.stage.endpoint].weight > 0 && r.completes[s.end_boundary] != 0;
     });
   }
 }
@@ -43,6 +42,7 @@
 bool WalkPlannedStages(walk& w, policy how) {
   const route_graph& graph = w.r.graph;
   if (graph.boundaries.front().layer != 0 || w.r.completes.front() == 0) return false;
+  if (how == policy::kWeighted) details::EstimateCosts(w);
   uint32_t boundary = 0;
   while (boundary + 1 < graph.boundaries.size()) {
     const uint32_t index = details::SelectStage(w, boundary, how);
@@ -75,9 +75,9 @@
   std::vector<inventory::layer_range> missing;
   for (int layer = 0; layer < topo.model.layers; ++layer) {
     bool held = false;
-    for (size_t i = 0; i < r.allowed.size() && !held; ++i) {
+    for (size_t i = 0; i < r.load.size() && !held; ++i) {
       const inventory::layer_range& range = topo.endpoints[i].layers;
-      held = r.allowed[i] != 0 && range.first <= layer && layer < range.end;
+      held = r.load[i].weight > 0 && range.first <= layer && layer < range.end;
     }
     if (held) continue;
     if (missing.empty() || missing.back().end != layer) missing.push_back({layer, layer});
@@ -102,7 +102,7 @@
                    "`views` has " + std::to_string(views.size()) + " entries for " +
                        std::to_string(r.graph.topo->endpoints.size()) + " endpoints");
   }
-  MarkAllowed(r, request, views);
+  MeasureLoads(r, request, views);
   MarkCompletes(r);
   SetCached(r, request.prefix_hits, false);
   walk w{.r = r, .request = request, .views = views, .rng = rng};
--- a/libs/routing/src/details/load.h
+++ b/libs/routing/src/details/load.h
@@ -22,12 +22,15 @@
   double step = 0;     // seconds for each output token
 };
 
-stage_cost EstimateStage(const stage_cost_input& in, const endpoint_view& view);
+endpoint_load MeasureLoad(const endpoint_view& view);
+
+stage_cost EstimateStage(const stage_cost_input& in, const endpoint_load& load);
 
 // Decode and prefill time of a sub-range from the endpoint's rates.
 stage_cost_input DescribeStage(const planner::topology& topo, const planner::stage& stage);
 
-// Seconds one way from endpoint to endpoint.
-double LinkSeconds(const planner::topology& topo, endpoint_index from, endpoint_index to);
+// Seconds until `tokens` hidden states have gone from endpoint to endpoint over an idle link.
+double LinkSeconds(const planner::topology& topo, endpoint_index from, endpoint_index to,
+                   int tokens);
 
 }  // namespace balsambay::routing::details
--- a/libs/routing/src/details/select.h
+++ b/libs/routing/src/details/select.h
@@ -18,6 +18,11 @@
   int cached_tokens = 0;  // held by every stage so far
 };
 
+// Fills stage_seconds and rest_seconds from the present load; needed once before SelectStage with
+// kWeighted. Without the rest of the route, a stage of few layers would look cheaper than one of
+// many.
+void EstimateCosts(walk& w);
+
 // Index into graph.stages of the stage to take at the boundary, or UINT32_MAX when none is usable.
 uint32_t SelectStage(walk& w, uint32_t boundary, policy how);
 
--- a/libs/routing/src/route_graph.cc
+++ b/libs/routing/src/route_graph.cc
@@ -27,6 +27,7 @@
           .end_boundary = BoundaryAt(graph, planned.stage.layers.end),
           .zone = graph.topo->endpoints[planned.stage.endpoint].zone,
           .flow = static_cast<float>(planned.tokens_per_second),
+          .model_share = static_cast<float>(cost.model_share),
           .seconds_per_token = static_cast<float>(cost.seconds_per_token),
           .seconds_per_prefill = static_cast<float>(cost.seconds_per_prefill)};
 }
@@ -81,7 +82,9 @@
   AddZoneLatency(r.graph);
   r.next_in_turn.assign(r.graph.boundaries.size(), 0);
   r.completes.assign(r.graph.boundaries.size(), 0);
-  r.allowed.assign(topo.endpoints.size(), 0);
+  r.stage_seconds.assign(r.graph.stages.size(), 0);
+  r.rest_seconds.assign(r.graph.boundaries.size(), 0);
+  r.load.assign(topo.endpoints.size(), {});
   r.cached.assign(topo.endpoints.size(), 0);
   r.weights.assign(std::max(r.graph.stages.size(), topo.endpoints.size()), 0);
   return r;
--- a/libs/routing/src/select.cc
+++ b/libs/routing/src/select.cc
@@ -9,16 +9,12 @@
 
 constexpr uint32_t kNone = UINT32_MAX;
 
-// A full endpoint keeps this part of its weight, so that it is drawn seldom but is not lost when
-// all are full.
-constexpr float kFullEndpointWeight = 0.1F;
-
 // Draws by weight before the cheapest is taken. Two are enough to avoid overloaded endpoints; more
 // would send all daemons to the same endpoint while reports lag.
 constexpr int kDraws = 2;
 
 bool IsCandidate(const walk& w, const graph_stage& s) {
-  return w.r.allowed[s.stage.endpoint] != 0 && w.r.completes[s.end_boundary] != 0;
+  return w.r.load[s.stage.endpoint].weight > 0 && w.r.completes[s.end_boundary] != 0;
 }
 
 bool IsOnRoute(const walk& w, const graph_stage& s) {
@@ -56,8 +52,8 @@
 }
 
 double ReportedLoad(const walk& w, uint32_t index) {
-  const endpoint_view& view = w.views[w.r.graph.stages[index].stage.endpoint];
-  return EstimateInFlight(view) / std::max(1, view.max_runs);
+  const endpoint_index endpoint = w.r.graph.stages[index].stage.endpoint;
+  return w.r.load[endpoint].in_flight / std::max(1, w.views[endpoint].max_runs);
 }
 
 // The n-th candidate of the boundary.
@@ -83,11 +79,6 @@
   return ReportedLoad(w, two) < ReportedLoad(w, one) ? two : one;
 }
 
-float LoadFactor(const endpoint_view& view) {
-  const bool full = EstimateInFlight(view) >= view.max_runs;
-  return static_cast<float>(view.slow_start) * (full ? kFullEndpointWeight : 1);
-}
-
 // Fills w.r.weights for the boundary and returns their sum.
 float WeighStages(walk& w, const route_graph::boundary& b, bool use_hops) {
   const size_t zones = w.r.graph.topo->zones.size();
@@ -100,7 +91,7 @@
     const graph_stage& s = w.r.graph.stages[i];
     float weight = 0;
     if (IsCandidate(w, s) && !IsOnRoute(w, s)) {
-      weight = s.flow * LoadFactor(w.views[s.stage.endpoint]);
+      weight = s.flow * w.r.load[s.stage.endpoint].weight;
       if (hops != nullptr) weight *= hops[s.zone];
     }
     w.r.weights[i - b.first_stage] = weight;
@@ -127,25 +118,36 @@
   return w.stages.empty() ? held : std::min(held, w.cached_tokens);
 }
 
-// Seconds until the whole answer, as far as this stage adds to them.
-double CostOf(const walk& w, const graph_stage& s) {
-  const endpoint_index endpoint = s.stage.endpoint;
-  const double layers = s.stage.layers.end - s.stage.layers.first;
-  const int uncached = std::max(0, w.request.prompt_tokens - CachedWith(w, endpoint));
+// Seconds that the stage adds to the answer when nothing is cached.
+float StageSeconds(const walk& w, const graph_stage& s) {
   const stage_cost cost = EstimateStage({.seconds_per_token = s.seconds_per_token,
                                          .seconds_per_prefill = s.seconds_per_prefill,
-                                         .model_share = layers / w.r.graph.topo->model.layers,
-                                         .uncached_tokens = uncached,
+                                         .model_share = s.model_share,
+                                         .uncached_tokens = w.request.prompt_tokens,
                                          .output_tokens = w.request.output_tokens},
-                                        w.views[endpoint]);
-  double link = 0;
+                                        w.r.load[s.stage.endpoint]);
+  return static_cast<float>(cost.wait + cost.prefill + w.request.output_tokens * cost.step);
+}
+
+double HopSeconds(const walk& w, const graph_stage& s, int uncached) {
+  const planner::topology& topo = *w.r.graph.topo;
   if (!w.stages.empty()) {
-    link = LinkSeconds(*w.r.graph.topo, w.stages.back().endpoint, endpoint);
-  } else if (w.r.graph.entry_zone != planner::kNoZone) {
-    const size_t zones = w.r.graph.topo->zones.size();
-    link = w.r.graph.zone_latency[w.r.graph.entry_zone * zones + s.zone];
+    const endpoint_index from = w.stages.back().endpoint;
+    const double each = LinkSeconds(topo, from, s.stage.endpoint, 1);
+    return LinkSeconds(topo, from, s.stage.endpoint, uncached) + each * w.request.output_tokens;
   }
-  return cost.wait + cost.prefill + w.request.output_tokens * (cost.step + link);
+  if (w.r.graph.entry_zone == planner::kNoZone) return 0;
+  // Tokens stream back while the next ones are made, so only the first one waits for this link.
+  return 2 * w.r.graph.zone_latency[w.r.graph.entry_zone * topo.zones.size() + s.zone];
+}
+
+// Expected seconds until the whole answer, from this stage on.
+double CostOf(const walk& w, uint32_t index) {
+  const graph_stage& s = w.r.graph.stages[index];
+  const int cached = std::min(CachedWith(w, s.stage.endpoint), w.request.prompt_tokens);
+  const double saved = cached * s.seconds_per_prefill;
+  return w.r.stage_seconds[index] - saved + w.r.rest_seconds[s.end_boundary] +
+         HopSeconds(w, s, w.request.prompt_tokens - cached);
 }
 
 // The candidate that keeps the longest cached prefix; kNone when no candidate holds any.
@@ -165,7 +167,7 @@
 
 uint32_t Cheaper(const walk& w, uint32_t one, uint32_t two) {
   if (one == kNone || two == kNone) return one == kNone ? two : one;
-  return CostOf(w, w.r.graph.stages[two]) < CostOf(w, w.r.graph.stages[one]) ? two : one;
+  return CostOf(w, two) < CostOf(w, one) ? two : one;
 }
 
 uint32_t TakeWeighted(walk& w, uint32_t boundary) {
@@ -184,6 +186,24 @@
 
 }  // namespace
 
+void EstimateCosts(walk& w) {
+  const route_graph& graph = w.r.graph;
+  w.r.rest_seconds.back() = 0;
+  for (size_t b = graph.boundaries.size() - 1; b-- > 0;) {
+    float weights = 0;
+    float seconds = 0;
+    for (uint32_t i = graph.boundaries[b].first_stage; i < graph.boundaries[b].last_stage; ++i) {
+      const graph_stage& s = graph.stages[i];
+      if (!IsCandidate(w, s)) continue;
+      const float weight = s.flow * w.r.load[s.stage.endpoint].weight;
+      w.r.stage_seconds[i] = StageSeconds(w, s);
+      weights += weight;
+      seconds += weight * (w.r.stage_seconds[i] + w.r.rest_seconds[s.end_boundary]);
+    }
+    w.r.rest_seconds[b] = weights > 0 ? seconds / weights : 0;
+  }
+}
+
 uint32_t SelectStage(walk& w, uint32_t boundary, policy how) {
   switch (how) {
     case policy::kRoundRobin:
@@ -204,9 +224,8 @@
   for (size_t i = 0; i < endpoints.size(); ++i) {
     const planner::planned_endpoint& e = endpoints[i];
     const bool holds = e.layers.first <= layer && layer < e.layers.end;
-    const bool usable = holds && w.r.allowed[i] != 0;
     const auto rate = static_cast<float>(e.tokens_per_second);
-    w.r.weights[i] = usable ? rate * LoadFactor(w.views[i]) : 0;
+    w.r.weights[i] = holds ? rate * w.r.load[i].weight : 0;
     sum += w.r.weights[i];
   }
   return sum > 0 ? Draw(w, static_cast<uint32_t>(endpoints.size()), sum) : kNone;
