--- a/apps/balsambayctl/tests/ctl_test.cc
+++ b/apps/balsambayctl/tests/ctl_test.cc
@@ -111,6 +111,14 @@
   CHECK(RunCtl({"validate", "/nonexistent/file"}).code == kFailure);
 }
 
+TEST_CASE("the example is valid; guards against an example that the daemon refuses") {
+  const std::filesystem::path data(BALSAMBAY_TEST_DATA);
+  const auto root = data.parent_path().parent_path().parent_path().parent_path();
+  const outcome result = RunCtl({"validate", (root / "examples" / "three-zones.json").string()});
+  CHECK(result.code == kOk);
+  CHECK_THAT(result.out, Contains("3 zones, 6 vms"));
+}
+
 TEST_CASE("diff compares two files or a file with the configuration in force") {
   fake_daemon daemon;
   daemon.Script(std::string("GET ") + kConfig, {{200, ConfigReply(3, Document("r1"))}});
