Add the membership library: SWIM-like membership of a zone

Cause: daemons need to know which entry VMs of their zone run, at a cost that does not grow with the zone.

Change: libs/membership. Round-robin probes with indirect probes, suspicion with refutation by incarnation, replacement at the same address, graceful leave, table exchange by digest, contact to lost members, and facts within a byte budget. Tests cover crash, pause, cuts, half-open links, loss and a recorded trace in virtual time.

--- /dev/null
+++ b/libs/membership/src/details/gossip.h
@@ -0,0 +1,34 @@
+// Composes messages and adds queued news within the byte bounds.
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "membership/membership.h"
+
+namespace balsambay::membership::details {
+
+// Message to a member, or to a seed when `to` is empty, with as much news as fits.
+send Compose(state& state, message_kind kind, std::string to, std::string address, time_point now);
+
+// The same without news.
+send ComposeBare(const state& state, message_kind kind, std::string to, std::string address,
+                 time_point now);
+
+// Sends queued news to `fanout` random members at once.
+void Broadcast(state& state, time_point now, effects& out);
+
+// Sends queued news to one random member; nothing when there is no news.
+void GossipOnce(state& state, time_point now, effects& out);
+
+bool HasNews(const state& state);
+
+// Stores what is new in `facts`, and passes urgent news on at once.
+void ApplyFacts(state& state, const std::vector<fact>& facts, time_point now, effects& out);
+
+// Adds bytes to the budget of facts for the time since `from`.
+void RefillFactTokens(state& state, duration elapsed);
+
+void QueueFact(state& state, const fact& item);
+
+}  // namespace balsambay::membership::details
--- /dev/null
+++ b/libs/membership/tests/simulation.h
@@ -0,0 +1,185 @@
+// Virtual network of membership daemons with delay, loss, cuts, crashes and pauses. Shared by the
+// tests and the benchmark.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <queue>
+#include <string>
+
+#include "membership/membership.h"
+
+namespace balsambay::membership::testing {
+
+struct sim_node {
+  state core;
+  bool running = true;
+  time_point paused_until;
+  std::vector<event> events;
+  std::map<std::string, std::string> facts;  // origin/key -> value
+  uint64_t messages = 0;                     // sent and received
+  uint64_t bytes = 0;
+};
+
+struct delivery {
+  time_point at;
+  uint64_t order = 0;
+  size_t from = 0;
+  size_t to = 0;
+  message content;
+  bool operator>(const delivery& other) const {
+    return std::tie(at, order) > std::tie(other.at, other.order);
+  }
+};
+
+struct simulation {
+  random_generator rng;
+  time_point now = time_point(std::chrono::seconds(1000));
+  std::vector<sim_node> nodes;
+  double loss = 0;
+  bool measure = false;  // pass messages through CBOR and count bytes
+  std::function<bool(size_t from, size_t to)> is_cut = [](size_t, size_t) { return false; };
+  // Called for each input of node 0; the message is null for ticks.
+  std::function<void(const message*, const effects&)> observe;
+  std::priority_queue<delivery, std::vector<delivery>, std::greater<>> network;
+  uint64_t next_order = 0;
+
+  static std::string Id(size_t index) { return "vm-" + std::to_string(1000 + index); }
+  static std::string Address(size_t index) {
+    return "10.0." + std::to_string(index / 200) + "." + std::to_string(index % 200) + ":7000";
+  }
+  // Virtual wall clock.
+  uint64_t NowMs() const { return static_cast<uint64_t>(now.time_since_epoch().count() / 1000); }
+
+  explicit simulation(size_t count, uint64_t seed) : rng(seed), nodes(count) {
+    for (size_t i = 0; i < count; ++i) Start(i);
+  }
+
+  settings SettingsOf(size_t index) const {
+    settings out;
+    out.id = Id(index);
+    out.address = Address(index);
+    out.zone = "z1";
+    out.seeds = {Address(0), Address(1), Address(2)};
+    out.incarnation = NowMs();
+    return out;
+  }
+
+  void Start(size_t index) {
+    nodes[index] = sim_node{};
+    nodes[index].core = MakeState(SettingsOf(index), rng(), now);
+  }
+  void Crash(size_t index) { nodes[index].running = false; }
+  void Pause(size_t index, duration span) { nodes[index].paused_until = now + span; }
+
+  size_t IndexOf(const std::string& address) const {
+    for (size_t i = 0; i < nodes.size(); ++i) {
+      if (nodes[i].core.config.address == address) return i;
+    }
+    return nodes.size();
+  }
+
+  void Transmit(size_t from, send& out) {
+    const size_t to = IndexOf(out.address);
+    Count(nodes[from], out.content);
+    if (to == nodes.size() || is_cut(from, to) || UniformUnit(rng) < loss) return;
+    // Below 1 ms one way within a zone; up to 3 ms here, so that messages overtake each other.
+    const duration delay(200 + UniformBelow(rng, 2800));
+    network.push({now + delay, next_order++, from, to, std::move(out.content)});
+  }
+
+  void Count(sim_node& node, message& content) const {
+    if (!measure) return;
+    ++node.messages;
+    const std::vector<uint8_t> wire = nlohmann::json::to_cbor(ToJson(content));
+    node.bytes += wire.size();
+    content = MessageFromJson(nlohmann::json::from_cbor(wire)).value();
+  }
+
+  void Carry(size_t index, effects out) {
+    sim_node& node = nodes[index];
+    node.events.insert(node.events.end(), out.events.begin(), out.events.end());
+    for (const fact& item : out.facts) node.facts[item.origin + "/" + item.key] = item.value;
+    for (send& next : out.sends) Transmit(index, next);
+  }
+
+  void Deliver(delivery next) {
+    sim_node& node = nodes[next.to];
+    if (!node.running) return;
+    if (node.paused_until > now) {
+      next.at = node.paused_until;
+      network.push(std::move(next));
+      return;
+    }
+    Count(node, next.content);
+    effects out = OnMessage(node.core, next.content, now);
+    if (observe && next.to == 0) observe(&next.content, out);
+    Carry(next.to, std::move(out));
+  }
+
+  void Tick(size_t index) {
+    effects out = OnTick(nodes[index].core, now);
+    if (observe && index == 0) observe(nullptr, out);
+    Carry(index, std::move(out));
+  }
+
+  time_point NextWake(const sim_node& node) const {
+    if (!node.running) return kNever;
+    return std::max(NextDeadline(node.core), node.paused_until);
+  }
+
+  void RunFor(duration span) {
+    const time_point end = now + span;
+    while (true) {
+      size_t first = 0;
+      time_point wake = kNever;
+      for (size_t i = 0; i < nodes.size(); ++i) {
+        if (NextWake(nodes[i]) < wake) {
+          wake = NextWake(nodes[i]);
+          first = i;
+        }
+      }
+      const time_point arrival = network.empty() ? kNever : network.top().at;
+      if (std::min(wake, arrival) > end) break;
+      now = std::max(now, std::min(wake, arrival));
+      if (arrival <= wake) {
+        delivery next = network.top();
+        network.pop();
+        Deliver(std::move(next));
+      } else {
+        Tick(first);
+      }
+    }
+    now = end;
+  }
+
+  bool RunUntil(const std::function<bool()>& done, duration limit) {
+    const time_point end = now + limit;
+    while (!done()) {
+      if (now >= end) return false;
+      RunFor(std::chrono::milliseconds(50));
+    }
+    return true;
+  }
+
+  // Every running node sees exactly the running nodes as live.
+  bool IsConverged() const {
+    std::vector<std::string> expected;
+    for (const sim_node& node : nodes) {
+      if (node.running && !node.core.leaving) expected.push_back(node.core.config.id);
+    }
+    std::ranges::sort(expected);
+    return std::ranges::all_of(nodes, [&expected](const sim_node& node) {
+      return !node.running || node.core.leaving || LiveIds(node.core) == expected;
+    });
+  }
+
+  member_status StatusAt(size_t observer, size_t subject) const {
+    const auto& members = nodes[observer].core.members;
+    const auto found = members.find(nodes[subject].core.config.id);
+    return found == members.end() ? member_status::kUnknown : found->second.status;
+  }
+};
+
+}  // namespace balsambay::membership::testing
