Add the admission library: gate, retry budget and reasons

Cause: the daemon needs one place that orders, limits and refuses requests and bounds retries. Change: strict tiers, start-time fair queueing, workspace limits, deadline estimates with measured rate and service time, retry budget with pacing, reason enums; overload experiment in virtual time.

--- /dev/null
+++ b/libs/admission/benchmarks/admission_overload.cc
@@ -0,0 +1,50 @@
+// Goodput against offered load, and isolation between workspaces, in virtual time with a
+// fixed-rate server. Prints JSON lines beside the targets.
+#include <cstdio>
+
+#include "fixed_rate_server.h"
+
+using namespace balsambay::admission;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+void PrintGoodput(const char* name, const gate_settings& config, const server_model& server) {
+  double peak = 0;
+  for (const double load : {0.5, 0.75, 0.9, 1.0, 1.25, 1.5, 2.0, 2.5, 3.0}) {
+    const double goodput = GoodputAt(load, config, server);
+    peak = std::max(peak, goodput);
+    std::printf(
+        "{\"benchmark\":\"overload\",\"case\":\"%s\",\"offered\":%.2f,\"goodput\":%.4f,"
+        "\"of_peak\":%.4f,\"target_of_peak\":0.9}\n",
+        name, load, goodput, goodput / peak);
+  }
+}
+
+void PrintIsolation(const char* name, const gate_settings& config, const server_model& server) {
+  const double base = OthersPercentile(1, config, server);
+  const double loud = OthersPercentile(10, config, server);
+  std::printf(
+      "{\"benchmark\":\"isolation\",\"case\":\"%s\",\"p95_ms_at_share\":%.2f,"
+      "\"p95_ms_at_10x\":%.2f,\"change\":%.4f,\"target_change\":0.1}\n",
+      name, base, loud, loud / base - 1);
+}
+
+}  // namespace
+
+int main() {
+  const server_model server;
+  server_model slower = server;  // the plan promises twice what the server does
+  slower.planned_tokens_per_second = 2 * server.tokens_per_second;
+  server_model few_slots = server;
+  few_slots.slots = 8;
+  gate_settings no_deadlines;
+  no_deadlines.test_faults.no_deadlines = true;
+  gate_settings no_shares;
+  no_shares.test_faults.no_shares = true;
+  PrintGoodput("default", {}, server);
+  PrintGoodput("plan_twice_too_high", {}, slower);
+  PrintGoodput("no_deadline_checks", no_deadlines, server);
+  PrintIsolation("default", {}, server);
+  PrintIsolation("8_slots", {}, few_slots);
+  PrintIsolation("no_shares", no_shares, server);
+}
--- /dev/null
+++ b/libs/admission/include/admission/retry.h
@@ -0,0 +1,87 @@
+// Retries: whether and when a failed attempt is repeated. The budget per workspace and in total is
+// a fraction of recent successes plus a small floor, so that a brown-out cannot multiply the load.
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "admission/reason.h"
+#include "base/random.h"
+#include "base/time.h"
+
+namespace balsambay::admission {
+
+// Switches mechanisms off, so that tests can show that they are needed. Never set in production.
+struct retry_faults {
+  bool no_budget = false;
+  bool no_pacing = false;
+};
+
+struct retry_settings {
+  double ratio = 0.1;                          // retries as a fraction of recent successes
+  duration window = std::chrono::seconds(10);  // time constant of "recent"
+  // Floors in retries per window: they let a workspace with little traffic survive the loss of an
+  // endpoint.
+  double workspace_floor = 4;
+  double total_floor = 16;
+  // Retries for reasons that point to overload are also limited to `ratio` of the first attempts
+  // of the last second, because the budget saved over the window could otherwise be spent at once.
+  duration pacing_window = std::chrono::seconds(1);
+  double pacing_floor = 1;
+  duration base_backoff = std::chrono::milliseconds(50);
+  duration max_backoff = std::chrono::seconds(2);
+  // Spread of immediate retries after the loss of an endpoint.
+  duration lost_spread = std::chrono::milliseconds(10);
+  int max_attempts = 4;  // including the first
+  retry_faults test_faults;
+};
+
+// A value that decays exponentially.
+struct decaying_count {
+  double value = 0;
+  time_point at{};
+};
+
+struct retry_history {
+  decaying_count successes;
+  decaying_count retries;
+};
+
+// Bounded by the number of workspaces: entries whose counts have decayed are dropped.
+struct retry_budget {
+  retry_settings config;
+  retry_history total;
+  decaying_count first_attempts;  // over the pacing window
+  decaying_count paced_retries;   // over the pacing window
+  std::map<std::string, retry_history, std::less<>> workspaces;
+  time_point next_sweep{};
+};
+
+void OnFirstAttempt(retry_budget& budget, time_point now);
+void OnSuccess(retry_budget& budget, std::string_view workspace, time_point now);
+
+struct failed_attempt {
+  std::string_view workspace;
+  retry_reason reason = retry_reason::kReset;
+  bool repeatable = true;
+  bool may_have_run = false;  // false only with proof that nothing ran
+  int attempts = 1;           // made so far
+  time_point deadline;
+  duration service_time{0};  // estimate for the next attempt
+};
+
+// `give_up` and `retry_after` are set when `retry` is false.
+struct retry_decision {
+  bool retry = false;
+  duration delay{0};  // before the next attempt
+  refusal_reason give_up = refusal_reason::kEndpointFailed;
+  duration retry_after{0};  // for the caller
+};
+
+// Decides on a failed attempt and, when it is repeated, takes it from the budgets. Give-up reasons:
+// endpoint_failed (may not repeat, or too many attempts), deadline, retry_budget.
+retry_decision DecideRetry(retry_budget& budget, const failed_attempt& failure, time_point now,
+                           random_generator& rng);
+
+}  // namespace balsambay::admission
