--- a/libs/admission/include/admission/retry.h
+++ b/libs/admission/include/admission/retry.h
@@ -25,10 +25,12 @@
   // endpoint.
   double workspace_floor = 4;
   double total_floor = 16;
-  // Retries for reasons that point to overload are also limited to `ratio` of the first attempts
-  // of the last second, because the budget saved over the window could otherwise be spent at once.
-  duration pacing_window = std::chrono::seconds(1);
-  double pacing_floor = 1;
+  // Retries for reasons that point to overload are paced too: each first attempt earns
+  // `pacing_ratio` of a retry, up to `pacing_burst`. Otherwise the budget saved over the window
+  // could be spent at once. Below `ratio`, so that the burst and the floors stay within 10% of the
+  // load.
+  double pacing_ratio = 0.09;
+  double pacing_burst = 2;
   duration base_backoff = std::chrono::milliseconds(50);
   duration max_backoff = std::chrono::seconds(2);
   // Spread of immediate retries after the loss of an endpoint.
@@ -50,15 +52,17 @@
 
 // Bounded by the number of workspaces: entries whose counts have decayed are dropped.
 struct retry_budget {
+  retry_budget() = default;
+  explicit retry_budget(const retry_settings& values) : config(values) {}
+
   retry_settings config;
   retry_history total;
-  decaying_count first_attempts;  // over the pacing window
-  decaying_count paced_retries;   // over the pacing window
+  double pacing_tokens = 0;  // in [0, pacing_burst]
   std::map<std::string, retry_history, std::less<>> workspaces;
   time_point next_sweep{};
 };
 
-void OnFirstAttempt(retry_budget& budget, time_point now);
+void OnFirstAttempt(retry_budget& budget);
 void OnSuccess(retry_budget& budget, std::string_view workspace, time_point now);
 
 struct failed_attempt {
--- a/libs/admission/src/retry.cc
+++ b/libs/admission/src/retry.cc
@@ -31,12 +31,8 @@
   return reason == retry_reason::kOverloaded || reason == retry_reason::kStalled;
 }
 
-bool AllowsPace(const retry_budget& budget, time_point now) {
-  const retry_settings& config = budget.config;
-  if (config.test_faults.no_pacing) return true;
-  const double attempts = Current(budget.first_attempts, config.pacing_window, now);
-  const double retries = Current(budget.paced_retries, config.pacing_window, now);
-  return retries + 1 <= config.pacing_floor + config.ratio * attempts;
+bool AllowsPace(const retry_budget& budget) {
+  return budget.config.test_faults.no_pacing || budget.pacing_tokens >= 1;
 }
 
 bool AllowsRetry(const retry_budget& budget, const retry_history& own, retry_reason reason,
@@ -45,7 +41,7 @@
   if (config.test_faults.no_budget) return true;
   return Allows(config, own, config.workspace_floor, now) &&
          Allows(config, budget.total, config.total_floor, now) &&
-         (!IsPaced(reason) || AllowsPace(budget, now));
+         (!IsPaced(reason) || AllowsPace(budget));
 }
 
 // After the loss of an endpoint another route is free at once; overload needs time to pass.
@@ -85,8 +81,9 @@
 
 }  // namespace
 
-void OnFirstAttempt(retry_budget& budget, time_point now) {
-  Add(budget.first_attempts, budget.config.pacing_window, now);
+void OnFirstAttempt(retry_budget& budget) {
+  const retry_settings& config = budget.config;
+  budget.pacing_tokens = std::min(config.pacing_burst, budget.pacing_tokens + config.pacing_ratio);
 }
 
 void OnSuccess(retry_budget& budget, std::string_view workspace, time_point now) {
@@ -113,7 +110,7 @@
   }
   Add(own.retries, config.window, now);
   Add(budget.total.retries, config.window, now);
-  if (IsPaced(failure.reason)) Add(budget.paced_retries, config.pacing_window, now);
+  if (IsPaced(failure.reason)) budget.pacing_tokens = std::max(0.0, budget.pacing_tokens - 1);
   return {.retry = true, .delay = delay};
 }
 
--- /dev/null
+++ b/libs/admission/tests/retry_test.cc
@@ -0,0 +1,111 @@
+// Properties of the retry budget and decision.
+#include "admission/retry.h"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+
+namespace balsambay::admission {
+namespace {
+
+// Runs 200 requests/s for 60 s with a brown-out in which `failing` of the attempts fail between
+// 20 s and 20 s + `length`. Returns attempts over first attempts within the brown-out.
+double LoadFactor(uint64_t seed, double failing, duration length, const retry_settings& config,
+                  retry_reason reason) {
+  random_generator rng(seed);
+  retry_budget budget(config);
+  std::multimap<time_point, int> attempts;  // due time, attempts made before
+  const time_point from(20s);
+  const time_point until = from + length;
+  int first = 0;
+  int all = 0;
+  for (int i = 0; i < 12000; ++i) attempts.emplace(time_point(i * 5ms), 0);
+  while (!attempts.empty()) {
+    const auto [now, made] = *attempts.begin();
+    attempts.erase(attempts.begin());
+    const bool inside = now >= from && now < until;
+    first += inside && made == 0 ? 1 : 0;
+    all += inside ? 1 : 0;
+    if (made == 0) OnFirstAttempt(budget);
+    if (!inside || UniformUnit(rng) >= failing) {
+      OnSuccess(budget, "w" + std::to_string(UniformBelow(rng, 3)), now);
+      continue;
+    }
+    const failed_attempt failure{
+        "w" + std::to_string(UniformBelow(rng, 3)), reason, true, true, made + 1, now + 10s, 50ms};
+    const retry_decision decision = DecideRetry(budget, failure, now, rng);
+    if (decision.retry) attempts.emplace(now + decision.delay, made + 1);
+  }
+  return static_cast<double>(all) / first;
+}
+
+TEST_CASE("a brown-out does not raise the offered load by more than 10%") {
+  rc::prop("overload", [](uint64_t seed) {
+    random_generator rng(seed);
+    const double failing = UniformUnit(rng);
+    const duration length = 2s + duration(UniformBelow(rng, 30000000));
+    RC_ASSERT(LoadFactor(seed, failing, length, {}, retry_reason::kOverloaded) <= 1.1);
+  });
+  retry_settings no_budget;
+  no_budget.test_faults.no_budget = true;
+  CHECK(LoadFactor(1, 0.5, 10s, no_budget, retry_reason::kOverloaded) > 1.1);
+  retry_settings no_pacing;
+  no_pacing.test_faults.no_pacing = true;
+  CHECK(LoadFactor(1, 0.9, 3s, no_pacing, retry_reason::kOverloaded) > 1.1);
+}
+
+TEST_CASE("retry volume is bounded by the ratio of successes plus the floor") {
+  rc::prop("random outcomes", [](uint64_t seed) {
+    random_generator rng(seed);
+    retry_budget budget;
+    const retry_settings& config = budget.config;
+    double successes = 0;
+    double retries = 0;
+    const auto steps = static_cast<int>(UniformBelow(rng, 500));
+    for (int i = 0; i < steps; ++i) {
+      // All within one millisecond, so that nothing decays and the bound is exact.
+      const time_point now = time_point(1s) + i * 1us;
+      if (UniformBelow(rng, 2) == 0) {
+        OnSuccess(budget, "w", now);
+        successes += 1;
+        continue;
+      }
+      const failed_attempt failure{"w", retry_reason::kStageLost, true, true, 1, now + 1s, 1ms};
+      retries += DecideRetry(budget, failure, now, rng).retry ? 1 : 0;
+      RC_ASSERT(retries <= config.workspace_floor + config.ratio * successes);
+    }
+  });
+}
+
+TEST_CASE("what may have run and may not repeat is never retried") {
+  random_generator rng(1);
+  retry_budget budget;
+  failed_attempt failure{"w", retry_reason::kReset, false, true, 1, time_point(9s), 1ms};
+  CHECK_FALSE(DecideRetry(budget, failure, time_point(1s), rng).retry);
+  failure.may_have_run = false;
+  CHECK(DecideRetry(budget, failure, time_point(1s), rng).retry);
+}
+
+TEST_CASE("no retry that cannot finish in time, and the loss of a stage is retried at once") {
+  random_generator rng(1);
+  retry_budget budget;
+  failed_attempt failure{"w", retry_reason::kStageLost, true, true, 1, time_point(2s), 500ms};
+  const retry_decision early = DecideRetry(budget, failure, time_point(1s), rng);
+  CHECK((early.retry && early.delay <= 10ms));
+  const retry_decision late = DecideRetry(budget, failure, time_point(1600ms), rng);
+  CHECK((!late.retry && late.give_up == refusal_reason::kDeadline && late.retry_after > 0s));
+}
+
+TEST_CASE("idle workspaces leave the table; guards against memory that grows with names") {
+  random_generator rng(1);
+  retry_budget budget;
+  for (int i = 0; i < 10000; ++i) {
+    OnSuccess(budget, "w" + std::to_string(i), time_point(i * 1s));
+  }
+  CHECK(budget.workspaces.size() < 200);
+}
+
+}  // namespace
+}  // namespace balsambay::admission
