--- a/libs/ledger/src/claims.cc
+++ b/libs/ledger/src/claims.cc
@@ -48,7 +48,8 @@
     const shard& shard = set.shards[id];
     reason = WhyNotServing(shard, set.broken.lease, now);
     if (reason == refusal::kNone) return located{id, RecordName(claim.workspace, claim.key)};
-    if (reason == refusal::kNotOwner) owner = shard.seen.row.holder;
+    const bool elsewhere = shard.seen.row.holder != set.config.self;
+    if (reason == refusal::kNotOwner && elsewhere) owner = shard.seen.row.holder;
   }
   Refuse(set, claim.claimant, claim.request_id, reason, owner, out);
   return std::nullopt;
