Send small pieces at once; repeat what a lost endpoint was running; ask stalled stages

Cause: (1) Nagle's algorithm and delayed ACKs held each hop and each request for 40 ms and more: 118 tokens/s through two mock engines of 600 tokens/s, first token p50 548 ms. (2) A stage killed with 12 requests in flight on an idle installation left 8 of them without retry budget. Change: TCP_NODELAY on both sides; a lost endpoint credits the attempts that it was running, once per endpoint and 30 s; a stage that does not answer a status request after a token timeout counts as lost. Ruled out: CPU load of the mock engines (idle in poll in 6 of 6 samples).

--- a/libs/admission/include/admission/retry.h
+++ b/libs/admission/include/admission/retry.h
@@ -31,6 +31,12 @@
   // load.
   double pacing_ratio = 0.09;
   double pacing_burst = 2;
+  // The attempts that were in flight on an endpoint when it was lost may be repeated beyond the
+  // budget, because their work is gone and nothing more is sent there. Once per endpoint and
+  // `loss_interval`: with answers of some seconds this stays below 10% even when an endpoint that
+  // is only overloaded breaks its connections again and again.
+  duration loss_interval = std::chrono::seconds(30);
+  duration loss_credit_lifetime = std::chrono::seconds(5);
   duration base_backoff = std::chrono::milliseconds(50);
   duration max_backoff = std::chrono::seconds(2);
   // Spread of immediate retries after the loss of an endpoint.
@@ -58,6 +64,9 @@
   retry_settings config;
   retry_history total;
   double pacing_tokens = 0;  // in [0, pacing_burst]
+  int loss_credit = 0;       // repeats that lost endpoints still allow
+  time_point loss_credit_until{};
+  std::map<std::string, time_point, std::less<>> losses;  // when each endpoint was last counted
   std::map<std::string, retry_history, std::less<>> workspaces;
   time_point next_sweep{};
 };
@@ -65,6 +74,10 @@
 void OnFirstAttempt(retry_budget& budget);
 void OnSuccess(retry_budget& budget, std::string_view workspace, time_point now);
 
+// An endpoint was lost while it ran `attempts_in_flight` attempts of this daemon.
+void OnEndpointLost(retry_budget& budget, std::string_view endpoint, int attempts_in_flight,
+                    time_point now);
+
 struct failed_attempt {
   std::string_view workspace;
   retry_reason reason = retry_reason::kReset;
@@ -72,7 +85,8 @@
   bool may_have_run = false;  // false only with proof that nothing ran
   int attempts = 1;           // made so far
   time_point deadline;
-  duration service_time{0};  // estimate for the next attempt
+  duration service_time{0};    // estimate for the next attempt
+  bool endpoint_lost = false;  // the endpoint is gone, see OnEndpointLost
 };
 
 // `give_up` and `retry_after` are set when `retry` is false.
--- a/libs/admission/src/retry.cc
+++ b/libs/admission/src/retry.cc
@@ -44,11 +44,18 @@
          (!IsPaced(reason) || AllowsPace(budget));
 }
 
+bool TakeLossCredit(retry_budget& budget, const failed_attempt& failure, time_point now) {
+  if (!failure.endpoint_lost || budget.loss_credit == 0 || now > budget.loss_credit_until)
+    return false;
+  --budget.loss_credit;
+  return true;
+}
+
 // After the loss of an endpoint another route is free at once; overload needs time to pass.
 duration Backoff(const retry_settings& config, const failed_attempt& failure,
                  random_generator& rng) {
   const double unit = UniformUnit(rng);
-  if (!IsPaced(failure.reason)) {
+  if (!IsPaced(failure.reason) || failure.endpoint_lost) {
     return duration(static_cast<duration::rep>(unit * config.lost_spread.count()));
   }
   const int doublings = std::clamp(failure.attempts - 1, 0, 10);
@@ -91,6 +98,16 @@
   Add(HistoryOf(budget, workspace, now).successes, budget.config.window, now);
 }
 
+void OnEndpointLost(retry_budget& budget, std::string_view endpoint, int attempts_in_flight,
+                    time_point now) {
+  const duration interval = budget.config.loss_interval;
+  std::erase_if(budget.losses, [&](const auto& entry) { return entry.second + interval <= now; });
+  if (!budget.losses.emplace(endpoint, now).second) return;
+  if (now > budget.loss_credit_until) budget.loss_credit = 0;
+  budget.loss_credit += attempts_in_flight;
+  budget.loss_credit_until = now + budget.config.loss_credit_lifetime;
+}
+
 retry_decision DecideRetry(retry_budget& budget, const failed_attempt& failure, time_point now,
                            random_generator& rng) {
   const retry_settings& config = budget.config;
@@ -104,6 +121,7 @@
   if (now + delay + failure.service_time > failure.deadline) {
     return GiveUp(refusal_reason::kDeadline, kBudgetRetryAfter);
   }
+  if (TakeLossCredit(budget, failure, now)) return {.retry = true, .delay = delay};
   retry_history& own = HistoryOf(budget, failure.workspace, now);
   if (!AllowsRetry(budget, own, failure.reason, now)) {
     return GiveUp(refusal_reason::kRetryBudget, kBudgetRetryAfter);
--- a/libs/admission/tests/retry_test.cc
+++ b/libs/admission/tests/retry_test.cc
@@ -79,6 +79,28 @@
   });
 }
 
+TEST_CASE("all that was in flight on a lost endpoint is repeated, and no more") {
+  // Guards against answers cut for lack of budget when a small installation loses one of few
+  // endpoints.
+  rc::prop("losses", [](uint64_t seed) {
+    random_generator rng(seed);
+    retry_budget budget;
+    const int in_flight = static_cast<int>(UniformBelow(rng, 200));
+    failed_attempt failure{"w", retry_reason::kReset, true, true, 1, time_point(90s), 1ms, true};
+    const auto count_retries = [&](time_point now) {
+      int retries = 0;
+      for (int i = 0; i < 400; ++i) retries += DecideRetry(budget, failure, now, rng).retry ? 1 : 0;
+      return retries;
+    };
+    OnEndpointLost(budget, "e1", in_flight, time_point(1s));
+    const int floor = static_cast<int>(budget.config.workspace_floor);
+    RC_ASSERT(count_retries(time_point(1s)) == in_flight + floor);
+    // The same endpoint lost again soon, as in a brown-out that breaks connections, gives nothing.
+    OnEndpointLost(budget, "e1", in_flight, time_point(2s));
+    RC_ASSERT(count_retries(time_point(2s)) <= 1);
+  });
+}
+
 TEST_CASE("what may have run and may not repeat is never retried") {
   random_generator rng(1);
   retry_budget budget;
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -2,6 +2,8 @@
 #include "net/http_client.h"
 
 #include <libsoup/soup.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 #include <array>
 
@@ -46,6 +48,7 @@
     soup_message_add_flags(message_, SOUP_MESSAGE_NO_REDIRECT);
     if (request.fresh_connection) soup_message_add_flags(message_, SOUP_MESSAGE_NEW_CONNECTION);
     g_signal_connect(message_, "starting", G_CALLBACK(OnStarting), this);
+    g_signal_connect(message_, "network-event", G_CALLBACK(OnNetworkEvent), this);
     const std::weak_ptr<soup_call> weak = weak_from_this();
     timer_ = Subscribe(timers_, MonotonicNow() + request.header_timeout, [weak](time_point) {
       if (const auto self = weak.lock()) self->TimeOut();
@@ -75,6 +78,13 @@
     static_cast<soup_call*>(data)->started_ = true;
   }
 
+  // Headers and body are written separately; without this each request waits up to 40 ms for a delayed ACK.
+  static void OnNetworkEvent(SoupMessage*, GSocketClientEvent event, GIOStream* stream, gpointer) {
+    if (event != G_SOCKET_CLIENT_CONNECTED || !G_IS_SOCKET_CONNECTION(stream)) return;
+    GSocket* socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream));
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, TRUE, nullptr);
+  }
+
   void TimeOut() {
     g_cancellable_cancel(cancellable_);
     Finish(
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -4,6 +4,8 @@
 #include "net/http_server.h"
 
 #include <libsoup/soup.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <charconv>
@@ -254,6 +256,9 @@
 
 void OnRequestStarted(SoupServer*, SoupServerMessage* message, gpointer data) {
   auto* server = static_cast<server_state*>(data);
+  // Small pieces of a stream must not wait for the acknowledgement of earlier ones.
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket != nullptr) g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, TRUE, nullptr);
   auto* state = new intake{server, message};
   g_object_set_data_full(G_OBJECT(message), kExchangeKey, state, DeleteIntake);
   state->timer = Subscribe(*server->timers, MonotonicNow() + server->limits.idle_timeout,
--- a/libs/router/src/details/dispatch.h
+++ b/libs/router/src/details/dispatch.h
@@ -18,6 +18,7 @@
   admission::retry_reason reason;
   std::string endpoint = {};  // the one that failed; empty when not known
   std::string detail = {};
+  bool endpoint_lost = false;  // `endpoint` does not answer at all
 };
 
 // Closes the attempt and retries or gives up.
--- a/libs/router/src/dispatch.cc
+++ b/libs/router/src/dispatch.cc
@@ -40,13 +40,25 @@
     case retry_reason::kReset:
       return evidence_kind::kLost;
     case retry_reason::kStalled:
-      return evidence_kind::kFailure;
+      return error.endpoint_lost ? evidence_kind::kLost : evidence_kind::kFailure;
     case retry_reason::kOverloaded:
       break;  // having no room is no fault
   }
   return std::nullopt;
 }
 
+bool IsLoss(const attempt_error& error) {
+  if (error.endpoint.empty()) return false;
+  switch (error.reason) {
+    case retry_reason::kConnectFailed:
+    case retry_reason::kStageLost:
+    case retry_reason::kReset:
+      return true;
+    default:
+      return error.endpoint_lost;
+  }
+}
+
 void ReportFailure(router_state& state, const request& item, const attempt_error& error) {
   const auto kind = EvidenceOf(error);
   if (!kind) return;
@@ -74,7 +86,8 @@
                                          .may_have_run = step == attempts::next_step::kGiveUp,
                                          .attempts = static_cast<int>(item.answer.attempt),
                                          .deadline = item.deadline,
-                                         .service_time = duration::zero()};
+                                         .service_time = duration::zero(),
+                                         .endpoint_lost = IsLoss(error)};
   return admission::DecideRetry(state.retry_budget, failed, now, state.rng);
 }
 
@@ -127,6 +140,10 @@
             {"reason", admission::ToString(error.reason)},
             {"detail", error.detail}});
   OnRunFailed(state, *item, error);
+  if (IsLoss(error)) {
+    admission::OnEndpointLost(state.retry_budget, error.endpoint, state.in_flight[error.endpoint],
+                              MonotonicNow());
+  }
   ReportFailure(state, *item, error);
   Exclude(*item, error.endpoint);
   CloseAttempt(state, *item);
--- a/libs/router/src/model_attempt.cc
+++ b/libs/router/src/model_attempt.cc
@@ -16,6 +16,7 @@
 using admission::retry_reason;
 using attempts::attempt_failure;
 
+constexpr duration kStageStatusTimeout = std::chrono::milliseconds(300);
 constexpr duration kUncoveredComeBack = std::chrono::seconds(5);
 
 attempt_error Classify(net::run_failure failure) {
@@ -47,20 +48,57 @@
 
 void WatchProgress(router_state& state, const request_ptr& item);
 
-// Fails the attempt when no token came in time. The time while the caller does not read is not
-// counted.
+// A stage that does not answer a status request either is lost; its requests go on elsewhere beyond
+// the retry budget. When all stages answer, they are slow, and a retry would only add load.
+void OnStageStatus(router_state& state, const request_ptr& item, uint32_t attempt,
+                   const std::string& endpoint, const net::whole_reply& reply) {
+  const bool current = item->phase == attempts::phase::kRunning && item->answer.attempt == attempt;
+  const bool stalled = MonotonicNow() - item->last_progress >= ProgressLimit(state, *item);
+  if (!current || !stalled || reply.status == 200) return;
+  HandleAttemptFailure(
+      state, item, attempt,
+      {attempt_failure::kStalled, retry_reason::kStalled, endpoint, "stage does not answer", true});
+}
+
+void AskStages(router_state& state, const request_ptr& item) {
+  const std::weak_ptr<request> weak = item;
+  for (const net::run_stage& stage : item->route) {
+    net::client_request call;
+    call.method = "GET";
+    call.url = "http://" + stage.address + "/v1/status";
+    call.header_timeout = kStageStatusTimeout;
+    call.fresh_connection = true;
+    net::Fetch(*state.client, std::move(call),
+               [&state, weak, attempt = item->answer.attempt,
+                endpoint = stage.endpoint](const net::whole_reply& reply) {
+                 if (const auto held = weak.lock())
+                   OnStageStatus(state, held, attempt, endpoint, reply);
+               });
+  }
+}
+
+// Asks the stages after one time without a token, and fails the attempt after two. The time while
+// the caller does not read is not counted.
 void CheckProgress(router_state& state, const request_ptr& item, time_point now) {
   if (item->phase != attempts::phase::kRunning) return;
   if (item->reading_paused) item->last_progress = now;
-  if (now - item->last_progress < ProgressLimit(state, *item)) return WatchProgress(state, item);
-  HandleAttemptFailure(state, item, item->answer.attempt,
-                       {attempt_failure::kStalled, retry_reason::kStalled, "", "no token in time"});
+  const duration limit = ProgressLimit(state, *item);
+  const duration waited = now - item->last_progress;
+  if (waited >= 2 * limit) {
+    return HandleAttemptFailure(
+        state, item, item->answer.attempt,
+        {attempt_failure::kStalled, retry_reason::kStalled, "", "no token in time"});
+  }
+  if (waited >= limit) AskStages(state, item);
+  WatchProgress(state, item);
 }
 
 void WatchProgress(router_state& state, const request_ptr& item) {
   const std::weak_ptr<request> weak = item;
   Cancel(state.loop.timers(), item->progress_timer);
-  const time_point deadline = item->last_progress + ProgressLimit(state, *item);
+  const duration limit = ProgressLimit(state, *item);
+  const bool asked = MonotonicNow() - item->last_progress >= limit;
+  const time_point deadline = item->last_progress + (asked ? 2 * limit : limit);
   item->progress_timer = Subscribe(state.loop.timers(), deadline, [&state, weak](time_point now) {
     if (const auto held = weak.lock()) CheckProgress(state, held, now);
   });
--- a/libs/router/src/requests.cc
+++ b/libs/router/src/requests.cc
@@ -54,7 +54,7 @@
 }
 
 void OnAdmitted(router_state& state, const request_ptr& item) {
-  admission::OnFirstAttempt(state.retry_budget, MonotonicNow());
+  admission::OnFirstAttempt(state.retry_budget);
   if (item->answer.repeatable) {
     attempts::Advance(item->phase, phase_event::kAdmitted);
     return Dispatch(state, item);
--- a/tests/system/outcomes_test.cc
+++ b/tests/system/outcomes_test.cc
@@ -24,6 +24,7 @@
 
 void AddBooking(cluster& c, int daemons) {
   c.document["services"]["booking"] = {{"repeatable", false}};
+  c.AddEngine("e1", {});
   c.AddService("s1", "booking", "z1", true);
   c.AddService("s2", "booking");
   for (int i = 1; i <= daemons; ++i)
--- a/tests/system/stopping_test.cc
+++ b/tests/system/stopping_test.cc
@@ -11,7 +11,9 @@
 namespace balsambay::system_test {
 namespace {
 
-constexpr int kTokens = 50;
+// 50 requests a second of 8 tokens are 400 tokens/s, below the bound of one engine of each half.
+constexpr uint32_t kShortAnswer = 8;
+constexpr uint32_t kLongAnswer = 40;
 
 void AddInstallation(cluster& c, const std::vector<std::string>& daemon_flags = {}) {
   for (const char* id : {"a1", "a2"}) c.AddEngine(id, {.end_layer = 16, .tokens_per_second = 600});
@@ -23,11 +25,12 @@
 }
 
 struct load {
+  uint32_t tokens = kShortAnswer;
   std::vector<std::pair<std::string, reply_ptr>> sent;
 
   void Send(cluster& c, const std::string& daemon) {
     const std::string prompt = "item " + std::to_string(sent.size());
-    sent.emplace_back(prompt, c.SendChat(daemon, prompt, kTokens, true));
+    sent.emplace_back(prompt, c.SendChat(daemon, prompt, tokens, true));
   }
 
   // Number of answers that are not whole.
@@ -35,7 +38,7 @@
     int cut = 0;
     for (const auto& [prompt, pending] : sent) {
       const stream_text text = ParseStream(c.Wait(pending).body);
-      if (!text.done || text.content != mock_answer::Expected(prompt, kTokens)) ++cut;
+      if (!text.done || text.content != mock_answer::Expected(prompt, tokens)) ++cut;
     }
     return cut;
   }
@@ -89,7 +92,7 @@
 TEST_CASE("a daemon stopped under load cuts no request and exits with 0") {
   cluster c("daemon-stop");
   AddInstallation(c);
-  load items;
+  load items{.tokens = kLongAnswer, .sent = {}};
   for (int i = 0; i < 20; ++i) {
     items.Send(c, "d1");
     c.RunFor(10);
