--- a/libs/membership/src/message.cc
+++ b/libs/membership/src/message.cc
@@ -14,7 +14,8 @@
 constexpr size_t kMaxListItems = 4096;
 
 json ToJson(const member_update& update) {
-  return json::array({update.id, update.address, update.incarnation, update.status});
+  return json::array(
+      {update.id, update.address, update.incarnation, static_cast<uint64_t>(update.status)});
 }
 
 json ToJson(const fact& item) {
@@ -109,9 +110,10 @@
 }  // namespace
 
 json ToJson(const message& message) {
-  json out = {{"t", kMessageType}, {"k", message.kind},         {"z", message.zone},
-              {"i", message.from}, {"a", message.from_address}, {"n", message.incarnation}};
-  if (message.status != member_status::kAlive) out["s"] = message.status;
+  json out = {{"t", kMessageType},         {"k", static_cast<uint64_t>(message.kind)},
+              {"z", message.zone},         {"i", message.from},
+              {"a", message.from_address}, {"n", message.incarnation}};
+  if (message.status != member_status::kAlive) out["s"] = static_cast<uint64_t>(message.status);
   PutNumber(out, "q", message.sequence);
   PutText(out, "g", message.target);
   PutText(out, "h", message.target_address);
