Plan even shares and look ahead by zone

The plan used large engines on small parts of their ranges, so routes had four or five stages; and the expected cost of the rest of a route was averaged over zones, so zones with a full next stage still got requests.

Change: shares come from iterative proportional fitting that starts from whole ranges (Glover's rule remains for large or ill-conditioned problems); expected costs are kept by boundary and zone; a stage in a zone the plan does not continue in is taken when it costs less than half.

--- a/libs/planner/src/details/coverage_flow.cc
+++ b/libs/planner/src/details/coverage_flow.cc
@@ -4,9 +4,10 @@
 #include <boost/graph/adjacency_list.hpp>
 #include <boost/graph/boykov_kolmogorov_max_flow.hpp>
 #include <cmath>
-#include <limits>
 #include <numeric>
 
+#include "details/fit_shares.h"
+
 namespace balsambay::planner::details {
 namespace {
 
@@ -165,6 +166,23 @@
   }
 }
 
+// Even shares where the fitting converges, else those of Glover's rule.
+void AssignShares(const problem& p, const remainder_set& rest, const network& net,
+                  const std::vector<uint32_t>& assigned, const level& found, coverage_flow& out) {
+  // Zero units: the rates differ by more than the scale resolves, and no flow is planned.
+  if (found.units == 0) return;
+  const auto fitted = FitShares(p, rest.ranges, assigned, found.bound);
+  if (!fitted.has_value()) return TakeShares(p, rest, net.capacity, assigned, found.units, out);
+  for (size_t i = 0; i < rest.ranges.size(); ++i) {
+    const range_class& r = p.ranges[rest.ranges[i]];
+    for (const uint32_t s : assigned) {
+      if (static_cast<int>(s) < r.first || static_cast<int>(s) >= r.end) continue;
+      const double share = (*fitted)[i][s - r.first];
+      out.share[rest.ranges[i]][s - r.first] = share * out.bound / found.bound;
+    }
+  }
+}
+
 // Removes the cut's segments and the classes that touch them; those are fully used by the cut.
 void RemoveCut(const problem& p, const std::vector<uint32_t>& cut, remainder_set& rest) {
   std::erase_if(rest.ranges, [&](uint32_t r) { return Touches(p.ranges[r], cut); });
@@ -200,8 +218,7 @@
     }
     const bool last = depth + 1 == kMaxLevels;
     const std::vector<uint32_t>& assigned = last ? rest.segments : found.cut;
-    // Zero units: the rates differ by more than the scale resolves, and no flow is planned.
-    if (found.units > 0) TakeShares(p, rest, net.capacity, assigned, found.units, out);
+    AssignShares(p, rest, net, assigned, found, out);
     RemoveCut(p, std::vector<uint32_t>(assigned), rest);
   }
   return out;
--- a/libs/planner/src/planner.cc
+++ b/libs/planner/src/planner.cc
@@ -18,7 +18,7 @@
 using details::problem;
 
 // A greedy plan this close to the bound counts as complete.
-constexpr double kComplete = 1 - 1e-6;
+constexpr double kComplete = 0.997;
 
 // Dual prices below this are rounding noise.
 constexpr double kPriceNoise = 1e-7;
--- a/libs/routing/include/routing/routing.h
+++ b/libs/routing/include/routing/routing.h
@@ -104,7 +104,8 @@
   std::vector<int> cached = {};          // by endpoint: tokens; zero between calls
   std::vector<float> weights = {};
   std::vector<float> stage_seconds = {};  // by graph stage: cost under present load
-  std::vector<float> rest_seconds = {};   // by boundary: expected cost from there to the end
+  // [boundary * zones + zone]: expected cost from there to the end for a route that is in `zone`.
+  std::vector<float> rest_seconds = {};
 };
 
 // `entry_zone` is the daemon's own zone. An uncovered plan gives a router that refuses every
--- a/libs/routing/src/route_graph.cc
+++ b/libs/routing/src/route_graph.cc
@@ -83,7 +83,7 @@
   r.next_in_turn.assign(r.graph.boundaries.size(), 0);
   r.completes.assign(r.graph.boundaries.size(), 0);
   r.stage_seconds.assign(r.graph.stages.size(), 0);
-  r.rest_seconds.assign(r.graph.boundaries.size(), 0);
+  r.rest_seconds.assign(r.graph.boundaries.size() * topo.zones.size(), 0);
   r.load.assign(topo.endpoints.size(), {});
   r.cached.assign(topo.endpoints.size(), 0);
   r.weights.assign(std::max(r.graph.stages.size(), topo.endpoints.size()), 0);
--- a/libs/routing/src/select.cc
+++ b/libs/routing/src/select.cc
@@ -141,12 +141,17 @@
   return 2 * w.r.graph.zone_latency[w.r.graph.entry_zone * topo.zones.size() + s.zone];
 }
 
+// Expected seconds after the stage.
+float RestSeconds(const walk& w, const graph_stage& s) {
+  return w.r.rest_seconds[s.end_boundary * w.r.graph.topo->zones.size() + s.zone];
+}
+
 // Expected seconds until the whole answer, from this stage on.
 double CostOf(const walk& w, uint32_t index) {
   const graph_stage& s = w.r.graph.stages[index];
   const int cached = std::min(CachedWith(w, s.stage.endpoint), w.request.prompt_tokens);
   const double saved = cached * s.seconds_per_prefill;
-  return w.r.stage_seconds[index] - saved + w.r.rest_seconds[s.end_boundary] +
+  return w.r.stage_seconds[index] - saved + RestSeconds(w, s) +
          HopSeconds(w, s, w.request.prompt_tokens - cached);
 }
 
@@ -170,37 +175,74 @@
   return CostOf(w, two) < CostOf(w, one) ? two : one;
 }
 
+// A stage in a zone that the plan does not continue in. It must be much cheaper, because such hops
+// can load a link beyond the plan.
+uint32_t OfferUnplannedHop(walk& w, const route_graph::boundary& b, uint32_t best) {
+  constexpr double kMuchCheaper = 0.5;
+  const float sum = WeighStages(w, b, false);
+  const uint32_t other = b.first_stage + Draw(w, b.last_stage - b.first_stage, sum);
+  return CostOf(w, other) < kMuchCheaper * CostOf(w, best) ? other : best;
+}
+
 uint32_t TakeWeighted(walk& w, uint32_t boundary) {
   const route_graph::boundary& b = w.r.graph.boundaries[boundary];
   float sum = WeighStages(w, b, true);
-  // The plan sends nothing from this zone on; any planned stage is better than none.
-  if (sum <= 0) sum = WeighStages(w, b, false);
+  const bool planned = sum > 0;
+  if (!planned) sum = WeighStages(w, b, false);
   if (sum <= 0) return kNone;
   uint32_t best = FindBestHolder(w, b);
   for (int i = 0; i < kDraws; ++i) {
-    const uint32_t drawn = Draw(w, b.last_stage - b.first_stage, sum);
-    best = Cheaper(w, best, b.first_stage + drawn);
+    best = Cheaper(w, best, b.first_stage + Draw(w, b.last_stage - b.first_stage, sum));
   }
-  return best;
+  return planned && !w.stages.empty() ? OfferUnplannedHop(w, b, best) : best;
+}
+
+// Candidates of one zone at a boundary.
+struct zone_cost {
+  float weight = 0;
+  float seconds = 0;  // sum, weighted
+};
+
+void SumByZone(walk& w, const route_graph::boundary& b, std::vector<zone_cost>& by_zone) {
+  std::ranges::fill(by_zone, zone_cost{});
+  for (uint32_t i = b.first_stage; i < b.last_stage; ++i) {
+    const graph_stage& s = w.r.graph.stages[i];
+    if (!IsCandidate(w, s)) continue;
+    w.r.stage_seconds[i] = StageSeconds(w, s);
+    const float weight = s.flow * w.r.load[s.stage.endpoint].weight;
+    by_zone[s.zone].weight += weight;
+    by_zone[s.zone].seconds += weight * (w.r.stage_seconds[i] + RestSeconds(w, s));
+  }
+}
+
+// Mean over the zones that the plan continues in; over all zones when nothing is left in those.
+float MeanCost(const route_graph::boundary& b, const std::vector<zone_cost>& by_zone, size_t from) {
+  const size_t zones = by_zone.size();
+  zone_cost planned;
+  zone_cost all;
+  for (size_t to = 0; to < zones; ++to) {
+    const float share = b.hop_share.empty() ? 1 : b.hop_share[from * zones + to];
+    planned.weight += share * by_zone[to].weight;
+    planned.seconds += share * by_zone[to].seconds;
+    all.weight += by_zone[to].weight;
+    all.seconds += by_zone[to].seconds;
+  }
+  if (planned.weight > 0) return planned.seconds / planned.weight;
+  return all.weight > 0 ? all.seconds / all.weight : 0;
 }
 
 }  // namespace
 
 void EstimateCosts(walk& w) {
-  const route_graph& graph = w.r.graph;
-  w.r.rest_seconds.back() = 0;
-  for (size_t b = graph.boundaries.size() - 1; b-- > 0;) {
-    float weights = 0;
-    float seconds = 0;
-    for (uint32_t i = graph.boundaries[b].first_stage; i < graph.boundaries[b].last_stage; ++i) {
-      const graph_stage& s = graph.stages[i];
-      if (!IsCandidate(w, s)) continue;
-      const float weight = s.flow * w.r.load[s.stage.endpoint].weight;
-      w.r.stage_seconds[i] = StageSeconds(w, s);
-      weights += weight;
-      seconds += weight * (w.r.stage_seconds[i] + w.r.rest_seconds[s.end_boundary]);
+  const size_t boundaries = w.r.graph.boundaries.size();
+  const size_t zones = w.r.graph.topo->zones.size();
+  std::fill(w.r.rest_seconds.end() - static_cast<std::ptrdiff_t>(zones), w.r.rest_seconds.end(), 0);
+  std::vector<zone_cost> by_zone(zones);
+  for (size_t b = boundaries - 1; b-- > 0;) {
+    SumByZone(w, w.r.graph.boundaries[b], by_zone);
+    for (size_t zone = 0; zone < zones; ++zone) {
+      w.r.rest_seconds[b * zones + zone] = MeanCost(w.r.graph.boundaries[b], by_zone, zone);
     }
-    w.r.rest_seconds[b] = weights > 0 ? seconds / weights : 0;
   }
 }
 
