Draw prefix holders by planned flow

Cause: among stages whose endpoint holds a prefix the router always took the first one with the longest prefix, which is an endpoint's shortest stage. A stage with 0.14% of the planned flow got 4.5% of the requests.

Change: holders are drawn by planned flow times held prefix.

--- a/libs/routing/src/select.cc
+++ b/libs/routing/src/select.cc
@@ -155,19 +155,19 @@
          HopSeconds(w, s, w.request.prompt_tokens - cached);
 }
 
-// The candidate that keeps the longest cached prefix; kNone when no candidate holds any.
-uint32_t FindBestHolder(const walk& w, const route_graph::boundary& b) {
+// Draws among the holders of the prefix by weight and length of the prefix; kNone when there are none. Taking the
+// longest would always prefer the first of an endpoint's stages, whatever their planned flow.
+uint32_t DrawHolder(walk& w, const route_graph::boundary& b) {
   if (w.request.prefix_hits.empty()) return kNone;
-  uint32_t best = kNone;
-  int most = 0;
+  float sum = 0;
   for (uint32_t i = b.first_stage; i < b.last_stage; ++i) {
-    if (w.r.weights[i - b.first_stage] <= 0) continue;
     const int held = CachedWith(w, w.r.graph.stages[i].stage.endpoint);
-    if (held <= most) continue;
-    most = held;
-    best = i;
+    float& weight = w.r.weights[i - b.first_stage];
+    weight *= static_cast<float>(held);
+    sum += weight;
   }
-  return best;
+  if (sum <= 0) return kNone;
+  return b.first_stage + Draw(w, b.last_stage - b.first_stage, sum);
 }
 
 uint32_t Cheaper(const walk& w, uint32_t one, uint32_t two) {
@@ -190,10 +190,11 @@
   const bool planned = sum > 0;
   if (!planned) sum = WeighStages(w, b, false);
   if (sum <= 0) return kNone;
-  uint32_t best = FindBestHolder(w, b);
+  uint32_t best = kNone;
   for (int i = 0; i < kDraws; ++i) {
     best = Cheaper(w, best, b.first_stage + Draw(w, b.last_stage - b.first_stage, sum));
   }
+  best = Cheaper(w, best, DrawHolder(w, b));
   return planned && !w.stages.empty() ? OfferUnplannedHop(w, b, best) : best;
 }
 
