Eject dead endpoints regardless of their group; fix a dangling view in a test

Cause: the limit per group kept an endpoint that refuses connections in use when its group was small, which only costs attempts. A connection failure of an endpoint that was already suspect did not recompute ejection (found by the new test). The sanitizer run found that retry_test kept a string_view of a temporary. Change: connection failures are limited by the fraction of all endpoints only; the recomputation; a named string in the test; pacing follows the configured retry ratio. Conclusion: the bounds in the tests are unchanged.

--- a/libs/admission/include/admission/retry.h
+++ b/libs/admission/include/admission/retry.h
@@ -26,10 +26,9 @@
   double workspace_floor = 4;
   double total_floor = 16;
   // Retries for reasons that point to overload are paced too: each first attempt earns
-  // `pacing_ratio` of a retry, up to `pacing_burst`. Otherwise the budget saved over the window
-  // could be spent at once. Below `ratio`, so that the burst and the floors stay within 10% of the
-  // load.
-  double pacing_ratio = 0.09;
+  // `pacing_part` * `ratio` of a retry, up to `pacing_burst`. Otherwise the budget saved over the
+  // window could be spent at once. Below 1, so that the burst stays within `ratio` of the load.
+  double pacing_part = 0.9;
   double pacing_burst = 2;
   duration base_backoff = std::chrono::milliseconds(50);
   duration max_backoff = std::chrono::seconds(2);
--- a/libs/admission/src/retry.cc
+++ b/libs/admission/src/retry.cc
@@ -83,7 +83,8 @@
 
 void OnFirstAttempt(retry_budget& budget) {
   const retry_settings& config = budget.config;
-  budget.pacing_tokens = std::min(config.pacing_burst, budget.pacing_tokens + config.pacing_ratio);
+  const double earned = config.pacing_part * config.ratio;
+  budget.pacing_tokens = std::min(config.pacing_burst, budget.pacing_tokens + earned);
 }
 
 void OnSuccess(retry_budget& budget, std::string_view workspace, time_point now) {
--- a/libs/admission/tests/retry_test.cc
+++ b/libs/admission/tests/retry_test.cc
@@ -33,8 +33,8 @@
       OnSuccess(budget, "w" + std::to_string(UniformBelow(rng, 3)), now);
       continue;
     }
-    const failed_attempt failure{
-        "w" + std::to_string(UniformBelow(rng, 3)), reason, true, true, made + 1, now + 10s, 50ms};
+    const std::string workspace = "w" + std::to_string(UniformBelow(rng, 3));
+    const failed_attempt failure{workspace, reason, true, true, made + 1, now + 10s, 50ms};
     const retry_decision decision = DecideRetry(budget, failure, now, rng);
     if (decision.retry) attempts.emplace(now + decision.delay, made + 1);
   }
--- a/libs/health/include/health/health.h
+++ b/libs/health/include/health/health.h
@@ -49,7 +49,9 @@
   int failures_to_suspect = 3;
   int probe_failures_to_suspect = 2;
   int probes_to_recover = 2;
-  double max_ejected_fraction = 0.5;  // of the endpoints in use; also of each group
+  // Of all endpoints in use. Within a group it limits ejection for other reasons than connection
+  // failures.
+  double max_ejected_fraction = 0.5;
   duration outlier_sweep = 1s;
   int outlier_min_samples = 10;
   double outlier_failure_rate = 0.5;
--- a/libs/health/src/details/ejection.cc
+++ b/libs/health/src/details/ejection.cc
@@ -76,8 +76,9 @@
   std::ranges::sort(suspects, EjectsBefore);
   for (record* item : suspects) {
     tally& group = groups[item->spec.group];
-    item->ejected = group.ejected < EjectionLimit(health.config, group.in_use) &&
-                    all.ejected < EjectionLimit(health.config, all.in_use);
+    const bool group_allows =
+        item->refused || group.ejected < EjectionLimit(health.config, group.in_use);
+    item->ejected = group_allows && all.ejected < EjectionLimit(health.config, all.in_use);
     group.ejected += item->ejected ? 1 : 0;
     all.ejected += item->ejected ? 1 : 0;
   }
--- a/libs/health/src/health.cc
+++ b/libs/health/src/health.cc
@@ -154,7 +154,8 @@
   if (item.state == endpoint_state::kLeaving) {
     return details::Vanish(item, change_cause::kRefused);
   }
-  if (item.state == endpoint_state::kSuspect) item.refused = true;
+  // A connection failure moves a suspect endpoint ahead in the order of ejection.
+  if (item.state == endpoint_state::kSuspect) return !std::exchange(item.refused, true);
   return details::Suspect(item, true, change_cause::kRefused, now);
 }
 
--- a/libs/health/tests/health_test.cc
+++ b/libs/health/tests/health_test.cc
@@ -156,6 +156,19 @@
   CHECK(LargestEjection(3, 20, broken) > 0.5);
 }
 
+TEST_CASE(
+    "an outlier stays in use when its group has lost its fraction; a dead endpoint does not") {
+  random_generator rng(1);
+  registry health = Filled(20);
+  const auto fail = [&](size_t id, evidence_kind kind) {
+    for (int i = 0; i < 3; ++i) OnEvidence(health, {Id(id), kind, {}, {}}, time_point(0s), rng);
+  };
+  for (size_t id = 0; id < 5; ++id) fail(id, evidence_kind::kFailure);
+  CHECK(CountUsable(health, 20) == 18);
+  for (size_t id = 0; id < 5; ++id) fail(id, evidence_kind::kConnectRefused);
+  CHECK(CountUsable(health, 20) == 15);
+}
+
 TEST_CASE("an ejected endpoint is probed, returns and starts slowly") {
   random_generator rng(1);
   registry health = Filled(5);
