--- a/libs/lease/include/lease/commit_attempt.h
+++ b/libs/lease/include/lease/commit_attempt.h
@@ -29,10 +29,11 @@
   time_point first_sent;
   time_point last_sent;
   int sends = 0;
-  bool doubtful = false;  // a reply was lost
-  bool reading = false;   // the open call reads the guards back
-  uint64_t call = 0;      // open call; 0: none, the next one is due at `deadline`
-  time_point deadline;    // the open call times out, or the next call is due
+  bool doubtful = false;             // a reply was lost
+  bool reading = false;              // the open call reads the guards back
+  uint64_t call = 0;                 // open call; 0: none, the next one is due at `deadline`
+  std::vector<uint64_t> late_calls;  // timed out; a reply of theirs can still decide
+  time_point deadline;               // the open call times out, or the next call is due
   // Set with the verdict:
   uint64_t version = 0;           // of all rows written, when committed
   std::vector<std::string> lost;  // guards that another writer changed, when rejected
@@ -47,10 +48,14 @@
 table_call Send(commit_attempt& attempt, const timing& timing, const faults& faults,
                 uint64_t& next_id, time_point now);
 
-// `reported`: outcome of the call `attempt.call`. A conflict is read back too: it may
-// come from an earlier send of the same transaction, and it names only one of the lost guards.
-progress OnOutcome(commit_attempt& attempt, const table_outcome& reported, const timing& timing,
-                   const faults& faults, uint64_t& next_id, time_point now);
+// Whether `call` is the open call or a recent one of this attempt.
+bool Owns(const commit_attempt& attempt, uint64_t call);
+
+// Outcome of `call`, which the attempt owns. A conflict is read back too: it may come from an
+// earlier send of the same transaction, and it names only one of the lost guards. A late reply is
+// used only when it decides, so that a table slower than the call timeout still makes progress.
+progress OnOutcome(commit_attempt& attempt, uint64_t call, const table_outcome& reported,
+                   const timing& timing, const faults& faults, uint64_t& next_id, time_point now);
 
 // Handles a timeout or a due retry; does nothing before `attempt.deadline`.
 progress OnTick(commit_attempt& attempt, const timing& timing, const faults& faults,
--- a/libs/lease/src/commit_attempt.cc
+++ b/libs/lease/src/commit_attempt.cc
@@ -2,6 +2,7 @@
 #include "lease/commit_attempt.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace balsambay::lease {
 namespace {
@@ -16,7 +17,17 @@
   return tx;
 }
 
+constexpr size_t kMaxLateCalls = 8;
+
+void CloseCall(commit_attempt& attempt) {
+  if (attempt.call == 0) return;
+  if (attempt.late_calls.size() == kMaxLateCalls)
+    attempt.late_calls.erase(attempt.late_calls.begin());
+  attempt.late_calls.push_back(std::exchange(attempt.call, 0));
+}
+
 table_call Open(commit_attempt& attempt, const timing& timing, uint64_t& next_id, time_point now) {
+  CloseCall(attempt);
   attempt.call = next_id++;
   attempt.deadline = now + timing.call_timeout;
   return {attempt.call, {}};
@@ -54,8 +65,17 @@
   return attempt.lost.empty() ? verdict::kOpen : verdict::kRejected;
 }
 
+// What a reply proves on its own; kOpen: nothing.
+verdict Decide(commit_attempt& attempt, const table_outcome& reported) {
+  if (const auto* reply = std::get_if<table::read_reply>(&reported)) return Judge(attempt, *reply);
+  const auto* reply = std::get_if<table::commit_reply>(&reported);
+  if (reply == nullptr || !reply->committed) return verdict::kOpen;
+  attempt.version = reply->version;
+  return verdict::kCommitted;
+}
+
 progress WaitUntil(commit_attempt& attempt, time_point deadline) {
-  attempt.call = 0;
+  CloseCall(attempt);
   attempt.deadline = deadline;
   return {};
 }
@@ -89,19 +109,22 @@
   return call;
 }
 
-progress OnOutcome(commit_attempt& attempt, const table_outcome& reported, const timing& timing,
-                   const faults& faults, uint64_t& next_id, time_point now) {
-  if (const auto* reply = std::get_if<table::commit_reply>(&reported)) {
-    attempt.version = reply->version;
-    if (reply->committed) return {verdict::kCommitted, std::nullopt};
-    return {verdict::kOpen, ReadBack(attempt, timing, next_id, now)};
-  }
-  if (const auto* reply = std::get_if<table::read_reply>(&reported)) {
-    const verdict outcome = Judge(attempt, *reply);
-    if (outcome != verdict::kOpen) return {outcome, std::nullopt};
-    return SendAgain(attempt, timing, faults, next_id, now);
+bool Owns(const commit_attempt& attempt, uint64_t call) {
+  if (call == 0) return false;
+  return call == attempt.call ||
+         std::ranges::find(attempt.late_calls, call) != attempt.late_calls.end();
+}
+
+progress OnOutcome(commit_attempt& attempt, uint64_t call, const table_outcome& reported,
+                   const timing& timing, const faults& faults, uint64_t& next_id, time_point now) {
+  const verdict outcome = Decide(attempt, reported);
+  if (outcome != verdict::kOpen) return {outcome, std::nullopt};
+  if (call != attempt.call) return {};
+  if (std::holds_alternative<unknown_outcome>(reported)) {
+    return OnUnknown(attempt, timing, faults, next_id, now);
   }
-  return OnUnknown(attempt, timing, faults, next_id, now);
+  if (attempt.reading) return SendAgain(attempt, timing, faults, next_id, now);
+  return {verdict::kOpen, ReadBack(attempt, timing, next_id, now)};
 }
 
 progress OnTick(commit_attempt& attempt, const timing& timing, const faults& faults,
--- a/libs/lease/src/holder.cc
+++ b/libs/lease/src/holder.cc
@@ -67,7 +67,7 @@
   }
   if (now < holder.read_deadline) return;
   holder.read_call = holder.next_call++;
-  holder.read_deadline = now + holder.config.call_timeout;
+  holder.read_deadline = now + holder.config.renew_interval;
   out.push_back({holder.read_call, table::read_request{{holder.key}, {}}});
 }
 
@@ -106,13 +106,12 @@
 std::vector<table_call> OnTableReply(holder& holder, uint64_t id, const table_outcome& outcome,
                                      time_point now) {
   calls out;
-  if (id == 0) return out;
-  if (holder.attempt && holder.attempt->call == id) {
-    Advance(
-        holder,
-        OnOutcome(*holder.attempt, outcome, holder.config, holder.broken, holder.next_call, now),
-        now, out);
-  } else if (holder.state == holder_state::kObserving && holder.read_call == id) {
+  if (holder.attempt && Owns(*holder.attempt, id)) {
+    Advance(holder,
+            OnOutcome(*holder.attempt, id, outcome, holder.config, holder.broken, holder.next_call,
+                      now),
+            now, out);
+  } else if (holder.state == holder_state::kObserving && id != 0 && holder.read_call == id) {
     OnRead(holder, outcome, now);
   }
   return out;
--- a/libs/lease/tests/lease_test.cc
+++ b/libs/lease/tests/lease_test.cc
@@ -40,7 +40,7 @@
   uint64_t next_id = 1;
   table_call Send(time_point now) { return lease::Send(attempt, {}, {}, next_id, now); }
   progress Hear(const table_outcome& outcome, time_point now) {
-    return OnOutcome(attempt, outcome, {}, {}, next_id, now);
+    return OnOutcome(attempt, attempt.call, outcome, {}, {}, next_id, now);
   }
   table_outcome Execute(const table_call& call) {
     if (const auto* tx = std::get_if<table::transaction>(&call.request)) return Commit(table, *tx);
@@ -84,6 +84,17 @@
   CHECK(f.attempt.lost == std::vector<std::string>{"lease/h"});
 }
 
+TEST_CASE("a late reply still decides; guards against a table slower than the call timeout") {
+  attempt_fixture f;
+  f.attempt.guards = {{"lease/g", 0, Encode({"a#1", 1, 0})}};
+  const table_call call = f.Send(kStart);
+  REQUIRE(OnTick(f.attempt, {}, {}, f.next_id, kStart + milliseconds(300)).call);
+  REQUIRE(Owns(f.attempt, call.id));
+  const time_point late = kStart + milliseconds(350);
+  const progress done = OnOutcome(f.attempt, call.id, f.Execute(call), {}, {}, f.next_id, late);
+  CHECK(done.outcome == verdict::kCommitted);
+}
+
 TEST_CASE("a table that reads but does not write is not flooded; guards against a send loop") {
   attempt_fixture f;
   f.attempt.guards = {{"lease/g", 0, Encode({"a#1", 1, 0})}};
--- a/libs/ledger/src/batch.cc
+++ b/libs/ledger/src/batch.cc
@@ -156,9 +156,9 @@
 
 bool OnBatchReply(shard_set& set, uint64_t id, const lease::table_outcome& outcome, time_point now,
                   effects& out) {
-  if (!set.open_batch || set.open_batch->attempt.call != id) return false;
+  if (!set.open_batch || !lease::Owns(set.open_batch->attempt, id)) return false;
   Advance(set,
-          lease::OnOutcome(set.open_batch->attempt, outcome, set.config.lease, set.broken.lease,
+          lease::OnOutcome(set.open_batch->attempt, id, outcome, set.config.lease, set.broken.lease,
                            set.next_call, now),
           now, out);
   return true;
--- a/libs/ledger/src/settings.cc
+++ b/libs/ledger/src/settings.cc
@@ -9,6 +9,9 @@
   if (settings.batch_interval >= settings.lease.renew_interval) {
     return Failure(errc::kInvalidArgument, "batch_interval must be below the renew interval");
   }
+  if (settings.reply_bound <= settings.batch_interval) {
+    return Failure(errc::kInvalidArgument, "reply_bound must be above batch_interval");
+  }
   // The claimant's and the owner's clocks need not agree, so the distance must be ample.
   if (settings.retention < settings.longest_run + 10 * settings.grant_time) {
     return Failure(errc::kInvalidArgument,
--- a/libs/ledger/src/shards.cc
+++ b/libs/ledger/src/shards.cc
@@ -15,9 +15,15 @@
   return !seen.known || seen.row.holder.empty();
 }
 
+// Another live daemon holds a shard that this one should own, so it asks for a handover.
+bool AsksFor(const shard_set& set, const shard& shard) {
+  return IsObserved(set, shard) && shard.rank == 0 && !IsFreeOrUnknown(shard.seen) &&
+         std::ranges::find(set.live, shard.seen.row.holder) != set.live.end();
+}
+
 duration ObserveInterval(const shard_set& set) {
   const bool urgent = std::ranges::any_of(set.shards, [&](const shard& shard) {
-    return IsObserved(set, shard) && IsFreeOrUnknown(shard.seen);
+    return AsksFor(set, shard) || (IsObserved(set, shard) && IsFreeOrUnknown(shard.seen));
   });
   return urgent ? set.config.lease.observe_interval : set.config.lease.renew_interval;
 }
@@ -39,7 +45,6 @@
   ScheduleObserve(set, now + set.config.lease.renew_interval);
   if (read.keys.empty()) return;
   set.observe_call = set.next_call++;
-  set.observe_deadline = now + set.config.lease.call_timeout;
   Emit(set, {set.observe_call, std::move(read)}, out);
 }
 
@@ -137,9 +142,7 @@
 }
 
 time_point AskTime(const shard_set& set, const shard& shard) {
-  const bool wanted = IsObserved(set, shard) && shard.rank == 0 && !IsFreeOrUnknown(shard.seen) &&
-                      std::ranges::find(set.live, shard.seen.row.holder) != set.live.end();
-  return wanted ? shard.asked + set.config.handover_interval : kNever;
+  return AsksFor(set, shard) ? shard.asked + set.config.handover_interval : kNever;
 }
 
 void TickHandover(shard_set& set, shard_id id, time_point now, effects& out) {
@@ -159,10 +162,10 @@
 bool OnTakeoverReply(shard_set& set, shard_id id, uint64_t call,
                      const lease::table_outcome& outcome, time_point now, effects& out) {
   shard& shard = set.shards[id];
-  if (!shard.takeover || shard.takeover->call != call) return false;
+  if (!shard.takeover || !lease::Owns(*shard.takeover, call)) return false;
   AdvanceTakeover(set, id,
-                  lease::OnOutcome(*shard.takeover, outcome, set.config.lease, set.broken.lease,
-                                   set.next_call, now),
+                  lease::OnOutcome(*shard.takeover, call, outcome, set.config.lease,
+                                   set.broken.lease, set.next_call, now),
                   now, out);
   return true;
 }
--- a/libs/ledger/tests/ledger_test.cc
+++ b/libs/ledger/tests/ledger_test.cc
@@ -184,6 +184,32 @@
   CHECK(served() == 16);
 }
 
+TEST_CASE(
+    "the shards of a dead daemon are served again within 5 s, also while lists still name it") {
+  for (const duration list_delay : {milliseconds(1500), milliseconds(60'000)}) {
+    for (int seed = 0; seed < 20; ++seed) {
+      const auto w = MakeWorld(4, seed);
+      w->list_delay = list_delay;
+      Run(*w, seconds(4) + milliseconds(37 * seed));
+      const int owner = Owner(*w, "k");
+      REQUIRE(owner >= 0);
+      Apply(*w, {{"op", "crash"}, {"daemon", owner}});
+      Run(*w, seconds(5));
+      CHECK(Owner(*w, "k") >= 0);
+    }
+  }
+}
+
+TEST_CASE("a table slower than the call timeout still serves claims; guards against a livelock") {
+  const auto w = MakeWorld(2, 3);
+  Run(*w, seconds(5));
+  Apply(*w, {{"op", "table"}, {"mode", "slow"}});
+  Run(*w, seconds(5));
+  Apply(*w, {{"op", "claim"}, {"daemon", 0}, {"request", "r1"}, {"key", "k"}});
+  Run(*w, seconds(3));
+  CHECK(w->requests["r1"].told == "ran");
+}
+
 TEST_CASE("a graceful stop hands all shards over at once; guards against waiting for the lease") {
   const auto w = MakeWorld(2, 3);
   Run(*w, seconds(5));
--- a/libs/ledger/tests/property_test.cc
+++ b/libs/ledger/tests/property_test.cc
@@ -23,7 +23,7 @@
 }
 
 json RandomDisturbance(random_generator& rng) {
-  const std::vector<std::string> modes = {"ok", "ok", "down", "lose", "late", "flaky"};
+  const std::vector<std::string> modes = {"ok", "ok", "down", "lose", "late", "slow", "flaky"};
   const std::vector<std::string> kinds = {"freeze", "freeze", "thaw",  "thaw",
                                           "crash",  "start",  "start", "stop"};
   const uint64_t choice = UniformBelow(rng, 10);
--- a/libs/ledger/tests/world.cc
+++ b/libs/ledger/tests/world.cc
@@ -8,7 +8,6 @@
 
 using std::chrono::milliseconds;
 constexpr duration kMaxSkew = milliseconds(1000);
-constexpr duration kListDelay = milliseconds(1500);
 
 void After(world& w, duration delay, std::function<void()> fn) {
   w.events.emplace(w.now + delay, std::move(fn));
@@ -46,7 +45,7 @@
 }
 
 void UpdateListsLater(world& w, int index) {
-  After(w, kListDelay, [&w, index] {
+  After(w, w.list_delay, [&w, index] {
     w.daemons[index].listed = !w.daemons[index].frozen && !w.daemons[index].crashed;
     UpdateLists(w);
   });
@@ -77,7 +76,9 @@
     if (UniformBelow(w.rng, 2) == 0) Answer(w, index, call.id, lease::unknown_outcome{});
     return;
   }
-  const auto delay = milliseconds(mode == "late" ? UniformBelow(w.rng, 5000) : 1);
+  const auto delay = milliseconds(mode == "late"   ? UniformBelow(w.rng, 5000)
+                                  : mode == "slow" ? 350
+                                                   : 1);
   After(w, delay, [&w, index, call, mode] {
     const lease::table_outcome outcome = Execute(w, call);
     if (mode != "lose") Answer(w, index, call.id, outcome);
--- a/libs/ledger/tests/world.h
+++ b/libs/ledger/tests/world.h
@@ -52,8 +52,9 @@
   random_generator rng;
   time_point now{std::chrono::seconds(1000)};
   table::memory_table table;
-  std::string table_mode = "ok";  // ok, down, lose (replies), late, flaky (any of them per call)
-  duration patience = std::chrono::milliseconds(1000);  // of a claimant that waits for its grant
+  std::string table_mode = "ok";  // ok, down, lose (replies), late, slow, flaky
+  duration list_delay = std::chrono::milliseconds(1500);  // until live lists show a change
+  duration patience = std::chrono::milliseconds(1000);    // of a claimant that waits for its grant
   bool ignore_grant_expiry = false;  // fault: claimants do not read their clock before a dispatch
   bool split = false;                // daemons reach only daemons of the same parity
   std::vector<daemon> daemons;
