--- a/libs/ledger/tests/world.cc
+++ b/libs/ledger/tests/world.cc
@@ -7,9 +7,7 @@
 namespace {
 
 using std::chrono::milliseconds;
-constexpr duration kClaimPatience = milliseconds(1000);
 constexpr duration kMaxSkew = milliseconds(1000);
-constexpr duration kListDelay = milliseconds(1500);
 
 void After(world& w, duration delay, std::function<void()> fn) {
   w.events.emplace(w.now + delay, std::move(fn));
@@ -47,7 +45,7 @@
 }
 
 void UpdateListsLater(world& w, int index) {
-  After(w, kListDelay, [&w, index] {
+  After(w, w.list_delay, [&w, index] {
     w.daemons[index].listed = !w.daemons[index].frozen && !w.daemons[index].crashed;
     UpdateLists(w);
   });
@@ -78,7 +76,9 @@
     if (UniformBelow(w.rng, 2) == 0) Answer(w, index, call.id, lease::unknown_outcome{});
     return;
   }
-  const auto delay = milliseconds(mode == "late" ? UniformBelow(w.rng, 5000) : 1);
+  const auto delay = milliseconds(mode == "late"   ? UniformBelow(w.rng, 5000)
+                                  : mode == "slow" ? 350
+                                                   : 1);
   After(w, delay, [&w, index, call, mode] {
     const lease::table_outcome outcome = Execute(w, call);
     if (mode != "lose") Answer(w, index, call.id, outcome);
@@ -128,7 +128,7 @@
 
 void Attend(world& w, const std::string& id) {
   request& r = w.requests[id];
-  if (r.sub.state == claim_state::kWaiting && w.now >= r.sub.sent + kClaimPatience) {
+  if (r.sub.state == claim_state::kWaiting && w.now >= r.sub.sent + w.patience) {
     TellNotRun(w, id);
   }
   const std::string owner =
@@ -147,7 +147,7 @@
 void DispatchIfGranted(world& w, const std::string& id) {
   request& r = w.requests[id];
   if (r.sub.state != claim_state::kGranted) return;
-  if (!TryDispatch(r.sub, w.now)) return TellNotRun(w, id);
+  if (!TryDispatch(r.sub, w.ignore_grant_expiry ? r.sub.sent : w.now)) return TellNotRun(w, id);
   if (r.run_ms == 0) {
     OnNotStarted(r.sub);
     return TellNotRun(w, id);
@@ -329,7 +329,11 @@
   return w;
 }
 
-void Apply(world& w, const nlohmann::json& op) {
+void Apply(world& w, nlohmann::json op) {
+  if (op.contains("at")) {
+    const int owner = std::max(0, Owner(w, op.at("key")));
+    op["daemon"] = op["at"] == "owner" ? owner : (owner + 1) % static_cast<int>(w.daemons.size());
+  }
   w.log.push_back(op);
   const std::string kind = op.at("op");
   if (kind == "run") return Run(w, milliseconds(op.at("ms").get<int>()));
