Router: configuration by configsync, zone membership, health evidence among peers

Cause: the provisional configuration row had no deltas, no peers and no read-back. Change: drivers for configsync and membership; a stopped daemon without a ledger now ends (it waited for a release that nobody reported).

--- a/libs/net/include/net/http_server.h
+++ b/libs/net/include/net/http_server.h
@@ -65,8 +65,6 @@
  public:
   virtual ~http_server() = default;
   virtual int Port() const = 0;
-  // Stops accepting connections; open exchanges go on.
-  virtual void StopListening() = 0;
 };
 
 struct server_handlers {
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -313,14 +313,6 @@
     return port;
   }
 
-  void StopListening() override {
-    GSList* listeners = soup_server_get_listeners(server_);
-    for (GSList* item = listeners; item != nullptr; item = item->next) {
-      g_socket_close(static_cast<GSocket*>(item->data), nullptr);
-    }
-    g_slist_free(listeners);
-  }
-
  private:
   static GSocketAddress* ParseAddress(std::string_view address) {
     const size_t colon = address.rfind(':');
--- a/libs/router/src/admin_api.cc
+++ b/libs/router/src/admin_api.cc
@@ -48,7 +48,7 @@
                {"zone", state.config.zone},
                {"version", state.version},
                {"age_ms", ConfigAgeMs(state)},
-               {"ready", state.version != 0 && !state.unready},
+               {"ready", IsConfigReady(state) && !state.unready},
                {"state", StateName(state)},
                {"members", members},
                {"shards", shards},
--- a/libs/router/src/config_driver.cc
+++ b/libs/router/src/config_driver.cc
@@ -1,12 +1,14 @@
-// Configuration in one table row, polled by each daemon. Replaced by the configsync library.
+// Drives the configsync library and puts each accepted version in force.
 #include "details/config_driver.h"
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
 #include "details/admission_driver.h"
 #include "details/endpoint_monitor.h"
 #include "details/logging.h"
+#include "details/peers.h"
 #include "details/planning.h"
 #include "details/table_client.h"
 
@@ -15,13 +17,16 @@
 
 using nlohmann::json;
 
-constexpr const char* kRow = "config/provisional";
-constexpr duration kPollInterval = std::chrono::milliseconds(300);
+std::vector<std::string> ValidateDocument(const json& document) {
+  std::vector<std::string> out;
+  std::ranges::transform(inventory::Parse(document).errors, std::back_inserter(out),
+                         [](const inventory::field_error& error) { return error.path + ": " + error.message; });
+  return out;
+}
 
-void PutInForce(router_state& state, uint64_t version, json document,
-                inventory::configuration config) {
+void PutInForce(router_state& state, uint64_t version, inventory::configuration config) {
+  CheckInvariant(version > state.version, "configuration versions only rise");
   state.version = version;
-  state.document = std::move(document);
   state.inventory = std::move(config);
   metrics::Increment(state.metrics.registry, state.metrics.config_applied);
   log::Log(log::level::kInfo, "configuration in force", {{"version", version}});
@@ -30,74 +35,158 @@
   ConfigurePlans(state);
 }
 
-void Poll(router_state& state) {
-  Subscribe(state.loop.timers(), MonotonicNow() + kPollInterval,
-            [&state](time_point) { Poll(state); });
-  SendTableCall(state, {0, table::read_request{{kRow}, ""}},
-                [&state](const lease::table_outcome& outcome) {
-                  const auto* reply = std::get_if<table::read_reply>(&outcome);
-                  if (reply == nullptr || reply->rows.empty()) return;
-                  json row = json::parse(reply->rows[0].value, nullptr, false);
-                  const uint64_t version = row.at("version");
-                  if (version <= state.version) return;
-                  state.config_row_version = reply->rows[0].version;
-                  auto parsed = inventory::Parse(row.at("document"));
-                  if (parsed.errors.empty())
-                    PutInForce(state, version, row.at("document"), std::move(parsed.config));
-                });
-}
+void Process(router_state& state, const configsync::effects& effects);
 
-void Respond(const net::exchange_ptr& exchange, int status, const json& body) {
-  exchange->Respond(status, {}, body.dump());
+void ScheduleTick(router_state& state) {
+  Cancel(state.loop.timers(), state.config_timer);
+  const time_point deadline = configsync::NextDeadline(*state.sync);
+  if (deadline == kNever) return;
+  state.config_timer = Subscribe(state.loop.timers(), deadline, [&state](time_point now) {
+    Process(state, configsync::OnTick(*state.sync, now));
+  });
 }
 
-}  // namespace
+void SendRead(router_state& state, const configsync::table_read& read) {
+  SendTableCall(state, {read.id, read.request}, [&state, id = read.id](const lease::table_outcome& outcome) {
+    const auto* reply = std::get_if<table::read_reply>(&outcome);
+    Process(state, configsync::OnReadReply(*state.sync, id, reply, MonotonicNow()));
+  });
+}
 
-result<void> StartConfig(router_state& state) {
-  if (state.config.config_file.empty()) {
-    Poll(state);
-    return Success();
+void Process(router_state& state, const configsync::effects& effects) {
+  for (const configsync::table_read& read : effects.reads) SendRead(state, read);
+  for (const configsync::peer_send& send : effects.sends) {
+    SendToPeer(state, send.to, {{"type", "config"}, {"content", configsync::ToJson(send.content)}});
+  }
+  for (const configsync::refusal& refused : effects.refusals) {
+    log::Log(log::level::kError, "configuration version is not valid here and is not put in force",
+             {{"version", refused.version}, {"error", refused.errors.empty() ? "" : refused.errors.front()}});
+  }
+  if (effects.applied) {
+    PutInForce(state, state.sync->version, inventory::Parse(state.sync->document).config);
+    membership::SetConfigVersion(*state.members, state.version, state.sync->confirmed);
   }
+  ScheduleTick(state);
+}
+
+result<void> LoadConfigFile(router_state& state) {
   std::ifstream file(state.config.config_file);
   if (!file) return Failure(errc::kInvalidArgument, "cannot read " + state.config.config_file);
   std::stringstream text;
   text << file.rdbuf();
   auto parsed = inventory::ParseText(text.str());
   if (!parsed.errors.empty()) {
-    return Failure(errc::kInvalidArgument, state.config.config_file + " at " +
-                                               parsed.errors[0].path + ": " +
+    return Failure(errc::kInvalidArgument, state.config.config_file + " at " + parsed.errors[0].path + ": " +
                                                parsed.errors[0].message);
   }
-  PutInForce(state, 1, json::parse(text.str()), std::move(parsed.config));
+  state.file_document = json::parse(text.str());
+  PutInForce(state, 1, std::move(parsed.config));
   return Success();
 }
 
-void HandleConfigMessage(router_state&, std::string_view, const json&) {}
-void GreetPeer(router_state&, std::string_view) {}
+void Respond(const net::exchange_ptr& exchange, int status, const json& body) {
+  const net::header type{"Content-Type", "application/json"};
+  exchange->Respond(status, {&type, 1}, body.dump());
+}
+
+// One operator's commit on its way through the table.
+struct submission {
+  configsync::committer committer;
+  net::exchange_ptr exchange;
+};
+
+void FinishCommit(router_state& state, const submission& item) {
+  using kind = configsync::commit_outcome::kind;
+  const configsync::commit_outcome& outcome = item.committer.outcome;
+  switch (outcome.result) {
+    case kind::kCommitted:
+      Respond(item.exchange, 200, {{"version", outcome.version}});
+      return Process(state, configsync::OnCommitted(*state.sync, outcome.version, MonotonicNow()));
+    case kind::kConflict:
+      return Respond(item.exchange, 409, {{"version", outcome.version}});
+    case kind::kNotDone:
+      return Respond(item.exchange, 503, json::object());
+    case kind::kUnknown:
+      return Respond(item.exchange, 504, json::object());
+  }
+}
+
+configsync::table_reply ToReply(const lease::table_outcome& outcome) {
+  if (const auto* read = std::get_if<table::read_reply>(&outcome)) return *read;
+  if (const auto* commit = std::get_if<table::commit_reply>(&outcome)) return *commit;
+  return std::monostate{};
+}
+
+void ContinueCommit(router_state& state, const std::shared_ptr<submission>& item) {
+  const auto call = configsync::NextCall(item->committer);
+  if (!call) return FinishCommit(state, *item);
+  lease::table_call wire;
+  std::visit([&](const auto& request) { wire.request = request; }, *call);
+  SendTableCall(state, wire, [&state, item](const lease::table_outcome& outcome) {
+    configsync::OnReply(item->committer, ToReply(outcome));
+    ContinueCommit(state, item);
+  });
+}
+
+}  // namespace
+
+result<void> StartConfig(router_state& state) {
+  configsync::settings settings;
+  settings.id = state.instance_id;
+  state.sync = std::make_unique<configsync::state>(
+      configsync::MakeState(settings, ValidateDocument, state.rng(), MonotonicNow()));
+  if (!state.config.config_file.empty()) return LoadConfigFile(state);
+  UpdateConfigMembers(state);
+  return Success();
+}
+
+void UpdateConfigMembers(router_state& state) {
+  if (!state.sync || !state.config.config_file.empty()) return;
+  auto live = membership::LiveIds(*state.members);
+  // A daemon that is alone in its zone takes versions from any daemon that it is linked to.
+  if (live.size() <= 1) live = state.live_daemons;
+  Process(state, configsync::SetLive(*state.sync, live, MonotonicNow()));
+}
+
+void HandleConfigMessage(router_state& state, std::string_view peer, const json& message) {
+  const auto content = configsync::MessageFromJson(message.at("content"));
+  if (content.has_error() || !state.config.config_file.empty()) return;
+  Process(state, configsync::OnMessage(*state.sync, peer, content.value(), MonotonicNow()));
+}
+
+void HandlePeerVersion(router_state& state, std::string_view peer, uint64_t version, duration age) {
+  if (!state.config.config_file.empty()) return;
+  Process(state, configsync::OnPeerVersion(*state.sync, peer, version, age, MonotonicNow()));
+}
 
 void SubmitConfig(router_state& state, const net::exchange_ptr& exchange, uint64_t base_version,
                   const json& document) {
-  auto parsed = inventory::Parse(document);
+  const auto parsed = inventory::Parse(document);
   if (!parsed.errors.empty()) {
     json errors = json::array();
-    for (const auto& error : parsed.errors)
-      errors.push_back({{"path", error.path}, {"message", error.message}});
+    for (const auto& error : parsed.errors) errors.push_back({{"path", error.path}, {"message", error.message}});
     return Respond(exchange, 422, {{"errors", errors}});
   }
   if (base_version != state.version) return Respond(exchange, 409, {{"version", state.version}});
-  const json row = {{"version", base_version + 1}, {"document", document}};
-  const table::transaction tx{{{kRow, state.config_row_version}}, {{kRow, row.dump()}}};
-  SendTableCall(state, {0, tx},
-                [&state, exchange, base_version](const lease::table_outcome& outcome) {
-                  const auto* reply = std::get_if<table::commit_reply>(&outcome);
-                  if (reply == nullptr) return Respond(exchange, 504, json::object());
-                  if (!reply->committed)
-                    return Respond(exchange, 409, {{"version", state.version}});
-                  Respond(exchange, 200, {{"version", base_version + 1}});
-                });
-}
-
-json ConfigDocument(const router_state& state) { return state.document; }
-int64_t ConfigAgeMs(const router_state& state) { return state.version == 0 ? -1 : 0; }
+  if (!state.config.config_file.empty()) return Respond(exchange, 503, json::object());
+  configsync::commit_request request{document, base_version, state.sync->document,
+                                     state.instance_id + "-" + std::to_string(state.rng())};
+  auto started = configsync::StartCommit(std::move(request), ValidateDocument);
+  if (started.has_error()) return Respond(exchange, 422, {{"errors", json::array()}});
+  ContinueCommit(state, std::make_shared<submission>(submission{std::move(started).value(), exchange}));
+}
+
+json ConfigDocument(const router_state& state) {
+  return state.config.config_file.empty() ? state.sync->document : state.file_document;
+}
+
+int64_t ConfigAgeMs(const router_state& state) {
+  if (state.version == 0) return -1;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(configsync::Age(*state.sync, MonotonicNow())).count();
+}
+
+bool IsConfigReady(const router_state& state) {
+  return state.version != 0 && (!state.config.config_file.empty() || configsync::IsReady(*state.sync));
+}
 
 }  // namespace balsambay::router
--- a/libs/router/src/details/config_driver.h
+++ b/libs/router/src/details/config_driver.h
@@ -21,7 +21,13 @@
 // Time since this daemon last knew that no newer version was accepted; -1 before the first.
 int64_t ConfigAgeMs(const router_state& state);
 
-// A link to a peer has come up.
-void GreetPeer(router_state& state, std::string_view peer);
+// The live daemons of the zone have changed.
+void UpdateConfigMembers(router_state& state);
+
+// A member of the zone has told its version.
+void HandlePeerVersion(router_state& state, std::string_view peer, uint64_t version, duration age);
+
+// Whether this daemon may serve: it has a version that is not below any that it knew of at its start.
+bool IsConfigReady(const router_state& state);
 
 }  // namespace balsambay::router
--- a/libs/router/src/details/endpoint_monitor.h
+++ b/libs/router/src/details/endpoint_monitor.h
@@ -16,6 +16,9 @@
 void ReportEvidence(router_state& state, std::string_view endpoint, health::evidence_kind kind,
                     duration latency = duration::zero());
 
+// Evidence that another daemon of the zone has published.
+void ReportPeerEvidence(router_state& state, const health::peer_evidence& evidence);
+
 // Whether new work may go to the endpoint now.
 bool IsUsable(const router_state& state, std::string_view endpoint);
 
--- a/libs/router/src/details/state.h
+++ b/libs/router/src/details/state.h
@@ -14,11 +14,13 @@
 #include "admission/retry.h"
 #include "attempts/attempts.h"
 #include "base/random.h"
+#include "configsync/configsync.h"
 #include "details/telemetry.h"
 #include "health/health.h"
 #include "inventory/inventory.h"
 #include "ledger/claimant.h"
 #include "ledger/ledger.h"
+#include "membership/membership.h"
 #include "net/engine_client.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -122,8 +124,9 @@
 
   uint64_t version = 0;  // of `inventory`; 0: none yet, the daemon is not ready
   inventory::configuration inventory;
-  nlohmann::json document;
-  uint64_t config_row_version = 0;
+  nlohmann::json file_document;  // of config_file
+  std::unique_ptr<configsync::state> sync;
+  timer_id config_timer = 0;
   std::map<std::string, int, std::less<>> in_flight;  // attempts by endpoint, of this daemon
 
   std::map<std::string, request_ptr> requests;
@@ -145,6 +148,8 @@
   timer_id gate_timer = 0;
 
   std::unique_ptr<peer::peer_node> peers;
+  std::unique_ptr<membership::state> members;  // of the zone
+  timer_id member_timer = 0;
   std::vector<std::string> live_daemons;  // instance ids, this daemon included
   ledger::shard_set_ptr shards;           // null without a platform
   timer_id ledger_timer = 0;
--- a/libs/router/src/endpoint_monitor.cc
+++ b/libs/router/src/endpoint_monitor.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "details/logging.h"
+#include "details/membership_driver.h"
 #include "details/planning.h"
 
 namespace balsambay::router {
@@ -126,6 +128,10 @@
   Apply(state, health::OnEvidence(state.health, seen, MonotonicNow(), state.rng));
 }
 
+void ReportPeerEvidence(router_state& state, const health::peer_evidence& evidence) {
+  Apply(state, health::OnPeerEvidence(state.health, evidence, MonotonicNow(), state.rng));
+}
+
 bool IsUsable(const router_state& state, std::string_view endpoint) {
   const auto it = state.inventory.endpoints.find(endpoint);
   if (it == state.inventory.endpoints.end() || it->second.drained) return false;
@@ -134,6 +140,12 @@
 
 void HandleHealthChanges(router_state& state, std::span<const health::change> changes) {
   if (changes.empty()) return;
+  for (const health::change& change : changes) {
+    log::Log(log::level::kInfo, "endpoint changed",
+             {{"endpoint", change.endpoint}, {"state", health::ToString(change.to)}, {"usable", change.usable},
+              {"cause", health::ToString(change.cause)}});
+    if (const auto evidence = health::ToPeerEvidence(change)) PublishHealth(state, *evidence);
+  }
   InvalidatePlans(state);
 }
 
--- a/libs/router/src/peers.cc
+++ b/libs/router/src/peers.cc
@@ -39,7 +39,7 @@
 void OnLinkChange(router_state& state, std::string_view peer, bool up) {
   log::Log(log::level::kInfo, up ? "peer link is up" : "peer link is down", {{"peer", peer}});
   UpdateLedgerMembers(state);
-  if (up) GreetPeer(state, peer);
+  HandleMemberLink(state, peer, up);
 }
 
 }  // namespace
--- a/libs/router/src/requests.cc
+++ b/libs/router/src/requests.cc
@@ -108,9 +108,9 @@
     return;
   if (!state.releasing) {
     state.releasing = true;
-    return ReleaseLedger(state);
+    ReleaseLedger(state);
   }
-  if (!LedgerReleased(state)) return;
+  if (!LedgerReleased(state) || !state.on_stopped) return;
   const auto on_stopped = std::exchange(state.on_stopped, nullptr);
   // The last reply is still being written by libsoup.
   Subscribe(state.loop.timers(), MonotonicNow() + std::chrono::milliseconds(200),
--- a/libs/router/src/router.cc
+++ b/libs/router/src/router.cc
@@ -8,6 +8,7 @@
 #include "details/endpoint_monitor.h"
 #include "details/ledger_driver.h"
 #include "details/logging.h"
+#include "details/membership_driver.h"
 #include "details/peers.h"
 #include "details/requests.h"
 
@@ -15,7 +16,7 @@
 namespace {
 
 void HandleReady(const router_state& state, const net::exchange_ptr& exchange) {
-  const bool ready = state.version != 0 && !state.unready;
+  const bool ready = IsConfigReady(state) && !state.unready;
   exchange->Respond(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n");
 }
 
@@ -48,6 +49,7 @@
 
   result<void> Start() {
     BOOST_OUTCOME_TRYV(Listen());
+    StartMembership(state_);
     BOOST_OUTCOME_TRYV(StartPeers(state_));
     BOOST_OUTCOME_TRYV(StartLedger(state_));
     BOOST_OUTCOME_TRYV(StartConfig(state_));
@@ -68,6 +70,7 @@
     Subscribe(state_.loop.timers(), MonotonicNow() + state_.config.unready_delay,
               [this](time_point) {
                 state_.draining = true;
+      LeaveZone(state_);
                 CheckStopped(state_);
               });
   }
