--- a/libs/net/src/engine_client.cc
+++ b/libs/net/src/engine_client.cc
@@ -171,8 +171,7 @@
   void OnCallEnd(const call_end& end) {
     call_.reset();
     Flush();
-    const std::string detail =
-        end.detail.empty() ? "reply ended without an end mark" : end.detail;
+    const std::string detail = end.detail.empty() ? "reply ended without an end mark" : end.detail;
     Fail(ToRunFailure(end.failure), Head(), detail);
   }
 
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -14,6 +14,8 @@
 // Entry VMs hold one connection for each request in flight, so the default of 2 a host would queue
 // them.
 constexpr int kMaxConnections = 20000;
+// libsoup checks every idle connection for each request that it starts, so few are kept.
+constexpr int kIdleSeconds = 5;
 
 class soup_call final : public client_call, public std::enable_shared_from_this<soup_call> {
  public:
@@ -46,7 +48,10 @@
       g_bytes_unref(bytes);
     }
     soup_message_add_flags(message_, SOUP_MESSAGE_NO_REDIRECT);
-    if (request.fresh_connection) soup_message_add_flags(message_, SOUP_MESSAGE_NEW_CONNECTION);
+    // libsoup reuses connections only for idempotent messages. It would also repeat them by itself
+    // when a reused connection breaks; OnStarting() prevents that.
+    soup_message_add_flags(
+        message_, request.fresh_connection ? SOUP_MESSAGE_NEW_CONNECTION : SOUP_MESSAGE_IDEMPOTENT);
     g_signal_connect(message_, "starting", G_CALLBACK(OnStarting), this);
     g_signal_connect(message_, "network-event", G_CALLBACK(OnNetworkEvent), this);
     const std::weak_ptr<soup_call> weak = weak_from_this();
@@ -75,10 +80,13 @@
 
  private:
   static void OnStarting(SoupMessage*, gpointer data) {
-    static_cast<soup_call*>(data)->started_ = true;
+    auto* self = static_cast<soup_call*>(data);
+    if (self->started_) g_cancellable_cancel(self->cancellable_);
+    self->started_ = true;
   }
 
-  // Headers and body are written separately; without this each request waits up to 40 ms for a delayed ACK.
+  // Headers and body are written separately; without this each request waits up to 40 ms for a
+  // delayed ACK.
   static void OnNetworkEvent(SoupMessage*, GSocketClientEvent event, GIOStream* stream, gpointer) {
     if (event != G_SOCKET_CLIENT_CONNECTED || !G_IS_SOCKET_CONNECTION(stream)) return;
     GSocket* socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream));
@@ -168,6 +176,10 @@
     gsize size = 0;
     const auto* text = static_cast<const char*>(g_bytes_get_data(bytes, &size));
     if (size == 0) {
+      // Nothing is left to read, so this does not block. The connection must be idle again before
+      // the callback sends the next request; otherwise each request of a chain opens a new
+      // connection.
+      g_input_stream_close(self.stream_, nullptr, nullptr);
       self.Finish({});
     } else if (self.callbacks_.on_data) {
       // A copy, because the callback may cancel this call and so drop its own function object.
@@ -195,8 +207,8 @@
   explicit soup_http_client(timer_service& timers)
       : timers_(timers),
         session_(soup_session_new_with_options("max-conns", kMaxConnections, "max-conns-per-host",
-                                               kMaxConnections, "timeout", 0, "idle-timeout", 60,
-                                               nullptr)) {}
+                                               kMaxConnections, "timeout", 0, "idle-timeout",
+                                               kIdleSeconds, nullptr)) {}
   ~soup_http_client() override { g_object_unref(session_); }
 
   std::shared_ptr<client_call> Send(client_request request, client_callbacks callbacks) override {
--- a/libs/router/src/config_driver.cc
+++ b/libs/router/src/config_driver.cc
@@ -19,8 +19,9 @@
 
 std::vector<std::string> ValidateDocument(const json& document) {
   std::vector<std::string> out;
-  std::ranges::transform(inventory::Parse(document).errors, std::back_inserter(out),
-                         [](const inventory::field_error& error) { return error.path + ": " + error.message; });
+  std::ranges::transform(
+      inventory::Parse(document).errors, std::back_inserter(out),
+      [](const inventory::field_error& error) { return error.path + ": " + error.message; });
   return out;
 }
 
@@ -47,10 +48,11 @@
 }
 
 void SendRead(router_state& state, const configsync::table_read& read) {
-  SendTableCall(state, {read.id, read.request}, [&state, id = read.id](const lease::table_outcome& outcome) {
-    const auto* reply = std::get_if<table::read_reply>(&outcome);
-    Process(state, configsync::OnReadReply(*state.sync, id, reply, MonotonicNow()));
-  });
+  SendTableCall(state, {read.id, read.request},
+                [&state, id = read.id](const lease::table_outcome& outcome) {
+                  const auto* reply = std::get_if<table::read_reply>(&outcome);
+                  Process(state, configsync::OnReadReply(*state.sync, id, reply, MonotonicNow()));
+                });
 }
 
 void Process(router_state& state, const configsync::effects& effects) {
@@ -60,7 +62,8 @@
   }
   for (const configsync::refusal& refused : effects.refusals) {
     log::Log(log::level::kError, "configuration version is not valid here and is not put in force",
-             {{"version", refused.version}, {"error", refused.errors.empty() ? "" : refused.errors.front()}});
+             {{"version", refused.version},
+              {"error", refused.errors.empty() ? "" : refused.errors.front()}});
   }
   if (effects.applied) {
     PutInForce(state, state.sync->version, inventory::Parse(state.sync->document).config);
@@ -76,7 +79,8 @@
   text << file.rdbuf();
   auto parsed = inventory::ParseText(text.str());
   if (!parsed.errors.empty()) {
-    return Failure(errc::kInvalidArgument, state.config.config_file + " at " + parsed.errors[0].path + ": " +
+    return Failure(errc::kInvalidArgument, state.config.config_file + " at " +
+                                               parsed.errors[0].path + ": " +
                                                parsed.errors[0].message);
   }
   state.file_document = json::parse(text.str());
@@ -164,7 +168,8 @@
   const auto parsed = inventory::Parse(document);
   if (!parsed.errors.empty()) {
     json errors = json::array();
-    for (const auto& error : parsed.errors) errors.push_back({{"path", error.path}, {"message", error.message}});
+    for (const auto& error : parsed.errors)
+      errors.push_back({{"path", error.path}, {"message", error.message}});
     return Respond(exchange, 422, {{"errors", errors}});
   }
   if (base_version != state.version) return Respond(exchange, 409, {{"version", state.version}});
@@ -173,7 +178,8 @@
                                      state.instance_id + "-" + std::to_string(state.rng())};
   auto started = configsync::StartCommit(std::move(request), ValidateDocument);
   if (started.has_error()) return Respond(exchange, 422, {{"errors", json::array()}});
-  ContinueCommit(state, std::make_shared<submission>(submission{std::move(started).value(), exchange}));
+  ContinueCommit(state,
+                 std::make_shared<submission>(submission{std::move(started).value(), exchange}));
 }
 
 json ConfigDocument(const router_state& state) {
@@ -182,11 +188,14 @@
 
 int64_t ConfigAgeMs(const router_state& state) {
   if (state.version == 0) return -1;
-  return std::chrono::duration_cast<std::chrono::milliseconds>(configsync::Age(*state.sync, MonotonicNow())).count();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             configsync::Age(*state.sync, MonotonicNow()))
+      .count();
 }
 
 bool IsConfigReady(const router_state& state) {
-  return state.version != 0 && (!state.config.config_file.empty() || configsync::IsReady(*state.sync));
+  return state.version != 0 &&
+         (!state.config.config_file.empty() || configsync::IsReady(*state.sync));
 }
 
 }  // namespace balsambay::router
--- a/libs/router/src/details/config_driver.h
+++ b/libs/router/src/details/config_driver.h
@@ -27,7 +27,8 @@
 // A member of the zone has told its version.
 void HandlePeerVersion(router_state& state, std::string_view peer, uint64_t version, duration age);
 
-// Whether this daemon may serve: it has a version that is not below any that it knew of at its start.
+// Whether this daemon may serve: it has a version that is not below any that it knew of at its
+// start.
 bool IsConfigReady(const router_state& state);
 
 }  // namespace balsambay::router
--- a/libs/router/src/endpoint_monitor.cc
+++ b/libs/router/src/endpoint_monitor.cc
@@ -142,7 +142,9 @@
   if (changes.empty()) return;
   for (const health::change& change : changes) {
     log::Log(log::level::kInfo, "endpoint changed",
-             {{"endpoint", change.endpoint}, {"state", health::ToString(change.to)}, {"usable", change.usable},
+             {{"endpoint", change.endpoint},
+              {"state", health::ToString(change.to)},
+              {"usable", change.usable},
               {"cause", health::ToString(change.cause)}});
     if (const auto evidence = health::ToPeerEvidence(change)) PublishHealth(state, *evidence);
   }
--- a/libs/router/src/membership_driver.cc
+++ b/libs/router/src/membership_driver.cc
@@ -1,4 +1,5 @@
-// Drives the membership library over the peer links. Members are known by their instance ids, as on the links.
+// Drives the membership library over the peer links. Members are known by their instance ids, as on
+// the links.
 #include "details/membership_driver.h"
 
 #include <algorithm>
@@ -28,7 +29,8 @@
   });
 }
 
-// A seed is known by its address only, so its message goes to all linked daemons; those of other zones ignore it.
+// A seed is known by its address only, so its message goes to all linked daemons; those of other
+// zones ignore it.
 void Send(router_state& state, const membership::send& item) {
   const json message = {{"type", "swim"}, {"content", membership::ToJson(item.content)}};
   if (item.to.empty()) return SendToAllPeers(state, message);
@@ -74,7 +76,8 @@
   settings.seeds = state.config.peers;
   settings.incarnation = static_cast<uint64_t>(WallClockMs());
   const time_point now = MonotonicNow();
-  state.members = std::make_unique<membership::state>(membership::MakeState(settings, state.rng(), now));
+  state.members =
+      std::make_unique<membership::state>(membership::MakeState(settings, state.rng(), now));
   if (!state.config.peer_listen.empty()) ScheduleTick(state);
 }
 
@@ -86,12 +89,15 @@
 
 void PublishHealth(router_state& state, const health::peer_evidence& evidence) {
   const json value = {{"i", evidence.incarnation}, {"s", static_cast<int>(evidence.state)}};
-  auto published = membership::PublishFact(*state.members, std::string(kHealthPrefix) + evidence.endpoint,
-                                           value.dump(), true, MonotonicNow());
+  auto published =
+      membership::PublishFact(*state.members, std::string(kHealthPrefix) + evidence.endpoint,
+                              value.dump(), true, MonotonicNow());
   if (published.has_value()) Process(state, published.value());
 }
 
-void LeaveZone(router_state& state) { Process(state, membership::Leave(*state.members, MonotonicNow())); }
+void LeaveZone(router_state& state) {
+  Process(state, membership::Leave(*state.members, MonotonicNow()));
+}
 
 void HandleMembershipMessage(router_state& state, std::string_view, const json& message) {
   const auto content = membership::MessageFromJson(message.at("content"));
--- a/libs/router/src/router.cc
+++ b/libs/router/src/router.cc
@@ -70,7 +70,7 @@
     Subscribe(state_.loop.timers(), MonotonicNow() + state_.config.unready_delay,
               [this](time_point) {
                 state_.draining = true;
-      LeaveZone(state_);
+                LeaveZone(state_);
                 CheckStopped(state_);
               });
   }
--- a/libs/router/src/stored_result.cc
+++ b/libs/router/src/stored_result.cc
@@ -1,6 +1,8 @@
-// Stored results as CBOR.
+// Stored results as CBOR in base64.
 #include "details/stored_result.h"
 
+#include <glib.h>
+
 #include <array>
 #include <nlohmann/json.hpp>
 
@@ -11,9 +13,20 @@
 
 using nlohmann::json;
 
+// Rows of the table are text, and a service's reply may hold any bytes.
 std::string Encode(const json& value) {
-  std::string out;
-  json::to_cbor(value, out);
+  const std::vector<uint8_t> bytes = json::to_cbor(value);
+  gchar* text = g_base64_encode(bytes.data(), bytes.size());
+  std::string out(text);
+  g_free(text);
+  return out;
+}
+
+json Decode(std::string_view stored) {
+  gsize size = 0;
+  guchar* bytes = g_base64_decode(std::string(stored).c_str(), &size);
+  json out = json::from_cbor(std::vector<uint8_t>(bytes, bytes + size), true, false);
+  g_free(bytes);
   return out;
 }
 
@@ -38,7 +51,7 @@
 }
 
 bool RespondStored(request& item, std::string_view stored) {
-  const json value = json::from_cbor(stored, true, false);
+  const json value = Decode(stored);
   try {
     if (!item.service.empty()) {
       RespondStoredService(item, value);
