--- a/libs/ledger/benchmarks/ledger_load.cc
+++ b/libs/ledger/benchmarks/ledger_load.cc
@@ -236,11 +236,54 @@
   printf("%s\n", line.dump().c_str());
 }
 
+// Time for which a takeover of a shard with `records` records blocks the loop.
+void MeasureTakeover(uint64_t records) {
+  settings config;
+  config.self = "d0#1";
+  config.shard_count = 1;
+  table::memory_table table;
+  table::transaction rows;
+  const std::string value =
+      R"({"body":12345678901234567890,"claimant":"entry-1#1","grant":12345678901234567890,)"
+      R"("result":true,"started_ms":1796000000000,"state":"ran"})";
+  for (uint64_t i = 0; i < records; ++i) {
+    rows.writes.push_back({"record/0/workspace-1/" + MakeClaim(i).key, value});
+  }
+  Commit(table, rows);
+  const shard_set_ptr set = MakeShardSet(config);
+  nanoseconds longest{};
+  time_point now{seconds(1000)};
+  while (ServedShards(*set).empty()) {
+    now = std::max(now, NextDeadline(*set));
+    const auto tick = std::chrono::steady_clock::now();
+    effects open = OnTick(*set, now, 0);
+    longest = std::max<nanoseconds>(longest, std::chrono::steady_clock::now() - tick);
+    while (!open.empty()) {
+      const auto call = std::get<lease::table_call>(open.back());
+      open.pop_back();
+      const auto* tx = std::get_if<table::transaction>(&call.request);
+      auto outcome =
+          tx != nullptr
+              ? lease::table_outcome(Commit(table, *tx))
+              : lease::table_outcome(Read(table, std::get<table::read_request>(call.request)));
+      const auto start = std::chrono::steady_clock::now();
+      effects more = OnTableReply(*set, call.id, std::move(outcome), now);
+      longest = std::max<nanoseconds>(longest, std::chrono::steady_clock::now() - start);
+      std::ranges::move(more, std::back_inserter(open));
+    }
+  }
+  const nlohmann::json line = {{"bench", "ledger_takeover"},
+                               {"records", RecordCount(*set)},
+                               {"longest_call_ms", static_cast<double>(longest.count()) / 1e6}};
+  printf("%s\n", line.dump().c_str());
+}
+
 }  // namespace
 }  // namespace balsambay::ledger
 
 int main() {
   using std::chrono::milliseconds;
+  balsambay::ledger::MeasureTakeover(36'000);
   for (const size_t owners : {1, 4, 20}) {
     for (const int batch_ms : {5, 50, 250}) {
       for (const double rate : {20.0, 200.0, 1600.0}) {
--- a/libs/ledger/include/ledger/ledger.h
+++ b/libs/ledger/include/ledger/ledger.h
@@ -38,7 +38,10 @@
   duration retention = std::chrono::minutes(30);
   // A start without an end counts as in progress for this long, then as unknown.
   duration longest_run = std::chrono::minutes(10);
-  duration load_timeout = std::chrono::seconds(2);    // of the read of all records of a shard
+  duration load_timeout = std::chrono::seconds(2);  // of the read of all records of a shard
+  // Rows decoded in one call while a shard is loaded, once per millisecond: a row takes about 5 us,
+  // and all rows at once would hold up the loop.
+  size_t load_chunk = 200;
   duration sweep_interval = std::chrono::seconds(5);  // search for expired records
   // Lower-ranked daemons wait this much longer per rank before they take over.
   duration rank_delay = std::chrono::milliseconds(800);
@@ -151,8 +154,7 @@
 effects OnTick(shard_set& set, time_point now, int64_t wall_ms);
 
 // Outcome of the table call `id`; outcomes of calls that are no longer open are ignored.
-effects OnTableReply(shard_set& set, uint64_t id, const lease::table_outcome& outcome,
-                     time_point now);
+effects OnTableReply(shard_set& set, uint64_t id, lease::table_outcome outcome, time_point now);
 
 // Each is answered by exactly one reply effect, now or within settings.reply_bound, except that a
 // claim repeated with the same request id while it is being committed shares the first reply, and a
--- a/libs/ledger/src/details/shard_set.h
+++ b/libs/ledger/src/details/shard_set.h
@@ -43,7 +43,10 @@
   time_point lease_until;
   time_point held_since;
   uint64_t load_call = 0;
-  time_point load_deadline;  // the load times out, or is due again when load_call is 0
+  // The load times out, or its next step is due when load_call is 0: decoding the end of `unread`,
+  // or reading again while it is empty.
+  time_point load_deadline;
+  std::vector<table::row> unread;
   absl::flat_hash_map<std::string, record> records;
 };
 
@@ -97,7 +100,8 @@
 
 // shards.cc: observing, taking over and loading shards.
 void TickShards(shard_set& set, time_point now, effects& out);
-bool OnShardReply(shard_set& set, uint64_t id, const lease::table_outcome& outcome, time_point now,
+// Takes the rows out of `outcome` when it is the load of a shard.
+bool OnShardReply(shard_set& set, uint64_t id, lease::table_outcome& outcome, time_point now,
                   effects& out);
 time_point NextShardDeadline(const shard_set& set);
 // Forgets a held shard; its queued changes are refused.
--- a/libs/ledger/src/shard_set.cc
+++ b/libs/ledger/src/shard_set.cc
@@ -54,8 +54,7 @@
   return out;
 }
 
-effects OnTableReply(shard_set& set, uint64_t id, const lease::table_outcome& outcome,
-                     time_point now) {
+effects OnTableReply(shard_set& set, uint64_t id, lease::table_outcome outcome, time_point now) {
   effects out;
   if (id == 0) return out;
   const bool handled = OnBatchReply(set, id, outcome, now, out) ||
--- a/libs/ledger/src/shards.cc
+++ b/libs/ledger/src/shards.cc
@@ -6,6 +6,8 @@
 namespace balsambay::ledger {
 namespace {
 
+constexpr duration kLoadPause = std::chrono::milliseconds(1);
+
 bool IsObserved(const shard_set& set, const shard& shard) {
   return shard.state == shard_state::kForeign && shard.rank < set.config.candidates &&
          !set.stopping;
@@ -120,24 +122,39 @@
   }
 }
 
-void OnLoaded(shard_set& set, shard_id id, const lease::table_outcome& outcome, time_point now) {
+void DecodeChunk(shard_set& set, shard_id id, time_point now) {
   shard& shard = set.shards[id];
-  shard.load_call = 0;
-  shard.load_deadline = now + set.config.lease.retry_interval;
-  const auto* reply = std::get_if<table::read_reply>(&outcome);
-  if (reply == nullptr || shard.state != shard_state::kLoading) return;
   const size_t prefix = RecordPrefix(id).size();
-  for (const table::row& row : reply->rows) {
+  for (size_t i = 0; i < set.config.load_chunk && !shard.unread.empty(); ++i) {
+    const table::row& row = shard.unread.back();
     shard.records.insert_or_assign(row.key.substr(prefix),
                                    DecodeRecord(row.value, WallMs(set, now)));
+    shard.unread.pop_back();
   }
+  shard.load_deadline = now + kLoadPause;
+  if (!shard.unread.empty()) return;
+  shard.unread.shrink_to_fit();
   Step(shard.state, shard_event::kLoaded);
 }
 
+void OnLoaded(shard_set& set, shard_id id, lease::table_outcome& outcome, time_point now) {
+  shard& shard = set.shards[id];
+  shard.load_call = 0;
+  shard.load_deadline = now + set.config.lease.retry_interval;
+  auto* reply = std::get_if<table::read_reply>(&outcome);
+  if (reply == nullptr || shard.state != shard_state::kLoading) return;
+  shard.unread = std::move(reply->rows);
+  shard.records.reserve(shard.unread.size());
+  DecodeChunk(set, id, now);
+}
+
 void TickLoad(shard_set& set, shard_id id, time_point now, effects& out) {
   const shard& shard = set.shards[id];
-  if (shard.state == shard_state::kLoading && now >= shard.load_deadline) {
+  if (shard.state != shard_state::kLoading || now < shard.load_deadline) return;
+  if (shard.unread.empty()) {
     StartLoad(set, id, now, out);
+  } else {
+    DecodeChunk(set, id, now);
   }
 }
 
@@ -177,6 +194,7 @@
   Step(shard.state, event);
   shard.takeover.reset();
   shard.records = {};
+  shard.unread = {};
   shard.seen = {};
   shard.load_call = 0;
   if (set.observe_call == 0) set.observe_deadline = now;
@@ -196,8 +214,8 @@
   }
 }
 
-bool OnShardReply(shard_set& set, uint64_t call, const lease::table_outcome& outcome,
-                  time_point now, effects& out) {
+bool OnShardReply(shard_set& set, uint64_t call, lease::table_outcome& outcome, time_point now,
+                  effects& out) {
   if (call == set.observe_call) {
     OnObserved(set, outcome, now);
     return true;
