Search more seeds for the missing epoch condition

The header says to call SetLive before the first OnTick. Conclusion: the search no longer hangs on one seed.

--- a/libs/ledger/include/ledger/ledger.h
+++ b/libs/ledger/include/ledger/ledger.h
@@ -147,7 +147,8 @@
 // Precondition: Validate(settings) succeeds.
 shard_set_ptr MakeShardSet(const settings& settings, const faults& faults = {});
 
-// The live daemons of all zones as this daemon knows them; `self` is added when it is missing.
+// The live daemons of all zones as this daemon knows them; `self` is added when it is missing. Call
+// it before the first OnTick: a daemon that knows no other one takes every shard that is free.
 void SetLive(shard_set& set, std::span<const std::string> live, time_point now);
 
 // Call at NextDeadline() or earlier. `wall_ms` is Unix time, used for the expiry of records.
--- a/libs/ledger/tests/property_test.cc
+++ b/libs/ledger/tests/property_test.cc
@@ -141,7 +141,8 @@
   early.admit_before_load = true;
   CHECK(CountDoubleRuns({}, kSeeds) == 0);
   CHECK(CountDoubleRuns(no_read_back, kSeeds) > 0);
-  CHECK(CountDoubleRuns(no_epoch, kSeeds) > 0);
+  // Rare at random, because grants expire before a takeover; frozen_owner.jsonl shows it directly.
+  CHECK(CountDoubleRuns(no_epoch, 4 * kSeeds) > 0);
   CHECK(CountDoubleRuns(early, kSeeds) > 0);
 }
 
