--- a/libs/configsync/tests/configsync_test.cc
+++ b/libs/configsync/tests/configsync_test.cc
@@ -281,7 +281,9 @@
   REQUIRE(std::getline(file, line));
   const json header = json::parse(line);
   REQUIRE(header.at("trace_format") == 1);
-  const auto at = [](const json& step) { return time_point(duration(step.at("at_us").get<int64_t>())); };
+  const auto at = [](const json& step) {
+    return time_point(duration(step.at("at_us").get<int64_t>()));
+  };
   settings config;
   config.id = header.at("id");
   state core = MakeState(config, simulation(0, 1, 0).validate, header.at("seed"), at(header));
@@ -307,7 +309,9 @@
   settings config;
   config.id = simulation::Id(0);
   sim.nodes[0].core = MakeState(config, sim.validate, seed, sim.now);
-  file << json{{"trace_format", 1}, {"id", config.id}, {"seed", seed},
+  file << json{{"trace_format", 1},
+               {"id", config.id},
+               {"seed", seed},
                {"at_us", sim.now.time_since_epoch().count()}}
        << "\n";
   sim.cut_zones = {2};
--- a/libs/membership/include/membership/membership.h
+++ b/libs/membership/include/membership/membership.h
@@ -29,18 +29,24 @@
   duration period = std::chrono::milliseconds(500);
   duration direct_timeout = std::chrono::milliseconds(150);
   int indirect_probes = 3;
-  int suspicion_periods = 4;  // multiplied by max(1, log10(members))
+  // Periods without an answer before suspicion. One more than 1, because at 30% loss 11% of single
+  // attempts fail and their refutations would use up the byte budget.
+  int probe_attempts = 2;
+  int suspicion_periods = 3;  // multiplied by max(1, log10(members))
   duration gossip_interval = std::chrono::milliseconds(200);
   int fanout = 3;               // receivers of urgent news
   int transmission_factor = 3;  // an update is sent factor * ceil(log10(members + 1)) times
   size_t max_piggyback_bytes = 600;
   duration sync_interval = std::chrono::seconds(10);
+  duration sync_again = std::chrono::seconds(2);  // after two tables differed
   duration rejoin_interval = std::chrono::seconds(1);
   duration tombstone_lifetime = std::chrono::seconds(600);
   size_t max_members = 1000;
   size_t max_facts = 64;  // for each daemon
   size_t max_fact_bytes = 256;
-  size_t fact_bytes_per_second = 1500;
+  // Sent updates and facts together. Received ones are as many on average, so that a daemon stays
+  // below 6 KB/s in both directions with probes and headers.
+  size_t news_bytes_per_second = 1500;
 };
 
 struct member {
@@ -89,6 +95,7 @@
   time_point started;
   time_point indirect_at;  // kNever once the indirect probes are sent
   time_point ends;
+  int attempt = 1;
 };
 
 // A ping sent on behalf of another member.
@@ -126,7 +133,7 @@
   rumor_queue fact_queue;    // FactName()s; urgent facts rank before all others
   std::map<std::string, fact, std::less<>> own_facts;
   uint64_t next_fact_version = 1;
-  double fact_tokens = 0;  // bytes of facts that may be sent now
+  double news_tokens = 0;  // bytes of updates and facts that may be sent now
   time_point last_tick;
   time_point next_probe;
   time_point next_gossip;
--- a/libs/membership/src/details/gossip.cc
+++ b/libs/membership/src/details/gossip.cc
@@ -1,5 +1,4 @@
-// News travel on every message: member updates within a bound for each message, facts also within a
-// byte budget a second.
+// News travel on every message, within a bound for each message and a byte budget a second.
 #include "details/gossip.h"
 
 #include <algorithm>
@@ -16,6 +15,8 @@
 constexpr int kNormalFactSends = 3;
 // Ranks of normal facts start here, behind all urgent ones.
 constexpr int kNormalFactRank = 1000;
+// Unused budget is kept for this long, so that news after a quiet time leave at once.
+constexpr double kBurstSeconds = 2;
 constexpr char kSeparator = '\x1f';
 
 std::string FactName(const fact& item) { return item.origin + kSeparator + item.key; }
@@ -61,40 +62,53 @@
   }
 }
 
-// Returns the bytes used.
-size_t AddUpdates(state& state, std::vector<member_update>& out) {
-  size_t used = 0;
+// What one message and the byte budget still allow.
+struct news_budget {
+  size_t message_bytes;
+  double& tokens;
+};
+
+bool Take(news_budget& budget, size_t size) {
+  if (size > budget.message_bytes || static_cast<double>(size) > budget.tokens) return false;
+  budget.message_bytes -= size;
+  budget.tokens -= static_cast<double>(size);
+  return true;
+}
+
+void AddUpdates(state& state, news_budget& budget, std::vector<member_update>& out) {
   const int limit = SendLimit(state);
   std::vector<std::pair<int, std::string>> taken;
   for (const auto& [rank, id] : state.update_queue.order) {
     member_update update = UpdateFor(state, id);
-    if (used + SizeOf(update) > state.config.max_piggyback_bytes) break;
-    used += SizeOf(update);
+    if (!Take(budget, SizeOf(update))) break;
     taken.emplace_back(rank, id);
     if (!update.id.empty()) out.push_back(std::move(update));
   }
   for (const auto& [rank, id] : taken) CountSend(state.update_queue, id, rank + 1, limit);
-  return used;
 }
 
-void AddFacts(state& state, size_t used, std::vector<fact>& out) {
+// Facts of ranks in [first, end); each is sent until its rank reaches `limit`.
+void AddFacts(state& state, int first, int end, int limit, news_budget& budget,
+              std::vector<fact>& out) {
   std::vector<std::pair<int, std::string>> taken;
-  for (const auto& [rank, name] : state.fact_queue.order) {
-    const fact* item = FindFact(state, name);
-    const size_t size = item == nullptr ? 0 : SizeOf(*item);
-    if (used + size > state.config.max_piggyback_bytes) break;
-    if (static_cast<double>(size) > state.fact_tokens) break;
-    used += size;
-    state.fact_tokens -= static_cast<double>(size);
-    taken.emplace_back(rank, name);
+  const auto& order = state.fact_queue.order;
+  for (auto it = order.lower_bound({first, ""}); it != order.end() && it->first < end; ++it) {
+    const fact* item = FindFact(state, it->second);
+    if (!Take(budget, item == nullptr ? 0 : SizeOf(*item))) break;
+    taken.push_back(*it);
     if (item != nullptr) out.push_back(*item);
   }
+  for (const auto& [rank, name] : taken) CountSend(state.fact_queue, name, rank + 1, limit);
+}
+
+// Urgent facts first, then member updates, then normal facts.
+void AddNews(state& state, message& out) {
+  news_budget budget{state.config.max_piggyback_bytes, state.news_tokens};
   const int urgent_limit = std::min(SendLimit(state), kNormalFactRank - 1);
-  for (const auto& [rank, name] : taken) {
-    const bool normal = rank >= kNormalFactRank;
-    const int limit = normal ? kNormalFactRank + kNormalFactSends : urgent_limit;
-    CountSend(state.fact_queue, name, rank + 1, limit);
-  }
+  AddFacts(state, 0, kNormalFactRank, urgent_limit, budget, out.facts);
+  AddUpdates(state, budget, out.updates);
+  const int normal_limit = kNormalFactRank + kNormalFactSends;
+  AddFacts(state, kNormalFactRank, normal_limit, normal_limit, budget, out.facts);
 }
 
 // A receiver that is believed suspect, failed or gone must learn it to be able to refute.
@@ -157,8 +171,7 @@
 send Compose(state& state, message_kind kind, std::string to, std::string address, time_point now) {
   send out = ComposeBare(state, kind, std::move(to), std::move(address), now);
   AddAccusation(state, out.to, out.content.updates);
-  const size_t used = AddUpdates(state, out.content.updates);
-  AddFacts(state, used, out.content.facts);
+  AddNews(state, out.content);
   return out;
 }
 
@@ -185,10 +198,10 @@
   if (urgent) Broadcast(state, now, out);
 }
 
-void RefillFactTokens(state& state, duration elapsed) {
-  const auto rate = static_cast<double>(state.config.fact_bytes_per_second);
+void RefillTokens(state& state, duration elapsed) {
+  const auto rate = static_cast<double>(state.config.news_bytes_per_second);
   const double seconds = std::chrono::duration<double>(elapsed).count();
-  state.fact_tokens = std::min(rate, state.fact_tokens + rate * seconds);
+  state.news_tokens = std::min(rate * kBurstSeconds, state.news_tokens + rate * seconds);
 }
 
 void QueueFact(state& state, const fact& item) {
--- a/libs/membership/src/details/gossip.h
+++ b/libs/membership/src/details/gossip.h
@@ -26,8 +26,8 @@
 // Stores what is new in `facts`, and passes urgent news on at once.
 void ApplyFacts(state& state, const std::vector<fact>& facts, time_point now, effects& out);
 
-// Adds bytes to the budget of facts for the time since `from`.
-void RefillFactTokens(state& state, duration elapsed);
+// Adds to the byte budget of news.
+void RefillTokens(state& state, duration elapsed);
 
 void QueueFact(state& state, const fact& item);
 
--- a/libs/membership/src/details/probing.cc
+++ b/libs/membership/src/details/probing.cc
@@ -36,14 +36,21 @@
   out.sends.push_back(std::move(ping));
 }
 
-void StartProbe(state& state, time_point now, effects& out) {
-  const member* target = NextTarget(state);
-  if (target == nullptr) return;
+void StartAttempt(state& state, const member& target, int attempt, time_point now, effects& out) {
   const uint64_t sequence = state.next_sequence++;
   ++state.counters.probes;
-  state.current_probe = probe{target->id, sequence, now, now + state.config.direct_timeout,
-                              now + state.config.period};
-  SendPing(state, *target, sequence, now, out);
+  state.current_probe = probe{.target = target.id,
+                              .sequence = sequence,
+                              .started = now,
+                              .indirect_at = now + state.config.direct_timeout,
+                              .ends = now + state.config.period,
+                              .attempt = attempt};
+  SendPing(state, target, sequence, now, out);
+}
+
+void StartProbe(state& state, time_point now, effects& out) {
+  const member* target = NextTarget(state);
+  if (target != nullptr) StartAttempt(state, *target, 1, now, out);
 }
 
 void SendIndirect(state& state, time_point now, effects& out) {
@@ -53,6 +60,7 @@
   const auto target = state.members.find(current.target);
   if (target == state.members.end()) return;
   const std::string address = target->second.address;
+  SendPing(state, target->second, current.sequence, now, out);
   const auto helpers = static_cast<size_t>(state.config.indirect_probes);
   for (const member* helper : PickMembers(state, helpers, current.target)) {
     send request = Compose(state, message_kind::kPingRequest, helper->id, helper->address, now);
@@ -63,12 +71,17 @@
   }
 }
 
-// The suspected member gets the suspicion with one more ping, so that it can refute at once.
-void SuspectTarget(state& state, time_point now, effects& out) {
-  const std::string id = state.current_probe->target;
+// Starts another attempt, or suspects the member. The suspected member gets the suspicion with one
+// more ping, so that it can refute at once.
+void EndAttempt(state& state, time_point now, effects& out) {
+  const probe last = *state.current_probe;
   state.current_probe.reset();
-  const auto found = state.members.find(id);
+  const auto found = state.members.find(last.target);
   if (found == state.members.end() || !IsLive(found->second.status)) return;
+  if (last.attempt < state.config.probe_attempts) {
+    StartAttempt(state, found->second, last.attempt + 1, now, out);
+    return;
+  }
   member_update update = UpdateOf(found->second);
   update.status = member_status::kSuspect;
   ++state.counters.suspicions;
@@ -166,7 +179,7 @@
 void AdvanceProbe(state& state, time_point now, effects& out) {
   ExpireRelayed(state, now);
   if (state.current_probe && state.current_probe->indirect_at <= now) SendIndirect(state, now, out);
-  if (state.current_probe && state.current_probe->ends <= now) SuspectTarget(state, now, out);
+  if (state.current_probe && state.current_probe->ends <= now) EndAttempt(state, now, out);
   if (state.next_probe > now || state.current_probe) return;
   state.next_probe = now + Jitter(state.rng, state.config.period, kPeriodJitter);
   StartProbe(state, now, out);
@@ -221,6 +234,7 @@
 
 void AnswerSync(state& state, const message& request, time_point now, effects& out) {
   if (request.digest == TableDigest(state)) return;
+  state.next_sync = std::min(state.next_sync, now + state.config.sync_again);
   SendTable(state, request, now, out);
   if (request.sequence == kAnswerSequence) return;
   SendSyncRequest(state, request.from, request.from_address, kAnswerSequence, now, out);
--- a/libs/membership/src/membership.cc
+++ b/libs/membership/src/membership.cc
@@ -87,7 +87,8 @@
   out.last_tick = now;
   out.next_probe = now;
   out.next_gossip = now;
-  out.next_sync = now + out.config.sync_interval;
+  out.next_sync = now + out.config.sync_again;
+  details::RefillTokens(out, std::chrono::hours(1));
   out.next_rejoin = now;
   Put(out.update_queue, out.config.id, 0);
   return out;
@@ -96,7 +97,7 @@
 effects OnTick(state& state, time_point now) {
   effects out;
   HandlePause(state, now);
-  details::RefillFactTokens(state, now - state.last_tick);
+  details::RefillTokens(state, now - state.last_tick);
   state.last_tick = now;
   details::ExpireMembers(state, now, out);
   const settings& config = state.config;
--- a/libs/membership/tests/simulation.h
+++ b/libs/membership/tests/simulation.h
@@ -2,6 +2,8 @@
 // tests and the benchmark.
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -16,6 +18,7 @@
   state core;
   bool running = true;
   time_point paused_until;
+  time_point wake;
   std::vector<event> events;
   std::map<std::string, std::string> facts;  // origin/key -> value
   uint64_t messages = 0;                     // sent and received
@@ -28,6 +31,7 @@
   size_t from = 0;
   size_t to = 0;
   message content;
+  std::vector<uint8_t> wire;  // CBOR form, when measuring
   bool operator>(const delivery& other) const {
     return std::tie(at, order) > std::tie(other.at, other.order);
   }
@@ -37,8 +41,10 @@
   random_generator rng;
   time_point now = time_point(std::chrono::seconds(1000));
   std::vector<sim_node> nodes;
+  std::map<std::string, size_t> index_of;  // by address
   double loss = 0;
-  bool measure = false;  // pass messages through CBOR and count bytes
+  bool measure = false;                         // pass messages through CBOR, count bytes and time
+  std::chrono::steady_clock::duration busy{0};  // real time in the protocol and its codec
   std::function<bool(size_t from, size_t to)> is_cut = [](size_t, size_t) { return false; };
   // Called for each input of node 0; the message is null for ticks.
   std::function<void(const message*, const effects&)> observe;
@@ -68,33 +74,41 @@
 
   void Start(size_t index) {
     nodes[index] = sim_node{};
+    index_of[Address(index)] = index;
     nodes[index].core = MakeState(SettingsOf(index), rng(), now);
   }
   void Crash(size_t index) { nodes[index].running = false; }
   void Pause(size_t index, duration span) { nodes[index].paused_until = now + span; }
 
   size_t IndexOf(const std::string& address) const {
-    for (size_t i = 0; i < nodes.size(); ++i) {
-      if (nodes[i].core.config.address == address) return i;
-    }
-    return nodes.size();
+    const auto found = index_of.find(address);
+    return found == index_of.end() ? nodes.size() : found->second;
+  }
+
+  template <class Fn>
+  auto Timed(Fn fn) {
+    if (!measure) return fn();
+    const auto start = std::chrono::steady_clock::now();
+    auto out = fn();
+    busy += std::chrono::steady_clock::now() - start;
+    return out;
   }
 
   void Transmit(size_t from, send& out) {
     const size_t to = IndexOf(out.address);
-    Count(nodes[from], out.content);
+    std::vector<uint8_t> wire;
+    if (measure) wire = Timed([&] { return nlohmann::json::to_cbor(ToJson(out.content)); });
+    Count(nodes[from], wire);
     if (to == nodes.size() || is_cut(from, to) || UniformUnit(rng) < loss) return;
     // Below 1 ms one way within a zone; up to 3 ms here, so that messages overtake each other.
     const duration delay(200 + UniformBelow(rng, 2800));
-    network.push({now + delay, next_order++, from, to, std::move(out.content)});
+    network.push({now + delay, next_order++, from, to, std::move(out.content), std::move(wire)});
   }
 
-  void Count(sim_node& node, message& content) const {
+  void Count(sim_node& node, const std::vector<uint8_t>& wire) const {
     if (!measure) return;
     ++node.messages;
-    const std::vector<uint8_t> wire = nlohmann::json::to_cbor(ToJson(content));
     node.bytes += wire.size();
-    content = MessageFromJson(nlohmann::json::from_cbor(wire)).value();
   }
 
   void Carry(size_t index, effects out) {
@@ -102,6 +116,7 @@
     node.events.insert(node.events.end(), out.events.begin(), out.events.end());
     for (const fact& item : out.facts) node.facts[item.origin + "/" + item.key] = item.value;
     for (send& next : out.sends) Transmit(index, next);
+    node.wake = NextWake(node);
   }
 
   void Deliver(delivery next) {
@@ -112,14 +127,19 @@
       network.push(std::move(next));
       return;
     }
-    Count(node, next.content);
-    effects out = OnMessage(node.core, next.content, now);
+    Count(node, next.wire);
+    effects out = Timed([&] {
+      if (!next.wire.empty()) {
+        next.content = MessageFromJson(nlohmann::json::from_cbor(next.wire)).value();
+      }
+      return OnMessage(node.core, next.content, now);
+    });
     if (observe && next.to == 0) observe(&next.content, out);
     Carry(next.to, std::move(out));
   }
 
   void Tick(size_t index) {
-    effects out = OnTick(nodes[index].core, now);
+    effects out = Timed([&] { return OnTick(nodes[index].core, now); });
     if (observe && index == 0) observe(nullptr, out);
     Carry(index, std::move(out));
   }
@@ -131,15 +151,12 @@
 
   void RunFor(duration span) {
     const time_point end = now + span;
+    // Inputs from outside, such as a crash, may have changed any wake-up time.
+    for (sim_node& node : nodes) node.wake = NextWake(node);
     while (true) {
-      size_t first = 0;
-      time_point wake = kNever;
-      for (size_t i = 0; i < nodes.size(); ++i) {
-        if (NextWake(nodes[i]) < wake) {
-          wake = NextWake(nodes[i]);
-          first = i;
-        }
-      }
+      const auto next_node = std::ranges::min_element(nodes, {}, &sim_node::wake);
+      const auto first = static_cast<size_t>(next_node - nodes.begin());
+      const time_point wake = next_node->wake;
       const time_point arrival = network.empty() ? kNever : network.top().at;
       if (std::min(wake, arrival) > end) break;
       now = std::max(now, std::min(wake, arrival));
