Apply the link bound when links take little of the flow

Cause: a greedy plan within 0.3% of the bound without links counted as complete, so the bound and the cut ignored links that took less than that.

Change: a plan that carries less than the coverage flow because of links is always improved by the route program.

Conclusion: the bound with links is exact again where bound_is_exact says so.

--- a/libs/planner/src/planner.cc
+++ b/libs/planner/src/planner.cc
@@ -71,6 +71,24 @@
 
 bool IsComplete(const plan& p) { return p.planned_tokens_per_second >= p.bound * kComplete; }
 
+// The flow that the coverage brings through every segment; links can only lower what a plan carries
+// of it.
+double CoveredFlow(const problem& p, const coverage_flow& coverage) {
+  std::vector<double> sum(p.Segments(), 0);
+  for (size_t r = 0; r < p.ranges.size(); ++r) {
+    const auto first = static_cast<size_t>(p.ranges[r].first);
+    for (size_t k = 0; k < coverage.share[r].size(); ++k) sum[first + k] += coverage.share[r][k];
+  }
+  return *std::ranges::min_element(sum);
+}
+
+// Whether links took flow from the greedy plan, so that the bound without links may be too high.
+bool IsLimitedByLinks(const problem& p, const coverage_flow& coverage, const plan& out) {
+  constexpr double kRounding = 1e-7;
+  return !p.topo->links.empty() &&
+         out.planned_tokens_per_second < CoveredFlow(p, coverage) * (1 - kRounding);
+}
+
 // Lowers the bound to what links allow, and scales the weights, which are relative to it.
 void ApplyLinkBound(const problem& p, const details::route_lp_solution& solution, plan& out) {
   out.bound_is_exact = out.bound_is_exact || solution.is_optimal;
@@ -154,7 +172,7 @@
   out.cut = CoverageCut(p, coverage);
   const std::vector<group_route> greedy = details::Decompose(p, coverage);
   Offer(p, greedy, out);
-  if (!IsComplete(out)) Improve(p, greedy, out);
+  if (!IsComplete(out) || IsLimitedByLinks(p, coverage, out)) Improve(p, greedy, out);
   return out;
 }
 
--- a/libs/planner/tests/planner_test.cc
+++ b/libs/planner/tests/planner_test.cc
@@ -190,44 +190,50 @@
 }
 
 // With two disjoint stages each link serves one boundary, and the bound is a plain minimum cut.
-TEST_CASE("the bound with zone links equals the brute-force minimum cut of two stages") {
-  REQUIRE(rc::check([] {
-    constexpr int kZones = 3;
-    inventory::configuration config = EmptyModel(4);
-    AddZones(config, kZones);
-    double supply[2][kZones] = {};
-    double link[kZones][kZones] = {};
-    for (int stage = 0; stage < 2; ++stage) {
-      for (int z = 0; z < kZones; ++z) {
-        if (z > 0 && *rc::gen::inRange(0, 3) == 0) continue;
-        supply[stage][z] = RandomRate();
-        AddEngine(config, z, {stage * 2, stage * 2 + 2}, supply[stage][z]);
-      }
+void CheckTwoStages() {
+  constexpr int kZones = 3;
+  inventory::configuration config = EmptyModel(4);
+  AddZones(config, kZones);
+  double supply[2][kZones] = {};
+  double link[kZones][kZones] = {};
+  for (int stage = 0; stage < 2; ++stage) {
+    for (int z = 0; z < kZones; ++z) {
+      if (z > 0 && *rc::gen::inRange(0, 3) == 0) continue;
+      supply[stage][z] = RandomRate();
+      AddEngine(config, z, {stage * 2, stage * 2 + 2}, supply[stage][z]);
     }
+  }
+  for (int a = 0; a < kZones; ++a) {
+    for (int b = 0; b < kZones; ++b) {
+      link[a][b] = a == b ? 1e12 : RandomRate();
+      if (a != b) config.links.push_back({ZoneName(a), ZoneName(b), 500, link[a][b]});
+    }
+  }
+  const topology topo = BuildTopology(config, "m").value();
+  const plan p = MakePlan(topo, std::vector<uint8_t>(topo.endpoints.size(), 1)).value();
+  double least = std::numeric_limits<double>::infinity();
+  for (unsigned set = 0; set < 64; ++set) {
+    double cut = 0;
     for (int a = 0; a < kZones; ++a) {
+      const bool a_inside = (set >> a & 1) != 0;
+      cut += a_inside ? 0 : supply[0][a];
+      cut += (set >> (3 + a) & 1) != 0 ? supply[1][a] : 0;
       for (int b = 0; b < kZones; ++b) {
-        link[a][b] = a == b ? 1e12 : RandomRate();
-        if (a != b) config.links.push_back({ZoneName(a), ZoneName(b), 500, link[a][b]});
+        if (a_inside && (set >> (3 + b) & 1) == 0) cut += link[a][b];
       }
     }
-    const topology topo = BuildTopology(config, "m").value();
-    const plan p = MakePlan(topo, std::vector<uint8_t>(topo.endpoints.size(), 1)).value();
-    double least = std::numeric_limits<double>::infinity();
-    for (unsigned set = 0; set < 64; ++set) {
-      double cut = 0;
-      for (int a = 0; a < kZones; ++a) {
-        const bool a_inside = (set >> a & 1) != 0;
-        cut += a_inside ? 0 : supply[0][a];
-        cut += (set >> (3 + a) & 1) != 0 ? supply[1][a] : 0;
-        for (int b = 0; b < kZones; ++b) {
-          if (a_inside && (set >> (3 + b) & 1) == 0) cut += link[a][b];
-        }
-      }
-      least = std::min(least, cut);
-    }
-    RC_ASSERT(p.bound_is_exact);
-    RC_ASSERT(std::abs(p.bound / least - 1) < kRounding);
-    RC_ASSERT(std::abs(p.planned_tokens_per_second / least - 1) < kRounding);
+    least = std::min(least, cut);
+  }
+  RC_ASSERT(p.bound_is_exact);
+  RC_ASSERT(std::abs(p.bound / least - 1) < kRounding);
+  RC_ASSERT(std::abs(p.planned_tokens_per_second / least - 1) < kRounding);
+}
+
+// Guards also against a bound that ignores links which take less than 0.3% of the flow; that takes
+// many cases to hit, hence the loop.
+TEST_CASE("the bound with zone links equals the brute-force minimum cut of two stages") {
+  REQUIRE(rc::check([] {
+    for (int i = 0; i < 30; ++i) CheckTwoStages();
   }));
 }
 
