configsync: test that a lagging peer's version does not make a node ready

Cause: in a trial with the condition on the highest known version switched off, all tests stayed green.

Change: a test in which a peer serves a lower version than it announced.

Conclusion: readiness with a lower version than a known one is now checked directly.

--- a/libs/configsync/tests/configsync_test.cc
+++ b/libs/configsync/tests/configsync_test.cc
@@ -175,6 +175,21 @@
   }));
 }
 
+TEST_CASE("a node is not ready with the version of a lagging peer while a higher one is known") {
+  settings config;
+  config.id = "new";
+  const simulation none(0, 1, 0);
+  state core = MakeState(config, none.validate, 1, none.now);
+  const time_point later = none.now + seconds(5);
+  OnTick(core, later);
+  OnPeerVersion(core, "ahead", 2, duration(0), later);
+  message part{message_kind::kPart,    1,   0, 0, 0, 2, transfer_kind::kSnapshot,
+               Digest(json::object()), "{}"};
+  OnMessage(core, "ahead", part, later);
+  CHECK(core.version == 1);
+  CHECK_FALSE(IsReady(core));
+}
+
 TEST_CASE("a node alone without table and peers is never ready") {
   simulation sim(1, 1, 1);
   sim.table_down = true;
