--- a/apps/balsambayd/flags.cc
+++ b/apps/balsambayd/flags.cc
@@ -5,6 +5,7 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/reflection.h>
 #include <absl/flags/usage.h>
+#include <absl/strings/str_split.h>
 
 #include <algorithm>
 #include <array>
@@ -12,7 +13,6 @@
 #include <charconv>
 #include <cstdio>
 #include <cstdlib>
-#include <ranges>
 
 ABSL_FLAG(std::string, id, "", "unique id of this daemon among all entry daemons; required");
 ABSL_FLAG(std::string, zone, "", "availability zone of this VM; required");
@@ -93,12 +93,7 @@
 }
 
 std::vector<std::string> SplitList(const std::string& text) {
-  std::vector<std::string> out;
-  for (auto part : text | std::views::split(',')) {
-    std::string item(part.begin(), part.end());
-    if (!item.empty()) out.push_back(std::move(item));
-  }
-  return out;
+  return absl::StrSplit(text, ',', absl::SkipEmpty());
 }
 
 duration Milliseconds(int value) { return std::chrono::milliseconds(value); }
--- a/apps/balsambayd/main.cc
+++ b/apps/balsambayd/main.cc
@@ -4,6 +4,7 @@
 #include <cstdio>
 
 #include "flags.h"
+#include "log/log.h"
 #include "router/router.h"
 
 namespace balsambay::app {
@@ -17,6 +18,7 @@
   const settings_outcome read = ReadSettings();
   for (const std::string& error : read.errors) std::fprintf(stderr, "%s\n", error.c_str());
   if (!read.errors.empty()) return kExitWrongSettings;
+  log::SetLevel(log::ParseLevel(read.log_level).value());
   net::loop loop;
   auto started = router::Start(read.settings, loop);
   if (started.has_error()) {
--- a/libs/attempts/src/attempts.cc
+++ b/libs/attempts/src/attempts.cc
@@ -23,9 +23,9 @@
 }  // namespace
 
 bool Advance(phase& current, phase_event event) {
-  static const chart::table kChart =
+  static const chart::table request_chart =
       chart::ParseEmbedded(charts::request, kPhaseNames, kEventNames);
-  return chart::Step(kChart, current, event);
+  return chart::Step(request_chart, current, event);
 }
 
 std::string_view ToString(outcome value) {
--- a/libs/net/include/net/loop.h
+++ b/libs/net/include/net/loop.h
@@ -16,7 +16,7 @@
   loop(const loop&) = delete;
   loop& operator=(const loop&) = delete;
 
-  timer_service& timers() { return timers_; }
+  timer_service& Timers() { return timers_; }
 
   // Runs until Quit().
   void Run();
--- a/libs/router/include/router/settings.h
+++ b/libs/router/include/router/settings.h
@@ -24,7 +24,8 @@
   duration first_token_timeout = std::chrono::seconds(5);
   duration token_timeout = std::chrono::seconds(1);
   duration unready_delay = std::chrono::seconds(2);  // how long the balancer takes to notice
-  size_t max_pending_bytes = 256 * 1024;  // buffered for one slow caller before reading stops
+  size_t max_pending_bytes =
+      size_t{256} * 1024;  // buffered for one slow caller before reading stops
   duration slow_reader_timeout = std::chrono::seconds(30);
   uint32_t shards = 8;  // of at-most-once records; the same for all daemons
   uint64_t seed = 0;    // of the random generator; 0 takes one from the system
--- a/libs/router/src/admission_driver.cc
+++ b/libs/router/src/admission_driver.cc
@@ -30,10 +30,10 @@
 }
 
 void ScheduleTick(router_state& state) {
-  Cancel(state.loop.timers(), state.gate_timer);
+  Cancel(state.loop.Timers(), state.gate_timer);
   const time_point deadline = admission::NextDeadline(state.gate);
   if (deadline == kNever) return;
-  state.gate_timer = Subscribe(state.loop.timers(), deadline, [&state](time_point now) {
+  state.gate_timer = Subscribe(state.loop.Timers(), deadline, [&state](time_point now) {
     Apply(state, admission::Tick(state.gate, now));
     ScheduleTick(state);
   });
@@ -91,7 +91,7 @@
   if (effects.empty()) return ScheduleTick(state);
   // Deferred: a request that ends at once would otherwise start the next one from within itself, to
   // any depth.
-  Subscribe(state.loop.timers(), now, [&state, effects = std::move(effects)](time_point) {
+  Subscribe(state.loop.Timers(), now, [&state, effects = std::move(effects)](time_point) {
     ApplyAndSchedule(state, effects);
   });
 }
--- a/libs/router/src/config_driver.cc
+++ b/libs/router/src/config_driver.cc
@@ -39,10 +39,10 @@
 void Process(router_state& state, const configsync::effects& effects);
 
 void ScheduleTick(router_state& state) {
-  Cancel(state.loop.timers(), state.config_timer);
+  Cancel(state.loop.Timers(), state.config_timer);
   const time_point deadline = configsync::NextDeadline(*state.sync);
   if (deadline == kNever) return;
-  state.config_timer = Subscribe(state.loop.timers(), deadline, [&state](time_point now) {
+  state.config_timer = Subscribe(state.loop.Timers(), deadline, [&state](time_point now) {
     Process(state, configsync::OnTick(*state.sync, now));
   });
 }
--- a/libs/router/src/details/quarantine_driver.h
+++ b/libs/router/src/details/quarantine_driver.h
@@ -1,12 +1,41 @@
-// Connects the quarantine of crash-causing requests.
+// Connects the quarantine of crash-causing requests to attempts, probes and peers.
 #pragma once
 
+#include <nlohmann/json_fwd.hpp>
+
 #include "details/dispatch.h"
 #include "details/state.h"
 
 namespace balsambay::router {
 
-void OnRunStarted(router_state& state, const request& item);
-void OnRunFailed(router_state& state, const request& item, const attempt_error& error);
+// Starts the periodic work. Call once.
+void StartQuarantine(router_state& state);
+
+enum class run_permission { kAllowed, kAllowedAlone, kNotNow };
+
+// Asks before an attempt. On kNotNow the request waits and is dispatched again later, or was given
+// up. On kAllowedAlone it must avoid endpoints with HasSuspectRun. A permitted attempt ends with
+// OnRunEnded or OnRunBroken.
+run_permission AskToRun(router_state& state, const request_ptr& item);
+
+// Whether a request that may crash endpoints runs on this one.
+bool HasSuspectRun(const router_state& state, std::string_view endpoint);
+
+void OnRunPlaced(router_state& state, const request& item);
+void OnRunProgress(router_state& state, const request& item);
+void OnRunEnded(router_state& state, const request& item, bool completed);
+
+// The attempt ended because `endpoint` broke its connection or another stage reported its loss.
+void OnRunBroken(router_state& state, const request& item, std::string_view endpoint);
+
+// The endpoint refuses connections.
+void OnEndpointRefused(router_state& state, std::string_view endpoint);
+
+// The endpoint has answered a probe; `started` is new after each start of its process.
+void OnEndpointAlive(router_state& state, const std::string& endpoint, uint64_t started);
+
+void HandleQuarantineLink(router_state& state, std::string_view peer, bool up);
+void HandleQuarantineMessage(router_state& state, std::string_view peer,
+                             const nlohmann::json& message);
 
 }  // namespace balsambay::router
--- a/libs/router/src/details/state.h
+++ b/libs/router/src/details/state.h
@@ -27,6 +27,7 @@
 #include "net/loop.h"
 #include "peer/peer.h"
 #include "planner/planner.h"
+#include "quarantine/quarantine.h"
 #include "router/settings.h"
 #include "routing/prefix_table.h"
 #include "routing/routing.h"
@@ -59,12 +60,16 @@
 
   // Non-repeatable requests only.
   std::optional<ledger::submission> submission;
+  std::string claim_owner;  // daemon that was asked last
 
   // The open attempt.
   std::vector<net::run_stage> route;
   std::shared_ptr<net::engine_run> run;
   std::shared_ptr<net::client_call> call;
+  bool permitted = false;  // the quarantine knows of the attempt
+  bool alone = false;      // must avoid endpoints with other suspects
   bool reading_paused = false;
+  bool progressed = false;  // the open attempt has delivered a token
   time_point attempt_started;
   time_point last_progress;
   std::set<std::string, std::less<>> excluded;  // endpoints that failed for this request
@@ -83,6 +88,7 @@
   bool abandoned = false;  // not dispatched: the record says "not run"
   ledger::end_state end = ledger::end_state::kUnknown;
   std::string result;
+  std::string owner;  // last known holder of the shard; empty: ask the preferred one
   time_point give_up_at;
 };
 
@@ -109,7 +115,7 @@
   router_state(const settings& values, net::loop& main_loop)
       : config(values),
         loop(main_loop),
-        client(net::MakeHttpClient(main_loop.timers())),
+        client(net::MakeHttpClient(main_loop.Timers())),
         rng(values.seed != 0 ? values.seed : std::random_device{}()),
         start_id(std::to_string(WallClockMs())),
         instance_id(values.id + "#" + start_id) {}
@@ -147,6 +153,11 @@
   admission::retry_budget retry_budget;
   timer_id gate_timer = 0;
 
+  quarantine::table quarantine;
+  std::multimap<quarantine::fingerprint, std::string> held;  // request ids that wait for permission
+  std::map<std::string, uint64_t, std::less<>>
+      endpoint_starts;  // start number by endpoint, from probes
+
   std::unique_ptr<peer::peer_node> peers;
   std::unique_ptr<membership::state> members;  // of the zone
   timer_id member_timer = 0;
--- a/libs/router/src/dispatch.cc
+++ b/libs/router/src/dispatch.cc
@@ -68,6 +68,15 @@
   });
 }
 
+void EndPermission(router_state& state, request& item, const attempt_error& error) {
+  item.permitted = false;
+  if (error.reason == retry_reason::kConnectFailed) OnEndpointRefused(state, error.endpoint);
+  const bool broken =
+      error.reason == retry_reason::kStageLost || error.reason == retry_reason::kReset;
+  if (broken && !error.endpoint.empty()) return OnRunBroken(state, item, error.endpoint);
+  OnRunEnded(state, item, false);
+}
+
 void CloseAttempt(router_state& state, request& item) {
   CountInFlight(state, item, -1);
   item.route.clear();
@@ -94,7 +103,7 @@
 void ScheduleRetry(router_state& state, const request_ptr& item, duration delay) {
   const std::weak_ptr<request> weak = item;
   item->backoff_timer =
-      Subscribe(state.loop.timers(), MonotonicNow() + delay, [&state, weak](time_point) {
+      Subscribe(state.loop.Timers(), MonotonicNow() + delay, [&state, weak](time_point) {
         const auto held = weak.lock();
         if (!held) return;
         attempts::Advance(held->phase, attempts::phase_event::kBackoffOver);
@@ -105,6 +114,10 @@
 }  // namespace
 
 void Dispatch(router_state& state, const request_ptr& item) {
+  const run_permission permission = AskToRun(state, item);
+  if (permission == run_permission::kNotNow) return;
+  item->permitted = true;
+  item->alone = permission == run_permission::kAllowedAlone;
   if (!item->service.empty()) return DispatchServiceCall(state, item);
   DispatchModelRequest(state, item);
 }
@@ -120,7 +133,7 @@
   attempts::BeginAttempt(item->answer);
   item->attempt_started = MonotonicNow();
   CountInFlight(state, *item, 1);
-  OnRunStarted(state, *item);
+  OnRunPlaced(state, *item);
   return true;
 }
 
@@ -139,7 +152,7 @@
             {"endpoint", error.endpoint},
             {"reason", admission::ToString(error.reason)},
             {"detail", error.detail}});
-  OnRunFailed(state, *item, error);
+  EndPermission(state, *item, error);
   if (IsLoss(error)) {
     admission::OnEndpointLost(state.retry_budget, error.endpoint, state.in_flight[error.endpoint],
                               MonotonicNow());
--- a/libs/router/src/endpoint_monitor.cc
+++ b/libs/router/src/endpoint_monitor.cc
@@ -7,6 +7,7 @@
 #include "details/logging.h"
 #include "details/membership_driver.h"
 #include "details/planning.h"
+#include "details/quarantine_driver.h"
 
 namespace balsambay::router {
 namespace {
@@ -43,8 +44,10 @@
     const int active = body.value("active", 0);
     state.reported_load[endpoint] = {active, MonotonicNow()};
     NoteReportedLoad(state, endpoint, active);
+    OnEndpointAlive(state, endpoint, body.value("started_ms", uint64_t{0}));
   } else if (reply.end.failure == net::call_failure::kConnect) {
     seen.kind = health::evidence_kind::kConnectRefused;
+    OnEndpointRefused(state, endpoint);
   }
   const auto changes = health::OnEvidence(state.health, seen, MonotonicNow(), state.rng);
   Apply(state, changes);
@@ -73,11 +76,11 @@
 }
 
 void ScheduleTick(router_state& state) {
-  Cancel(state.loop.timers(), state.health_timer);
+  Cancel(state.loop.Timers(), state.health_timer);
   const time_point deadline = health::NextDeadline(state.health);
   if (deadline == kNever) return;
   state.health_timer =
-      Subscribe(state.loop.timers(), deadline, [&state](time_point) { RunTick(state); });
+      Subscribe(state.loop.Timers(), deadline, [&state](time_point) { RunTick(state); });
 }
 
 std::vector<health::vm_entry> ParseVmList(const json& body) {
@@ -92,7 +95,7 @@
 }
 
 void PollVmList(router_state& state) {
-  Subscribe(state.loop.timers(), MonotonicNow() + Jitter(state.rng, kVmListInterval, 0.1),
+  Subscribe(state.loop.Timers(), MonotonicNow() + Jitter(state.rng, kVmListInterval, 0.1),
             [&state](time_point) { PollVmList(state); });
   net::client_request call;
   call.method = "GET";
--- a/libs/router/src/ledger_driver.cc
+++ b/libs/router/src/ledger_driver.cc
@@ -29,10 +29,10 @@
 void Process(router_state& state, const ledger::effects& effects);
 
 void ScheduleTick(router_state& state) {
-  Cancel(state.loop.timers(), state.ledger_timer);
+  Cancel(state.loop.Timers(), state.ledger_timer);
   const time_point deadline = ledger::NextDeadline(*state.shards);
   if (deadline == kNever) return;
-  state.ledger_timer = Subscribe(state.loop.timers(), deadline, [&state](time_point now) {
+  state.ledger_timer = Subscribe(state.loop.Timers(), deadline, [&state](time_point now) {
     Process(state, ledger::OnTick(*state.shards, now, WallClockMs()));
   });
 }
@@ -108,6 +108,7 @@
 }
 
 void SendClaim(router_state& state, const request_ptr& item, const std::string& owner) {
+  item->claim_owner = owner;
   if (owner.empty() || !Tell(state, owner, "claim", item->submission->request)) {
     RefuseClaim(state, item, "the owner of the record's shard cannot be reached");
   }
@@ -121,7 +122,7 @@
   }
   const std::weak_ptr<request> weak = item;
   item->backoff_timer =
-      Subscribe(state.loop.timers(), now + wait, [&state, weak, owner](time_point) {
+      Subscribe(state.loop.Timers(), now + wait, [&state, weak, owner](time_point) {
         const auto held = weak.lock();
         if (!held || held->phase != attempts::phase::kClaiming) return;
         const std::string target =
@@ -167,15 +168,29 @@
   Retire(state, item);
 }
 
-void OnClaimReply(router_state& state, const ledger::reply& reply) {
-  const auto closing_it = state.closings.find(reply.request_id);
-  if (closing_it != state.closings.end()) {
-    const bool settled =
-        reply.kind == ledger::reply_kind::kRecorded || reply.reason == ledger::refusal::kNoRecord;
-    if (settled) state.closings.erase(closing_it);
-    CheckStopped(state);
+// A copy, because the reply may remove the entry while it is being sent.
+void TellClosing(router_state& state, closing item) {
+  const std::string owner = item.owner.empty() ? OwnerOf(state, item.claim) : item.owner;
+  if (owner.empty()) return;
+  Tell(state, owner, item.abandoned ? "abandon" : "finish", item.claim, &item);
+}
+
+void OnClosingReply(router_state& state, const ledger::reply& reply) {
+  const auto it = state.closings.find(reply.request_id);
+  if (reply.kind == ledger::reply_kind::kRecorded || reply.reason == ledger::refusal::kNoRecord) {
+    state.closings.erase(it);
     return;
   }
+  // The repeated send finds the shard's new owner; a named one is asked at once.
+  it->second.owner = reply.reason == ledger::refusal::kNotOwner ? reply.owner : "";
+  if (!it->second.owner.empty()) TellClosing(state, it->second);
+}
+
+void OnClaimReply(router_state& state, const ledger::reply& reply) {
+  if (state.closings.contains(reply.request_id)) {
+    OnClosingReply(state, reply);
+    return CheckStopped(state);
+  }
   const auto found = state.requests.find(reply.request_id);
   if (found == state.requests.end() || !found->second->submission) return;
   const request_ptr item = found->second;
@@ -204,7 +219,7 @@
     } else if (const auto* reply = std::get_if<ledger::reply>(&effect)) {
       if (reply->claimant == state.instance_id) {
         // Deferred, so that a reply never arrives while its claim is still being sent.
-        Subscribe(state.loop.timers(), MonotonicNow(),
+        Subscribe(state.loop.Timers(), MonotonicNow(),
                   [&state, copy = *reply](time_point) { OnClaimReply(state, copy); });
       } else {
         SendToPeer(state, reply->claimant, ToJson(*reply));
@@ -228,11 +243,9 @@
     state.closings.erase(it);
     return CheckStopped(state);
   }
-  Subscribe(state.loop.timers(), now + kClosingRetry,
+  Subscribe(state.loop.Timers(), now + kClosingRetry,
             [&state, request_id](time_point) { SendClosing(state, request_id); });
-  const closing copy = item;
-  const std::string owner = OwnerOf(state, copy.claim);
-  if (!owner.empty()) Tell(state, owner, copy.abandoned ? "abandon" : "finish", copy.claim, &copy);
+  TellClosing(state, item);
 }
 
 }  // namespace
@@ -263,7 +276,7 @@
   item->submission = ledger::Submit(std::move(claim), MonotonicNow());
   const std::weak_ptr<request> weak = item;
   item->claim_timer =
-      Subscribe(state.loop.timers(), MonotonicNow() + kClaimBound, [&state, weak](time_point) {
+      Subscribe(state.loop.Timers(), MonotonicNow() + kClaimBound, [&state, weak](time_point) {
         const auto held = weak.lock();
         if (held && held->phase == attempts::phase::kClaiming)
           RefuseClaim(state, held, "no start record in time");
@@ -283,6 +296,7 @@
   if (!item.submission) return;
   closing close;
   close.claim = item.submission->request;
+  close.owner = item.claim_owner;
   close.give_up_at = MonotonicNow() + kClosingLifetime;
   close.end = ran ? ledger::end_state::kRan : ledger::end_state::kUnknown;
   close.result = std::move(ran_result);
--- a/libs/router/src/membership_driver.cc
+++ b/libs/router/src/membership_driver.cc
@@ -21,10 +21,10 @@
 void Process(router_state& state, const membership::effects& effects);
 
 void ScheduleTick(router_state& state) {
-  Cancel(state.loop.timers(), state.member_timer);
+  Cancel(state.loop.Timers(), state.member_timer);
   const time_point deadline = membership::NextDeadline(*state.members);
   if (deadline == kNever) return;
-  state.member_timer = Subscribe(state.loop.timers(), deadline, [&state](time_point now) {
+  state.member_timer = Subscribe(state.loop.Timers(), deadline, [&state](time_point now) {
     Process(state, membership::OnTick(*state.members, now));
   });
 }
--- a/libs/router/src/peers.cc
+++ b/libs/router/src/peers.cc
@@ -8,6 +8,7 @@
 #include "details/ledger_driver.h"
 #include "details/logging.h"
 #include "details/membership_driver.h"
+#include "details/quarantine_driver.h"
 
 namespace balsambay::router {
 namespace {
@@ -23,6 +24,7 @@
   const std::string type = message.at("type");
   if (IsLedgerMessage(type)) return HandleLedgerMessage(state, peer, message);
   if (type == "config") return HandleConfigMessage(state, peer, message);
+  if (type == "quarantine") return HandleQuarantineMessage(state, peer, message);
   if (type == "swim") return HandleMembershipMessage(state, peer, message);
 }
 
@@ -40,6 +42,7 @@
   log::Log(log::level::kInfo, up ? "peer link is up" : "peer link is down", {{"peer", peer}});
   UpdateLedgerMembers(state);
   HandleMemberLink(state, peer, up);
+  HandleQuarantineLink(state, peer, up);
 }
 
 }  // namespace
@@ -57,7 +60,7 @@
   };
   callbacks.on_up = [&state](std::string_view peer) { OnLinkChange(state, peer, true); };
   callbacks.on_down = [&state](std::string_view peer) { OnLinkChange(state, peer, false); };
-  BOOST_OUTCOME_TRY(node, peer::peer_node::Create(state.loop.timers(), std::move(settings),
+  BOOST_OUTCOME_TRY(node, peer::peer_node::Create(state.loop.Timers(), std::move(settings),
                                                   std::move(callbacks)));
   state.peers = std::move(node);
   for (const std::string& address : state.config.peers) {
--- a/libs/router/src/planning.cc
+++ b/libs/router/src/planning.cc
@@ -9,6 +9,7 @@
 #include "details/admission_driver.h"
 #include "details/endpoint_monitor.h"
 #include "details/logging.h"
+#include "details/quarantine_driver.h"
 
 namespace balsambay::router {
 namespace {
@@ -17,6 +18,8 @@
 
 // Health changes that come together (a rack, a zone) lead to one new plan.
 constexpr duration kReplanDelay = std::chrono::milliseconds(50);
+// Added to the load of endpoints that are taken only when there is no other.
+constexpr int kAvoidedLoad = 1'000'000;
 constexpr duration kSlowStartRefresh = std::chrono::milliseconds(500);
 
 uint32_t ZoneIndex(const planner::topology& topo, std::string_view zone) {
@@ -74,7 +77,7 @@
 
 void RefreshSlowStart(router_state& state) {
   for (auto& [id, planned] : state.plans) RefreshViews(state, *planned);
-  state.view_timer = Subscribe(state.loop.timers(), MonotonicNow() + kSlowStartRefresh,
+  state.view_timer = Subscribe(state.loop.Timers(), MonotonicNow() + kSlowStartRefresh,
                                [&state](time_point) { RefreshSlowStart(state); });
 }
 
@@ -111,6 +114,10 @@
     const auto it = state.plan_index.find(id);
     if (it != state.plan_index.end()) out.push_back(it->second.index);
   }
+  if (!item.alone) return out;
+  for (const auto& [id, position] : state.plan_index) {
+    if (HasSuspectRun(state, id)) out.push_back(position.index);
+  }
   return out;
 }
 
@@ -182,7 +189,7 @@
   for (auto& [id, planned] : state.plans) RefreshViews(state, *planned);
   if (state.replan_timer != 0) return;
   state.replan_timer =
-      Subscribe(state.loop.timers(), MonotonicNow() + kReplanDelay, [&state](time_point) {
+      Subscribe(state.loop.Timers(), MonotonicNow() + kReplanDelay, [&state](time_point) {
         state.replan_timer = 0;
         Replan(state);
       });
@@ -232,7 +239,6 @@
         candidate.kind == inventory::endpoint_kind::kService && candidate.service == item.service;
     if (!serves || !IsUsable(state, id)) continue;
     const auto mine = state.in_flight.find(id);
-    // An endpoint that failed for this request is the last choice.
     const int load = (mine == state.in_flight.end() ? 0 : mine->second) +
                      (item.excluded.contains(id) ? 1'000'000 : 0);
     const bool tie = best != nullptr && load == best_load;
--- a/libs/router/src/quarantine_driver.cc
+++ b/libs/router/src/quarantine_driver.cc
@@ -1,7 +1,206 @@
-// Placeholder until the quarantine library is merged.
+// Drives the quarantine library: every attempt asks before it starts, and losses of endpoints are
+// told to it.
 #include "details/quarantine_driver.h"
 
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "details/logging.h"
+#include "details/peers.h"
+#include "details/requests.h"
+
 namespace balsambay::router {
-void OnRunStarted(router_state&, const request&) {}
-void OnRunFailed(router_state&, const request&, const attempt_error&) {}
+namespace {
+
+using nlohmann::json;
+
+constexpr duration kComeBack = std::chrono::seconds(60);
+constexpr duration kTickInterval = std::chrono::seconds(1);
+
+quarantine::fingerprint FingerprintOf(const request& item) {
+  const std::string content =
+      item.service.empty() ? item.model + "\n" + item.prompt : item.service + "\n" + item.body;
+  return quarantine::MakeFingerprint(item.workspace, content);
+}
+
+quarantine::endpoint_life LifeOf(const router_state& state, std::string_view endpoint) {
+  const auto it = state.endpoint_starts.find(endpoint);
+  return {std::string(endpoint), it == state.endpoint_starts.end() ? 0 : it->second};
+}
+
+json ToJson(const std::vector<quarantine::endpoint_life>& lives) {
+  json out = json::array();
+  for (const auto& life : lives) out.push_back({life.endpoint, life.incarnation});
+  return out;
+}
+
+std::vector<quarantine::endpoint_life> LivesFromJson(const json& value) {
+  std::vector<quarantine::endpoint_life> out;
+  for (const json& life : value)
+    out.push_back({life.at(0).get<std::string>(), life.at(1).get<uint64_t>()});
+  return out;
+}
+
+json ToJson(const quarantine::update& item) {
+  return {{"high", item.key.high},         {"low", item.key.low},
+          {"losses", ToJson(item.losses)}, {"cleared", ToJson(item.cleared)},
+          {"condemned", item.condemned},   {"claim", static_cast<int>(item.claim)},
+          {"endpoints", item.endpoints}};
+}
+
+quarantine::update UpdateFromJson(std::string_view daemon, const json& value) {
+  quarantine::update out;
+  out.daemon = daemon;
+  out.key = {value.at("high"), value.at("low")};
+  out.losses = LivesFromJson(value.at("losses"));
+  out.cleared = LivesFromJson(value.at("cleared"));
+  out.condemned = value.at("condemned");
+  out.claim = static_cast<quarantine::claim_kind>(std::clamp(value.at("claim").get<int>(), 0, 2));
+  out.endpoints = value.at("endpoints").get<std::vector<std::string>>();
+  return out;
+}
+
+void Publish(router_state& state, const std::vector<quarantine::update>& updates,
+             std::string_view only_to = "") {
+  if (updates.empty()) return;
+  json message = {{"type", "quarantine"}, {"updates", json::array()}};
+  for (const quarantine::update& item : updates) message["updates"].push_back(ToJson(item));
+  if (only_to.empty()) return SendToAllPeers(state, message);
+  SendToPeer(state, only_to, message);
+}
+
+// Held requests with one of the fingerprints ask again.
+void Wake(router_state& state, const std::vector<quarantine::fingerprint>& keys) {
+  for (const auto& key : keys) {
+    const auto range = state.held.equal_range(key);
+    std::vector<std::string> ids;
+    std::for_each(range.first, range.second,
+                  [&](const auto& entry) { ids.push_back(entry.second); });
+    state.held.erase(range.first, range.second);
+    for (const std::string& id : ids) {
+      const auto it = state.requests.find(id);
+      if (it != state.requests.end() && it->second->phase == attempts::phase::kReady)
+        Dispatch(state, it->second);
+    }
+  }
+}
+
+void Process(router_state& state, const quarantine::outputs& out) {
+  Publish(state, out.publish);
+  if (out.wake.empty()) return;
+  // Deferred: a woken request starts an attempt, which calls the library again.
+  Subscribe(state.loop.Timers(), MonotonicNow(),
+            [&state, keys = out.wake](time_point) { Wake(state, keys); });
+}
+
+void Hold(router_state& state, const request_ptr& item, time_point until) {
+  const auto key = FingerprintOf(*item);
+  state.held.emplace(key, item->id);
+  if (until == kNever) return;
+  const std::weak_ptr<request> weak = item;
+  Subscribe(state.loop.Timers(), until, [&state, weak, key](time_point) {
+    if (const auto held = weak.lock()) Wake(state, {key});
+  });
+}
+
+}  // namespace
+
+void StartQuarantine(router_state& state) {
+  state.quarantine.config.daemon = state.instance_id;
+  Subscribe(state.loop.Timers(), MonotonicNow() + kTickInterval, [&state](time_point now) {
+    quarantine::outputs out;
+    quarantine::Tick(state.quarantine, now, out);
+    Process(state, out);
+    StartQuarantine(state);
+  });
+}
+
+run_permission AskToRun(router_state& state, const request_ptr& item) {
+  state.quarantine.config.max_losses = state.inventory.policy.quarantine_endpoint_losses;
+  quarantine::outputs out;
+  const auto decision =
+      quarantine::Start(state.quarantine, item->number, FingerprintOf(*item), MonotonicNow(), out);
+  Process(state, out);
+  switch (decision.answer) {
+    case quarantine::verdict::kAllow:
+      return run_permission::kAllowed;
+    case quarantine::verdict::kAllowAlone:
+      return run_permission::kAllowedAlone;
+    case quarantine::verdict::kHold:
+      Hold(state, item, decision.until);
+      return run_permission::kNotNow;
+    case quarantine::verdict::kRefuse:
+      break;
+  }
+  GiveUp(state, item, "quarantined", "this request has crashed endpoints", kComeBack);
+  return run_permission::kNotNow;
+}
+
+bool HasSuspectRun(const router_state& state, std::string_view endpoint) {
+  return quarantine::HasSuspect(state.quarantine, endpoint);
+}
+
+void OnRunPlaced(router_state& state, const request& item) {
+  std::vector<quarantine::endpoint_life> route;
+  std::ranges::transform(item.route, std::back_inserter(route), [&](const net::run_stage& stage) {
+    return LifeOf(state, stage.endpoint);
+  });
+  quarantine::outputs out;
+  quarantine::Place(state.quarantine, item.number, route, out);
+  Process(state, out);
+}
+
+void OnRunProgress(router_state& state, const request& item) {
+  quarantine::outputs out;
+  quarantine::Progress(state.quarantine, item.number, MonotonicNow(), out);
+  Process(state, out);
+}
+
+void OnRunEnded(router_state& state, const request& item, bool completed) {
+  quarantine::outputs out;
+  const auto how = completed ? quarantine::run_end::kCompleted : quarantine::run_end::kFailed;
+  quarantine::End(state.quarantine, item.number, how, std::nullopt, MonotonicNow(), out);
+  Process(state, out);
+}
+
+void OnRunBroken(router_state& state, const request& item, std::string_view endpoint) {
+  quarantine::outputs out;
+  quarantine::End(state.quarantine, item.number, quarantine::run_end::kBroken,
+                  LifeOf(state, endpoint), MonotonicNow(), out);
+  Process(state, out);
+}
+
+void OnEndpointRefused(router_state& state, std::string_view endpoint) {
+  quarantine::outputs out;
+  quarantine::Lost(state.quarantine, LifeOf(state, endpoint), MonotonicNow(), out);
+  Process(state, out);
+}
+
+void OnEndpointAlive(router_state& state, const std::string& endpoint, uint64_t started) {
+  const auto before = LifeOf(state, endpoint);
+  const time_point now = MonotonicNow();
+  quarantine::outputs out;
+  if (before.incarnation != 0 && before.incarnation != started)
+    quarantine::Lost(state.quarantine, before, now, out);
+  state.endpoint_starts[endpoint] = started;
+  quarantine::Alive(state.quarantine, {endpoint, started}, now, out);
+  Process(state, out);
+}
+
+void HandleQuarantineLink(router_state& state, std::string_view peer, bool up) {
+  quarantine::SetHasPeers(state.quarantine, state.live_daemons.size() > 1);
+  if (up) return Publish(state, quarantine::Snapshot(state.quarantine), peer);
+  quarantine::outputs out;
+  quarantine::PeerGone(state.quarantine, peer, MonotonicNow(), out);
+  Process(state, out);
+}
+
+void HandleQuarantineMessage(router_state& state, std::string_view peer, const json& message) {
+  quarantine::outputs out;
+  for (const json& item : message.at("updates")) {
+    quarantine::Merge(state.quarantine, UpdateFromJson(peer, item), MonotonicNow(), out);
+  }
+  Process(state, out);
+}
+
 }  // namespace balsambay::router
--- a/libs/router/src/requests.cc
+++ b/libs/router/src/requests.cc
@@ -7,6 +7,7 @@
 #include "details/dispatch.h"
 #include "details/ledger_driver.h"
 #include "details/logging.h"
+#include "details/quarantine_driver.h"
 
 namespace balsambay::router {
 namespace {
@@ -23,7 +24,7 @@
 }
 
 void CancelTimers(router_state& state, const request& item) {
-  timer_service& timers = state.loop.timers();
+  timer_service& timers = state.loop.Timers();
   Cancel(timers, item.deadline_timer);
   Cancel(timers, item.progress_timer);
   Cancel(timers, item.backoff_timer);
@@ -47,7 +48,7 @@
   item->exchange->on_hangup = [&state, weak] {
     if (const auto held = weak.lock()) OnHangup(state, held);
   };
-  item->deadline_timer = Subscribe(state.loop.timers(), item->deadline, [&state, weak](time_point) {
+  item->deadline_timer = Subscribe(state.loop.Timers(), item->deadline, [&state, weak](time_point) {
     if (const auto held = weak.lock()) GiveUp(state, held, "deadline", "the deadline has passed");
   });
   OfferRequest(state, item);
@@ -93,6 +94,7 @@
 void Retire(router_state& state, const request_ptr& item) {
   if (!attempts::Advance(item->phase, phase_event::kFinished)) return;
   StopAttempt(state, *item);
+  if (std::exchange(item->permitted, false)) OnRunEnded(state, *item, item->answer.complete);
   CloseClaim(state, *item, false, "");
   CancelTimers(state, *item);
   item->exchange->on_hangup = nullptr;
@@ -113,7 +115,7 @@
   if (!LedgerReleased(state) || !state.on_stopped) return;
   const auto on_stopped = std::exchange(state.on_stopped, nullptr);
   // The last reply is still being written by libsoup.
-  Subscribe(state.loop.timers(), MonotonicNow() + std::chrono::milliseconds(200),
+  Subscribe(state.loop.Timers(), MonotonicNow() + std::chrono::milliseconds(200),
             [on_stopped](time_point) { on_stopped(0); });
 }
 
--- a/libs/router/src/router.cc
+++ b/libs/router/src/router.cc
@@ -10,6 +10,7 @@
 #include "details/logging.h"
 #include "details/membership_driver.h"
 #include "details/peers.h"
+#include "details/quarantine_driver.h"
 #include "details/requests.h"
 
 namespace balsambay::router {
@@ -54,6 +55,7 @@
     BOOST_OUTCOME_TRYV(StartLedger(state_));
     BOOST_OUTCOME_TRYV(StartConfig(state_));
     StartMonitor(state_);
+    StartQuarantine(state_);
     log::Log(
         log::level::kInfo, "started",
         {{"id", state_.config.id}, {"zone", state_.config.zone}, {"port", state_.server->Port()}});
@@ -67,7 +69,7 @@
     log::Log(log::level::kInfo, "stopping", {{"in_flight", state_.requests.size()}});
     state_.unready = true;
     state_.on_stopped = std::move(on_stopped);
-    Subscribe(state_.loop.timers(), MonotonicNow() + state_.config.unready_delay,
+    Subscribe(state_.loop.Timers(), MonotonicNow() + state_.config.unready_delay,
               [this](time_point) {
                 state_.draining = true;
                 LeaveZone(state_);
@@ -84,7 +86,7 @@
     };
     const net::server_limits limits{.max_body_bytes = state_.config.max_body_bytes,
                                     .body_timeout = state_.config.body_timeout};
-    BOOST_OUTCOME_TRY(server, net::ListenHttp(state_.config.listen, limits, state_.loop.timers(),
+    BOOST_OUTCOME_TRY(server, net::ListenHttp(state_.config.listen, limits, state_.loop.Timers(),
                                               std::move(handlers)));
     state_.server = std::move(server);
     return Success();
--- a/tools/loadgen/load.cc
+++ b/tools/loadgen/load.cc
@@ -100,7 +100,8 @@
   request.headers = {{"Authorization", "Bearer " + load.token},
                      {"Balsambay-Timeout-Ms", std::to_string(run.config.timeout_ms)}};
   if (!run.config.service.empty()) {
-    request.url = "http://" + target + "/v1/services/" + run.config.service;
+    const char* path = run.config.direct ? "/v1/call/" : "/v1/services/";
+    request.url = "http://" + target + path + run.config.service;
     request.headers.push_back({"Idempotency-Key", std::to_string(run.rng())});
     request.body = json{{"order", std::to_string(run.rng())}}.dump();
     return request;
@@ -138,7 +139,7 @@
   const double wait_s = -std::log(1 - UniformUnit(run.rng)) / rate;
   const time_point next = previous + duration(static_cast<int64_t>(wait_s * 1e6));
   if (next > run.end_of_arrivals) return;
-  Subscribe(run.loop.timers(), next, [&run, index, next](time_point) {
+  Subscribe(run.loop.Timers(), next, [&run, index, next](time_point) {
     SendOne(run, index, next);
     ScheduleNext(run, index, next);
   });
@@ -146,7 +147,7 @@
 
 // Ends the loop when all answers are there or the drain time is over.
 void WatchEnd(run_state& run) {
-  Subscribe(run.loop.timers(), MonotonicNow() + std::chrono::milliseconds(20),
+  Subscribe(run.loop.Timers(), MonotonicNow() + std::chrono::milliseconds(20),
             [&run](time_point now) {
               const bool idle = now > run.end_of_arrivals && run.open == 0;
               if (idle || now > run.end_of_arrivals + run.config.drain) return run.loop.Quit();
@@ -158,7 +159,7 @@
 
 outcome RunLoad(const settings& settings, net::loop& loop) {
   run_state run{
-      settings, loop, net::MakeHttpClient(loop.timers()), random_generator(settings.seed), {}, 0,
+      settings, loop, net::MakeHttpClient(loop.Timers()), random_generator(settings.seed), {}, 0,
       0,        {}};
   run.out.started = MonotonicNow();
   run.end_of_arrivals = run.out.started + settings.warm_up + settings.length;
--- a/tools/loadgen/load.h
+++ b/tools/loadgen/load.h
@@ -24,6 +24,7 @@
   duration drain = std::chrono::seconds(10);   // time for the last answers
   std::string model = "m1";
   std::string service;  // not empty: service calls in place of completions
+  bool direct = false;  // call the service's endpoint itself, as a baseline without a daemon
   uint32_t max_tokens = 64;
   bool heavy_tail = false;  // lengths from a Pareto distribution with mean max_tokens
   size_t prompt_bytes = 64;
--- a/tools/loadgen/main.cc
+++ b/tools/loadgen/main.cc
@@ -2,11 +2,11 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/strings/str_split.h>
 
 #include <cstdio>
 #include <fstream>
 #include <iostream>
-#include <ranges>
 
 #include "report.h"
 
@@ -18,6 +18,8 @@
 ABSL_FLAG(double, drain_seconds, 10, "time for the last answers");
 ABSL_FLAG(std::string, model, "m1", "model");
 ABSL_FLAG(std::string, service, "", "call this service in place of a model");
+ABSL_FLAG(bool, direct, false,
+          "--targets are endpoints of the service: a baseline without a daemon");
 ABSL_FLAG(uint32_t, max_tokens, 64, "tokens of an answer; the mean with --heavy_tail");
 ABSL_FLAG(bool, heavy_tail, false, "draw lengths from a Pareto distribution");
 ABSL_FLAG(uint32_t, prompt_bytes, 64, "own part of each prompt");
@@ -30,19 +32,14 @@
 namespace balsambay::loadgen {
 namespace {
 
-std::vector<std::string> Split(const std::string& text, char separator) {
-  std::vector<std::string> out;
-  for (auto part : text | std::views::split(separator)) out.emplace_back(part.begin(), part.end());
-  return out;
-}
-
 duration Seconds(double value) { return duration(static_cast<int64_t>(value * 1e6)); }
 
 settings ReadFlags() {
   settings out;
-  out.targets = Split(absl::GetFlag(FLAGS_targets), ',');
-  for (const std::string& entry : Split(absl::GetFlag(FLAGS_workspaces), ',')) {
-    const auto parts = Split(entry, ':');
+  out.targets = absl::StrSplit(absl::GetFlag(FLAGS_targets), ',', absl::SkipEmpty());
+  const std::string workspaces = absl::GetFlag(FLAGS_workspaces);
+  for (const std::string& entry : std::vector<std::string>(absl::StrSplit(workspaces, ','))) {
+    const std::vector<std::string> parts = absl::StrSplit(entry, ':');
     if (parts.size() == 3) out.workspaces.push_back({parts[0], parts[1], std::stod(parts[2])});
   }
   out.length = Seconds(absl::GetFlag(FLAGS_seconds));
@@ -50,6 +47,7 @@
   out.drain = Seconds(absl::GetFlag(FLAGS_drain_seconds));
   out.model = absl::GetFlag(FLAGS_model);
   out.service = absl::GetFlag(FLAGS_service);
+  out.direct = absl::GetFlag(FLAGS_direct);
   out.max_tokens = absl::GetFlag(FLAGS_max_tokens);
   out.heavy_tail = absl::GetFlag(FLAGS_heavy_tail);
   out.prompt_bytes = absl::GetFlag(FLAGS_prompt_bytes);
@@ -62,7 +60,7 @@
 
 int Run() {
   const settings config = ReadFlags();
-  if (config.targets.empty() || config.targets.front().empty() || config.workspaces.empty()) {
+  if (config.targets.empty() || config.workspaces.empty()) {
     std::cerr << "--targets and --workspaces are required\n";
     return 2;
   }
--- a/tools/mock_endpoint/endpoint.h
+++ b/tools/mock_endpoint/endpoint.h
@@ -43,10 +43,11 @@
 struct endpoint {
   settings config;
   net::loop loop;
-  std::unique_ptr<net::http_client> client = net::MakeHttpClient(loop.timers());
+  std::unique_ptr<net::http_client> client = net::MakeHttpClient(loop.Timers());
   std::FILE* journal = nullptr;
   bool leaving = false;
   uint64_t incarnation = 0;
+  int64_t started_ms = 0;
   uint64_t executed = 0;  // tokens or calls
   int active_calls = 0;
   std::map<std::string, std::shared_ptr<run>> runs;  // as head
--- a/tools/mock_endpoint/engine.cc
+++ b/tools/mock_endpoint/engine.cc
@@ -108,7 +108,7 @@
 
 void Schedule(endpoint& self, const std::shared_ptr<run>& job) {
   const time_point due = std::max(job->next_due, MonotonicNow() + kMinTick);
-  Subscribe(self.loop.timers(), due, [&self, job](time_point) {
+  Subscribe(self.loop.Timers(), due, [&self, job](time_point) {
     if (self.runs.contains(job->id)) Produce(self, job);
   });
 }
--- a/tools/mock_endpoint/main.cc
+++ b/tools/mock_endpoint/main.cc
@@ -45,7 +45,7 @@
 void QuitWhenIdle(endpoint& self) {
   if (!self.leaving || !self.runs.empty() || !self.kv.empty() || self.active_calls > 0) return;
   // The last reply is still in libsoup's hands.
-  Subscribe(self.loop.timers(), MonotonicNow() + std::chrono::milliseconds(300),
+  Subscribe(self.loop.Timers(), MonotonicNow() + std::chrono::milliseconds(300),
             [&self](time_point) { self.loop.Quit(); });
 }
 
@@ -55,6 +55,7 @@
   RespondJson(request, 200,
               {{"id", self.config.id},
                {"incarnation", self.incarnation},
+               {"started_ms", self.started_ms},
                {"state", self.leaving ? "leaving" : "live"},
                {"active", static_cast<int>(self.runs.size()) + self.active_calls},
                {"executed", self.executed},
@@ -103,6 +104,7 @@
 int Run() {
   endpoint self;
   self.config = ReadFlags();
+  self.started_ms = WallClockMs();
   self.incarnation = absl::GetFlag(FLAGS_incarnation);
   const std::string journal = absl::GetFlag(FLAGS_journal);
   if (!journal.empty()) self.journal = std::fopen(journal.c_str(), "a");
@@ -116,7 +118,7 @@
   };
   handlers.on_reject = [](net::rejection, std::vector<net::header>&) { return std::string("{}"); };
   auto server = net::ListenHttp(absl::GetFlag(FLAGS_listen), {.max_body_bytes = 16 << 20},
-                                self.loop.timers(), std::move(handlers));
+                                self.loop.Timers(), std::move(handlers));
   if (server.has_error()) {
     std::cerr << "cannot listen: " << server.error().detail << "\n";
     return 1;
--- a/tools/mock_endpoint/service.cc
+++ b/tools/mock_endpoint/service.cc
@@ -16,7 +16,7 @@
   if (body.find("[[crash]]") != std::string::npos) _exit(9);
   ++self.active_calls;
   ++self.executed;
-  Subscribe(self.loop.timers(),
+  Subscribe(self.loop.Timers(),
             MonotonicNow() + std::chrono::milliseconds(self.config.service_delay_ms),
             [&self, request, body](time_point) {
               RespondJson(request, 200, {{"endpoint", self.config.id}, {"result", Hash64(body)}});
--- a/tools/mock_platform/main.cc
+++ b/tools/mock_platform/main.cc
@@ -124,7 +124,7 @@
   if (state.faults.mode == "down") return RespondJson(request, 503, {{"error", "unavailable"}});
   if (state.faults.mode == "drop") return;
   if (state.faults.delay_ms == 0) return Route(state, request);
-  Subscribe(state.loop.timers(), MonotonicNow() + std::chrono::milliseconds(state.faults.delay_ms),
+  Subscribe(state.loop.Timers(), MonotonicNow() + std::chrono::milliseconds(state.faults.delay_ms),
             [&state, request](time_point) { Route(state, request); });
 }
 
@@ -134,7 +134,7 @@
   handlers.on_request = [&](const net::exchange_ptr& request) { OnRequest(state, request); };
   handlers.on_reject = [](net::rejection, std::vector<net::header>&) { return std::string("{}"); };
   auto server = net::ListenHttp(absl::GetFlag(FLAGS_listen), {.max_body_bytes = 64 << 20},
-                                state.loop.timers(), std::move(handlers));
+                                state.loop.Timers(), std::move(handlers));
   if (server.has_error()) {
     std::cerr << "cannot listen: " << server.error().detail << "\n";
     return 1;
