--- a/libs/net/src/engine_client.cc
+++ b/libs/net/src/engine_client.cc
@@ -115,7 +115,7 @@
     size_t begin = 0;
     for (size_t end = buffer_.find('\n'); end != std::string::npos && !done_;
          end = buffer_.find('\n', begin)) {
-      OnLine(std::string_view(buffer_).substr(begin, end - begin));
+      OnLine(std::string_view{buffer_}.substr(begin, end - begin));
       begin = end + 1;
     }
     buffer_.erase(0, begin);
--- a/libs/router/src/planning.cc
+++ b/libs/router/src/planning.cc
@@ -239,8 +239,9 @@
         candidate.kind == inventory::endpoint_kind::kService && candidate.service == item.service;
     if (!serves || !IsUsable(state, id)) continue;
     const auto mine = state.in_flight.find(id);
-    const int load = (mine == state.in_flight.end() ? 0 : mine->second) +
-                     (item.excluded.contains(id) ? 1'000'000 : 0);
+    const bool avoid = item.excluded.contains(id) || (item.alone && HasSuspectRun(state, id));
+    const int load =
+        (mine == state.in_flight.end() ? 0 : mine->second) + (avoid ? kAvoidedLoad : 0);
     const bool tie = best != nullptr && load == best_load;
     ties = tie ? ties + 1 : 1;
     // Among equals each is taken with the same probability.
--- a/tools/loadgen/load.cc
+++ b/tools/loadgen/load.cc
@@ -43,7 +43,7 @@
   // Mean of a Pareto distribution with shape a and scale s is s a / (a - 1).
   const double scale = run.config.max_tokens * (kParetoShape - 1) / kParetoShape;
   const double drawn = scale / std::pow(1 - UniformUnit(run.rng), 1 / kParetoShape);
-  return static_cast<uint32_t>(std::clamp(drawn, 1.0, double{kMaxTokens}));
+  return static_cast<uint32_t>(std::clamp(drawn, 1.0, static_cast<double>(kMaxTokens)));
 }
 
 std::string MakePrompt(run_state& run) {
@@ -61,7 +61,7 @@
   size_t begin = 0;
   for (size_t end = item.tail.find("\n\n"); end != std::string::npos;
        end = item.tail.find("\n\n", begin)) {
-    const std::string_view event = std::string_view(item.tail).substr(begin, end - begin);
+    const std::string_view event = std::string_view{item.tail}.substr(begin, end - begin);
     begin = end + 2;
     if (event == "data: [DONE]") item.result.whole = true;
     if (event.find("\"content\":") == std::string_view::npos) continue;
