--- a/libs/router/src/details/dispatch.h
+++ b/libs/router/src/details/dispatch.h
@@ -25,6 +25,9 @@
 void HandleAttemptFailure(router_state& state, const request_ptr& item, uint32_t attempt,
                           const attempt_error& error);
 
+// Cancels what runs for the open attempt, if any, and frees its places on the endpoints.
+void CloseAttempt(router_state& state, request& item);
+
 // Counts the attempt on the endpoints of its route; `delta` is 1 or -1.
 void CountInFlight(router_state& state, const request& item, int delta);
 
--- a/libs/router/src/dispatch.cc
+++ b/libs/router/src/dispatch.cc
@@ -77,16 +77,6 @@
   OnRunEnded(state, item, false);
 }
 
-void CloseAttempt(router_state& state, request& item) {
-  CountInFlight(state, item, -1);
-  item.route.clear();
-  if (item.run) item.run->Cancel();
-  if (item.call) item.call->Cancel();
-  item.run.reset();
-  item.call.reset();
-  item.reading_paused = false;
-}
-
 admission::retry_decision Decide(router_state& state, const request& item, attempts::next_step step,
                                  const attempt_error& error, time_point now) {
   const admission::failed_attempt failed{.workspace = item.workspace,
@@ -142,6 +132,16 @@
       item.route, [&](const net::run_stage& stage) { state.in_flight[stage.endpoint] += delta; });
 }
 
+void CloseAttempt(router_state& state, request& item) {
+  CountInFlight(state, item, -1);
+  item.route.clear();
+  if (item.run) item.run->Cancel();
+  if (item.call) item.call->Cancel();
+  item.run.reset();
+  item.call.reset();
+  item.reading_paused = false;
+}
+
 void HandleAttemptFailure(router_state& state, const request_ptr& item, uint32_t attempt,
                           const attempt_error& error) {
   const auto step = attempts::OnAttemptFailed(item->answer, attempt, error.failure);
--- a/libs/router/src/requests.cc
+++ b/libs/router/src/requests.cc
@@ -14,15 +14,6 @@
 
 using attempts::phase_event;
 
-void StopAttempt(router_state& state, request& item) {
-  CountInFlight(state, item, -1);
-  item.route.clear();
-  if (item.run) item.run->Cancel();
-  if (item.call) item.call->Cancel();
-  item.run.reset();
-  item.call.reset();
-}
-
 void CancelTimers(router_state& state, const request& item) {
   timer_service& timers = state.loop.Timers();
   Cancel(timers, item.deadline_timer);
@@ -93,7 +84,7 @@
 
 void Retire(router_state& state, const request_ptr& item) {
   if (!attempts::Advance(item->phase, phase_event::kFinished)) return;
-  StopAttempt(state, *item);
+  CloseAttempt(state, *item);
   if (std::exchange(item->permitted, false)) OnRunEnded(state, *item, item->answer.complete);
   CloseClaim(state, *item, false, "");
   CancelTimers(state, *item);
