Keep a request alive while it is retired

Cause: with the address sanitizer, a request that the quarantine refused when it was woken used memory after it was freed: the reference passed down was the map entry that Retire erases. Found by quarantine_test and answers_test with a sanitized daemon; the plain build passed by luck. The case without any route uses answers of 600 tokens, because a short one can be complete before the engines die (seen once with the slower sanitized daemon). Conclusion: run the system tests with a sanitized daemon after each change of the router.

--- a/libs/router/src/quarantine_driver.cc
+++ b/libs/router/src/quarantine_driver.cc
@@ -79,8 +79,10 @@
     state.held.erase(range.first, range.second);
     for (const std::string& id : ids) {
       const auto it = state.requests.find(id);
-      if (it != state.requests.end() && it->second->phase == attempts::phase::kReady)
-        Dispatch(state, it->second);
+      if (it == state.requests.end()) continue;
+      // A copy, because a request that is refused now is erased from the map.
+      const request_ptr item = it->second;
+      if (item->phase == attempts::phase::kReady) Dispatch(state, item);
     }
   }
 }
--- a/tests/system/answers_test.cc
+++ b/tests/system/answers_test.cc
@@ -25,9 +25,9 @@
 
 std::string Prompt(int i) { return "question " + std::to_string(i); }
 
-std::vector<reply_ptr> SendLoad(cluster& c, int count) {
+std::vector<reply_ptr> SendLoad(cluster& c, int count, int tokens = kTokens) {
   std::vector<reply_ptr> pending;
-  for (int i = 0; i < count; ++i) pending.push_back(c.SendChat("d1", Prompt(i), kTokens, true));
+  for (int i = 0; i < count; ++i) pending.push_back(c.SendChat("d1", Prompt(i), tokens, true));
   REQUIRE(c.RunUntil([&] {
     return std::ranges::all_of(pending, [](const auto& r) { return r->body.size() > 800; });
   }));
@@ -40,12 +40,13 @@
 };
 
 // Each answer is whole and right, or ends in an explicit error.
-answer_counts CheckAnswers(cluster& c, const std::vector<reply_ptr>& pending) {
+answer_counts CheckAnswers(cluster& c, const std::vector<reply_ptr>& pending,
+                           int tokens = kTokens) {
   answer_counts counts;
   for (size_t i = 0; i < pending.size(); ++i) {
     const reply got = c.Wait(pending[i]);
     const stream_text text = ParseStream(got.body);
-    const std::string expected = mock_answer::Expected(Prompt(static_cast<int>(i)), kTokens);
+    const std::string expected = mock_answer::Expected(Prompt(static_cast<int>(i)), tokens);
     if (text.done) {
       CHECK(text.content == expected);
       ++counts.whole;
@@ -94,9 +95,11 @@
 TEST_CASE("when no route is left, the stream ends in an explicit error and not as a whole answer") {
   cluster c("answers-no-route");
   AddEngines(c);
-  const auto pending = SendLoad(c, 4);
+  // Long enough that no answer is complete before the engines die.
+  constexpr int kLongAnswer = 600;
+  const auto pending = SendLoad(c, 4, kLongAnswer);
   for (const char* id : {"a1", "a2"}) c.Endpoint(id).process->Kill();
-  CHECK(CheckAnswers(c, pending).whole == 0);
+  CHECK(CheckAnswers(c, pending, kLongAnswer).whole == 0);
 }
 
 }  // namespace
