--- a/libs/router/src/details/requests.h
+++ b/libs/router/src/details/requests.h
@@ -21,7 +21,9 @@
             std::string detail, std::optional<duration> retry_after = std::nullopt);
 
 // Cancels what runs for the request and forgets it. The reply has been sent, or nobody reads it.
-void Retire(router_state& state, const request_ptr& retired);
+// Takes the pointer by value, because the caller's may be the entry of state.requests that is
+// erased here.
+void Retire(router_state& state, request_ptr item);
 
 // Reports the stop when it was asked for and the last request has ended.
 void CheckStopped(router_state& state);
--- a/libs/router/src/requests.cc
+++ b/libs/router/src/requests.cc
@@ -82,9 +82,7 @@
   Retire(state, item);
 }
 
-void Retire(router_state& state, const request_ptr& retired) {
-  // A copy: the caller's reference may be the entry of state.requests that is erased here.
-  const request_ptr item = retired;
+void Retire(router_state& state, request_ptr item) {
   if (!attempts::Advance(item->phase, phase_event::kFinished)) return;
   CloseAttempt(state, *item);
   if (std::exchange(item->permitted, false)) OnRunEnded(state, *item, item->answer.complete);
