Router: one function renders JSON replies for operators

Cause: admin_api and config_driver each had a copy; the second one could throw on text that is not UTF-8. Change: RespondJson in replies, used by both. Conclusion: replies look as before.

--- a/libs/router/src/admin_api.cc
+++ b/libs/router/src/admin_api.cc
@@ -15,11 +15,6 @@
 
 using nlohmann::json;
 
-void RespondJson(const net::exchange_ptr& exchange, int status, const json& body) {
-  const net::header type{"Content-Type", "application/json"};
-  exchange->Respond(status, {&type, 1}, body.dump(-1, ' ', false, json::error_handler_t::replace));
-}
-
 void RespondError(const net::exchange_ptr& exchange, int status, const std::string& message) {
   RespondJson(exchange, status, {{"errors", json::array({{{"path", ""}, {"message", message}}})}});
 }
--- a/libs/router/src/config_driver.cc
+++ b/libs/router/src/config_driver.cc
@@ -10,6 +10,7 @@
 #include "details/logging.h"
 #include "details/peers.h"
 #include "details/planning.h"
+#include "details/replies.h"
 #include "details/table_client.h"
 
 namespace balsambay::router {
@@ -88,11 +89,6 @@
   return Success();
 }
 
-void Respond(const net::exchange_ptr& exchange, int status, const json& body) {
-  const net::header type{"Content-Type", "application/json"};
-  exchange->Respond(status, {&type, 1}, body.dump());
-}
-
 // One operator's commit on its way through the table.
 struct submission {
   configsync::committer committer;
@@ -104,14 +100,14 @@
   const configsync::commit_outcome& outcome = item.committer.outcome;
   switch (outcome.result) {
     case kind::kCommitted:
-      Respond(item.exchange, 200, {{"version", outcome.version}});
+      RespondJson(item.exchange, 200, {{"version", outcome.version}});
       return Process(state, configsync::OnCommitted(*state.sync, outcome.version, MonotonicNow()));
     case kind::kConflict:
-      return Respond(item.exchange, 409, {{"version", outcome.version}});
+      return RespondJson(item.exchange, 409, {{"version", outcome.version}});
     case kind::kNotDone:
-      return Respond(item.exchange, 503, json::object());
+      return RespondJson(item.exchange, 503, json::object());
     case kind::kUnknown:
-      return Respond(item.exchange, 504, json::object());
+      return RespondJson(item.exchange, 504, json::object());
   }
 }
 
@@ -170,14 +166,15 @@
     json errors = json::array();
     for (const auto& error : parsed.errors)
       errors.push_back({{"path", error.path}, {"message", error.message}});
-    return Respond(exchange, 422, {{"errors", errors}});
+    return RespondJson(exchange, 422, {{"errors", errors}});
   }
-  if (base_version != state.version) return Respond(exchange, 409, {{"version", state.version}});
-  if (!state.config.config_file.empty()) return Respond(exchange, 503, json::object());
+  if (base_version != state.version)
+    return RespondJson(exchange, 409, {{"version", state.version}});
+  if (!state.config.config_file.empty()) return RespondJson(exchange, 503, json::object());
   configsync::commit_request request{document, base_version, state.sync->document,
                                      state.instance_id + "-" + std::to_string(state.rng())};
   auto started = configsync::StartCommit(std::move(request), ValidateDocument);
-  if (started.has_error()) return Respond(exchange, 422, {{"errors", json::array()}});
+  if (started.has_error()) return RespondJson(exchange, 422, {{"errors", json::array()}});
   ContinueCommit(state,
                  std::make_shared<submission>(submission{std::move(started).value(), exchange}));
 }
--- a/libs/router/src/details/replies.h
+++ b/libs/router/src/details/replies.h
@@ -1,6 +1,7 @@
 // What callers see: problem documents, completions and event streams.
 #pragma once
 
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -16,6 +17,9 @@
   std::optional<duration> retry_after = std::nullopt;  // when it makes sense to come back
 };
 
+// Whole JSON reply, for operators.
+void RespondJson(const net::exchange_ptr& exchange, int status, const nlohmann::json& body);
+
 // RFC 9457 problem document with headers, counted under its reason.
 void RespondProblem(router_state& state, const net::exchange_ptr& exchange, const problem& error);
 
--- a/libs/router/src/replies.cc
+++ b/libs/router/src/replies.cc
@@ -82,6 +82,11 @@
   return Dump(body);
 }
 
+void RespondJson(const net::exchange_ptr& exchange, int status, const json& body) {
+  const net::header type{"Content-Type", "application/json"};
+  exchange->Respond(status, {&type, 1}, Dump(body));
+}
+
 void RespondProblem(router_state& state, const net::exchange_ptr& exchange, const problem& error) {
   CountRefusal(state.metrics, error.reason);
   std::vector<net::header> headers = {
