--- a/apps/balsambayd/main.cc
+++ b/apps/balsambayd/main.cc
@@ -2,9 +2,12 @@
 #include <signal.h>
 
 #include <cstdio>
+#include <span>
+#include <string_view>
 
 #include "flags.h"
 #include "log/log.h"
+#include "platform/run.h"
 #include "router/router.h"
 
 namespace balsambay::app {
@@ -46,6 +49,9 @@
 }  // namespace balsambay::app
 
 int main(int argc, char** argv) {
+  // On the platform everything else comes from the settings file.
+  const std::span<char*> arguments(argv, static_cast<size_t>(argc));
+  if (argc > 1 && std::string_view(arguments[1]) == "platform") return balsambay::platform::Run();
   balsambay::app::ParseFlags(argc, argv);
   return balsambay::app::Run();
 }
--- a/cmake/balsambay.cmake
+++ b/cmake/balsambay.cmake
@@ -1,7 +1,9 @@
 # Functions that declare the targets of one library directory.
 
 # One Catch2 main for all test programs; compiling it once saves seconds for each of them.
-add_library(catch_main STATIC ${CMAKE_SOURCE_DIR}/cmake/catch_main.cc)
+if(BALSAMBAY_TESTS)
+  add_library(catch_main STATIC ${CMAKE_SOURCE_DIR}/cmake/catch_main.cc)
+endif()
 
 # balsambay_library(NAME [DEPS targets...]): static library `NAME` from src/**/*.cc.
 function(balsambay_library name)
@@ -15,6 +17,9 @@
 # balsambay_tests(NAME [DEPS targets...]): program `test_NAME` from tests/*.cc, run by CTest with a fixed
 # rapidcheck seed so that the verdict is the same on each run.
 function(balsambay_tests name)
+  if(NOT BALSAMBAY_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS tests/*.cc)
   add_executable(test_${name} ${sources})
@@ -27,6 +32,9 @@
 # balsambay_benchmarks(NAME [DEPS targets...]): one program `bench_FILE` for each benchmarks/*.cc. Benchmarks
 # print JSON lines and are run by scripts/bench, not by CTest.
 function(balsambay_benchmarks name)
+  if(NOT BALSAMBAY_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
   file(GLOB sources CONFIGURE_DEPENDS benchmarks/*.cc)
   foreach(source IN LISTS sources)
--- /dev/null
+++ b/libs/base/include/base/text.h
@@ -0,0 +1,22 @@
+// Text helpers on string views. Abseil's take its own view type, which is not the standard one in
+// Debian's build.
+#pragma once
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace balsambay {
+
+// Parts between separators; empty parts are kept. The views point into `text`.
+std::vector<std::string_view> SplitText(std::string_view text, char separator);
+
+std::string_view TrimSpace(std::string_view text);
+
+// ASCII only.
+bool EqualsIgnoreCase(std::string_view a, std::string_view b);
+
+// The whole text as a finite decimal number; nullopt otherwise.
+std::optional<double> ParseNumber(std::string_view text);
+
+}  // namespace balsambay
--- /dev/null
+++ b/libs/gateway/include/gateway/gateway.h
@@ -0,0 +1,65 @@
+// A gateway: takes requests from callers, chooses endpoints and passes answers through. The
+// platform's adapter feeds it with configuration, endpoints and peers, and gives it access to the
+// shared table.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+
+#include "base/result.h"
+#include "catalog/catalog.h"
+#include "gateway/settings.h"
+#include "gateway/wire.h"
+#include "lease/table_call.h"
+#include "net/loop.h"
+
+namespace balsambay::gateway {
+
+// Another gateway of the installation.
+struct peer_address {
+  std::string id;
+  std::string zone;
+  std::string address;  // IP:PORT (UDP)
+  bool operator==(const peer_address&) const = default;
+};
+
+// Sends a call to the shared table and reports its outcome once.
+using table_sender = std::function<void(const lease::table_call& call,
+                                        std::function<void(const lease::table_outcome&)> done)>;
+
+class gateway {
+ public:
+  virtual ~gateway() = default;
+
+  // Versions that are not newer than the one in force are ignored.
+  virtual void OnConfiguration(catalog::document document) = 0;
+
+  // Whether new versions are heard of. While they are not, a route or key that is not known may
+  // exist.
+  virtual void OnConfigurationFeed(bool reachable) = 0;
+
+  // The complete list of endpoints. Endpoints that are missing have left.
+  virtual void OnEndpoints(std::span<const listed_endpoint> endpoints) = 0;
+
+  // Whether the list of endpoints is being followed. Entries that lapse while it is not are back
+  // soon after, if the endpoints live.
+  virtual void OnEndpointList(bool reachable) = 0;
+
+  virtual void OnPeers(std::span<const peer_address> peers) = 0;
+
+  // Limits from changed settings; addresses stay.
+  virtual void OnSettings(const settings& settings) = 0;
+
+  // Graceful stop: unready at once, no new work after the balancer's delay; `on_stopped` when all
+  // requests have ended, or at the end of the grace time.
+  virtual void Stop(std::function<void(int cut_requests)> on_stopped) = 0;
+};
+
+// Listens and starts to serve. `loop` must outlive the gateway. Errors: kInvalidArgument,
+// kUnavailable.
+result<std::unique_ptr<gateway>> Start(const settings& settings, wire wire, table_sender table,
+                                       net::loop& loop);
+
+}  // namespace balsambay::gateway
--- /dev/null
+++ b/libs/gateway/src/attempt.cc
@@ -0,0 +1,304 @@
+// Attempts at endpoints.
+#include "details/attempt.h"
+
+#include <algorithm>
+#include <array>
+
+#include "details/fleet.h"
+#include "log/log.h"
+
+namespace balsambay::gateway {
+namespace {
+
+using std::chrono_literals::operator""ms;
+
+constexpr std::array<std::string_view, 5> kFailureNames = {"not_sent", "not_executed", "broken",
+                                                           "stalled", "failed"};
+
+// Engines of the platform take 10 ranks; requests without one have 5.
+constexpr int kMaxPriority = 9;
+// An order to reroute is answered at once or not at all.
+constexpr duration kRerouteTimeout = 400ms;
+// A reply larger than this is not collected in memory.
+constexpr size_t kMaxReplyBytes = size_t{16} << 20;
+// An endpoint that failed all its recent requests counts as this many requests longer.
+constexpr double kFailurePenalty = 20;
+// Preference for the own zone, in requests.
+constexpr double kOtherZonePenalty = 0.5;
+
+const catalog::service* ServiceOf(const call& item) {
+  return catalog::FindService(*item.configuration, item.service);
+}
+
+double ExpectedTokens(const call& item, const pipeline::model_spec& model) {
+  double answer = model.usual_answer_tokens;
+  // The caller's estimate is right at the median only, so it is averaged with the usual length.
+  if (item.incoming.expected_answer_tokens > 0) {
+    answer = (answer + item.incoming.expected_answer_tokens) / 2;
+  }
+  if (item.incoming.max_answer_tokens > 0) {
+    answer = std::min(answer, item.incoming.max_answer_tokens);
+  }
+  return item.incoming.prompt_tokens + answer;
+}
+
+std::vector<size_t> ExcludedIndexes(const call& item, const engine_views& views) {
+  std::vector<size_t> out;
+  for (size_t i = 0; i < views.ids.size(); ++i) {
+    if (item.avoided.contains(views.ids[i])) out.push_back(i);
+  }
+  return out;
+}
+
+std::vector<call_hop> ToHops(const pipeline::path& stages, const engine_views& views) {
+  std::vector<call_hop> out;
+  std::ranges::transform(stages, std::back_inserter(out), [&](const pipeline::path_stage& stage) {
+    return call_hop{views.ids[stage.engine], views.engines[stage.engine].address, stage.range};
+  });
+  return out;
+}
+
+std::vector<hop> WireHops(const std::vector<call_hop>& path) {
+  std::vector<hop> out;
+  std::ranges::transform(path, std::back_inserter(out), [](const call_hop& entry) {
+    return hop{entry.address, entry.range};
+  });
+  return out;
+}
+
+start_result ChoosePipeline(gateway_state& state, call& item, const catalog::service& service) {
+  const pipeline::model_spec& model = *service.pipelined;
+  const engine_views views = ViewEngines(state, service, MonotonicNow());
+  const std::vector<size_t> excluded = ExcludedIndexes(item, views);
+  item.committed_tokens = ExpectedTokens(item, model);
+  pipeline::path_query query{.tokens = item.committed_tokens,
+                             .home_zone = state.config.zone,
+                             .head = {},
+                             // An answer that has begun is worth more than one that has not.
+                             .ignore_room = item.streaming,
+                             .excluded = excluded};
+  pipeline::path_choice choice = pipeline::ChoosePath(model, views.engines, query);
+  if (choice.verdict == pipeline::path_verdict::kUncovered) return start_result::kNoEndpoint;
+  if (choice.verdict == pipeline::path_verdict::kNoRoom) return start_result::kNoRoom;
+  item.path = ToHops(choice.stages, views);
+  return start_result::kStarted;
+}
+
+start_result ChoosePlain(gateway_state& state, call& item) {
+  const time_point now = MonotonicNow();
+  const endpoint* best = nullptr;
+  double best_cost = 0;
+  bool any_full = false;
+  for (const auto& [id, candidate] : state.endpoints) {
+    if (candidate.listed.service != item.service || item.avoided.contains(id)) continue;
+    if (!IsUsable(state, candidate, now)) continue;
+    const double cost = candidate.own.sequences + candidate.peers.sequences +
+                        kFailurePenalty * FailureRate(candidate, now) +
+                        (candidate.listed.zone == state.config.zone ? 0 : kOtherZonePenalty) +
+                        UniformUnit(state.rng) * 0.1;
+    if (best == nullptr || cost < best_cost) {
+      best = &candidate;
+      best_cost = cost;
+    }
+  }
+  if (best == nullptr) return any_full ? start_result::kNoRoom : start_result::kNoEndpoint;
+  item.committed_tokens = 0;
+  item.path = {{best->listed.id, best->listed.address, {}}};
+  return start_result::kStarted;
+}
+
+bool IsOpen(const call_ptr& item, uint32_t attempt) {
+  return item && item->upstream && item->attempt == attempt;
+}
+
+bool IsStreamAnswer(const call& item) { return item.route->streamed && item.head.status == 200; }
+
+// Whether the reply belongs to the request and is as the endpoint made it.
+bool IsOwnReply(const call& item) {
+  const bool foreign = !item.facts.request_id.empty() && item.facts.request_id != item.incoming.id;
+  const bool success = item.head.status >= 200 && item.head.status < 300;
+  return !foreign && !item.facts.encoded && (!success || item.facts.authentic);
+}
+
+void Fail(gateway_state& state, const call_ptr& item, attempt_failure failure,
+          const attempt_events& events) {
+  events.on_failure(state, item, failure);
+}
+
+void OnHead(gateway_state& state, const call_ptr& item, const net::reply_head& head,
+            const attempt_events& events) {
+  item->head = head;
+  item->facts = state.wire.read_reply(head);
+  item->last_progress = MonotonicNow();
+  if (item->facts.not_executed) return Fail(state, item, attempt_failure::kNotExecuted, events);
+  if (!IsOwnReply(*item)) return Fail(state, item, attempt_failure::kBroken, events);
+}
+
+void OnData(gateway_state& state, const call_ptr& item, std::string_view data,
+            const attempt_events& events) {
+  if (!IsStreamAnswer(*item)) {
+    item->reply_body += data;
+    if (item->reply_body.size() > kMaxReplyBytes) {
+      Fail(state, item, attempt_failure::kBroken, events);
+    }
+    return;
+  }
+  const std::string whole = TakeWholeEvents(item->events, data);
+  if (whole.empty()) return;
+  item->last_progress = MonotonicNow();
+  item->progressed = true;
+  events.on_output(state, item, whole);
+}
+
+void OnEnd(gateway_state& state, const call_ptr& item, const net::call_end& end,
+           const attempt_events& events) {
+  switch (end.failure) {
+    case net::call_failure::kConnect:
+      return Fail(state, item, attempt_failure::kNotSent, events);
+    case net::call_failure::kTimeout:
+      return Fail(state, item, attempt_failure::kStalled, events);
+    case net::call_failure::kBroken:
+      return Fail(state, item, attempt_failure::kBroken, events);
+    case net::call_failure::kNone:
+      break;
+  }
+  const bool incomplete = IsStreamAnswer(*item) && !item->events.partial.empty();
+  const bool empty = IsStreamAnswer(*item) && item->events.events == 0;
+  if (incomplete || empty) return Fail(state, item, attempt_failure::kBroken, events);
+  if (item->head.status >= 500) return Fail(state, item, attempt_failure::kFailed, events);
+  events.on_answer(state, item);
+}
+
+attempt_spec MakeSpec(const call& item, const endpoint& target, duration time_left) {
+  attempt_spec spec;
+  spec.address = target.listed.address;
+  spec.endpoint_id = target.listed.id;
+  spec.time_left = time_left;
+  spec.workspace = item.workspace;
+  spec.priority = std::clamp(item.priority, 0, kMaxPriority);
+  if (item.path.front().range.Size() > 0) spec.path = WireHops(item.path);
+  spec.last_event_id =
+      item.events.last_id.empty() ? item.incoming.last_event_id : item.events.last_id;
+  return spec;
+}
+
+net::client_callbacks MakeCallbacks(gateway_state& state, const call_ptr& item,
+                                    const attempt_events& events) {
+  const std::weak_ptr<call> weak = item;
+  const uint32_t attempt = item->attempt;
+  net::client_callbacks out;
+  out.on_headers = [&state, weak, attempt, events](const net::reply_head& head) {
+    const call_ptr held = weak.lock();
+    if (IsOpen(held, attempt)) OnHead(state, held, head, events);
+  };
+  out.on_data = [&state, weak, attempt, events](std::string_view data) {
+    const call_ptr held = weak.lock();
+    if (IsOpen(held, attempt)) OnData(state, held, data, events);
+  };
+  out.on_end = [&state, weak, attempt, events](const net::call_end& end) {
+    const call_ptr held = weak.lock();
+    if (IsOpen(held, attempt)) OnEnd(state, held, end, events);
+  };
+  return out;
+}
+
+void AdoptPath(gateway_state& state, call& item, std::vector<call_hop> path) {
+  AttachLoad(state, item, -1);
+  item.path = std::move(path);
+  AttachLoad(state, item, 1);
+}
+
+}  // namespace
+
+std::string_view ToString(attempt_failure failure) {
+  return kFailureNames.at(static_cast<size_t>(failure));
+}
+
+start_result StartAttempt(gateway_state& state, const call_ptr& item,
+                          const attempt_events& events) {
+  const catalog::service* service = ServiceOf(*item);
+  if (service == nullptr) return start_result::kNoEndpoint;
+  const start_result chosen =
+      service->pipelined ? ChoosePipeline(state, *item, *service) : ChoosePlain(state, *item);
+  if (chosen != start_result::kStarted) return chosen;
+  const time_point now = MonotonicNow();
+  const endpoint& target = *FindEndpoint(state, item->path.front().endpoint_id);
+  ++item->attempt;
+  item->attempt_started = now;
+  item->last_progress = now;
+  item->progressed = false;
+  item->rerouting = false;
+  item->head = {};
+  item->facts = {};
+  item->reply_body.clear();
+  DropPartialEvent(item->events);
+  AttachLoad(state, *item, 1);
+  net::client_request request = state.wire.write_attempt(item->incoming, item->body,
+                                                         MakeSpec(*item, target, item->due - now));
+  request.header_timeout = item->due - now;
+  // A reused connection that the endpoint closes at the same moment would leave open whether the
+  // request ran.
+  request.fresh_connection = true;
+  item->upstream = state.client->Send(std::move(request), MakeCallbacks(state, item, events));
+  return start_result::kStarted;
+}
+
+void CloseAttempt(gateway_state& state, call& item) {
+  if (!item.upstream) return;
+  AttachLoad(state, item, -1);
+  item.path.clear();
+  Cancel(state.loop.Timers(), item.try_timer);
+  item.upstream->Cancel();
+  item.upstream.reset();
+}
+
+void Reroute(gateway_state& state, const call_ptr& item, const attempt_events& events) {
+  const catalog::service* service = ServiceOf(*item);
+  if (item->rerouting || service == nullptr || !service->pipelined) return;
+  const engine_views views = ViewEngines(state, *service, MonotonicNow());
+  const std::vector<size_t> excluded = ExcludedIndexes(*item, views);
+  const auto head = std::ranges::find(views.ids, item->path.front().endpoint_id);
+  if (head == views.ids.end()) return Fail(state, item, attempt_failure::kStalled, events);
+  pipeline::path_query query{
+      .tokens = item->committed_tokens,
+      .home_zone = state.config.zone,
+      .head = pipeline::path_stage{static_cast<size_t>(head - views.ids.begin()),
+                                   item->path.front().range},
+      .ignore_room = false,
+      .excluded = excluded};
+  pipeline::path_choice choice = pipeline::ChoosePath(*service->pipelined, views.engines, query);
+  if (choice.verdict == pipeline::path_verdict::kNoRoom) {
+    query.ignore_room = true;
+    choice = pipeline::ChoosePath(*service->pipelined, views.engines, query);
+  }
+  if (choice.verdict != pipeline::path_verdict::kFound) {
+    return Fail(state, item, attempt_failure::kStalled, events);
+  }
+  std::vector<call_hop> path = ToHops(choice.stages, views);
+  net::client_request order =
+      state.wire.write_reroute(item->path.front().address, item->incoming.id, WireHops(path));
+  order.header_timeout = kRerouteTimeout;
+  item->rerouting = true;
+  metrics::Increment(state.metrics.registry, state.metrics.rerouted);
+  const std::weak_ptr<call> weak = item;
+  net::Fetch(*state.client, std::move(order),
+             [&state, weak, attempt = item->attempt, path = std::move(path),
+              events](const net::whole_reply& reply) {
+               const call_ptr held = weak.lock();
+               if (!IsOpen(held, attempt)) return;
+               held->rerouting = false;
+               const bool done = reply.end.failure == net::call_failure::kNone &&
+                                 (reply.status == 200 || reply.status == 202);
+               log::Log(log::level::kInfo, "request rerouted",
+                        {{"request", held->incoming.id},
+                         {"attempt", attempt},
+                         {"head", path.front().endpoint_id},
+                         {"status", reply.status},
+                         {"detail", reply.end.detail}});
+               if (!done) return Fail(state, held, attempt_failure::kStalled, events);
+               held->last_progress = MonotonicNow();
+               AdoptPath(state, *held, path);
+             });
+}
+
+}  // namespace balsambay::gateway
--- /dev/null
+++ b/libs/gateway/src/calls.cc
@@ -0,0 +1,354 @@
+// Life of requests.
+#include "details/calls.h"
+
+#include <algorithm>
+#include <array>
+
+#include "details/attempt.h"
+#include "details/fleet.h"
+#include "details/monitor.h"
+#include "log/log.h"
+
+namespace balsambay::gateway {
+namespace {
+
+using std::chrono_literals::operator""ms;
+
+// Bytes buffered for a slow caller before reading from the endpoint stops.
+constexpr size_t kMaxPendingBytes = size_t{256} * 1024;
+// A further attempt that would begin later than this before the deadline cannot succeed.
+constexpr duration kLeastTimeLeft = 20ms;
+// Callers that were refused for want of room return spread over this time: the first requests in
+// progress end within it.
+constexpr duration kRoomRetryAfter = 600ms;
+constexpr duration kRoomRetrySpread = 1400ms;
+// An endpoint that is missing is back or replaced after about this time.
+constexpr duration kEndpointRetryAfter = 1000ms;
+constexpr duration kStartRetryAfter = 500ms;
+// An idempotent plain call is tried elsewhere when the endpoint has not answered by then; multiples
+// of the route's latency goal.
+constexpr double kTryGoalParts = 1.0;
+constexpr duration kLeastTryTime = 100ms;
+// A stream without output for this long is looked into; several times the usual pause between
+// events, and well below the time after which callers leave.
+constexpr duration kStallCheck = 300ms;
+
+struct refusal {
+  int status = 503;
+  std::string_view reason;
+  duration retry_after{0};  // 0: none
+};
+
+std::string RetryAfterText(duration value) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(value).count());
+  return text.data();
+}
+
+void Answer(gateway_state& state, const net::exchange_ptr& exchange, int status,
+            std::vector<net::header> headers, std::string_view body) {
+  if (state.unready) headers.push_back({"Connection", "close"});
+  exchange->Respond(status, headers, body);
+}
+
+void Refuse(gateway_state& state, const net::exchange_ptr& exchange, std::string_view request_id,
+            const refusal& why) {
+  CountRefusal(state.metrics, why.reason);
+  log::Log(log::level::kInfo, "request refused",
+           {{"request", request_id}, {"status", why.status}, {"reason", why.reason}});
+  std::vector<net::header> headers = {{"Content-Type", "text/plain"}};
+  if (why.retry_after > duration::zero()) {
+    headers.push_back({"Retry-After", RetryAfterText(why.retry_after)});
+  }
+  Answer(state, exchange, why.status, std::move(headers), std::string(why.reason) + "\n");
+}
+
+// A route or key that is not known may belong to a version that could not be read yet.
+void RefuseUnknown(gateway_state& state, const net::exchange_ptr& exchange, std::string_view id,
+                   const refusal& why) {
+  if (state.configuration_fed) return Refuse(state, exchange, id, why);
+  Refuse(state, exchange, id, {503, "configuration_outdated", kStartRetryAfter});
+}
+
+void Retire(gateway_state& state, const call_ptr& item) {
+  CloseAttempt(state, *item);
+  Cancel(state.loop.Timers(), item->due_timer);
+  item->exchange->on_hangup = nullptr;
+  item->exchange->on_drained = nullptr;
+  state.calls.erase(item->number);
+  CheckStopped(state);
+}
+
+// Final answer without an endpoint's answer. A reply that has begun is cut, so that it does not
+// look complete.
+void GiveUp(gateway_state& state, const call_ptr& item, refusal why) {
+  if (item->streaming) {
+    metrics::Increment(state.metrics.registry, state.metrics.broken_off);
+    log::Log(log::level::kWarning, "stream cut",
+             {{"request", item->incoming.id},
+              {"reason", why.reason},
+              {"events", item->events.events},
+              {"attempt", item->attempt}});
+    item->exchange->Abort();
+    return Retire(state, item);
+  }
+  if (item->may_have_run && why.status == 503) why.status = 502;
+  if (item->may_have_run) why.retry_after = duration::zero();
+  Refuse(state, item->exchange, item->incoming.id, why);
+  Retire(state, item);
+}
+
+duration SpreadRetry(gateway_state& state) {
+  return kRoomRetryAfter +
+         duration(static_cast<duration::rep>(
+             UniformUnit(state.rng) * static_cast<double>(duration(kRoomRetrySpread).count())));
+}
+
+void Begin(gateway_state& state, const call_ptr& item);
+
+// --- Outcomes of attempts.
+
+void OnAnswer(gateway_state& state, const call_ptr& item) {
+  const time_point now = MonotonicNow();
+  endpoint* target = FindEndpoint(state, item->path.front().endpoint_id);
+  if (target != nullptr) RecordOutcome(*target, item->head.status >= 500, now);
+  metrics::Increment(state.metrics.registry, state.metrics.completed);
+  metrics::Observe(state.metrics.registry, state.metrics.duration_seconds,
+                   std::chrono::duration<double>(now - item->arrived).count());
+  if (item->streaming) {
+    item->exchange->End();
+  } else {
+    Answer(state, item->exchange, item->head.status, state.wire.reply_headers(item->head),
+           item->reply_body);
+  }
+  Retire(state, item);
+}
+
+void OnOutput(gateway_state& state, const call_ptr& item, std::string_view events) {
+  if (!item->streaming) {
+    item->streaming = true;
+    metrics::Observe(state.metrics.registry, state.metrics.first_output_seconds,
+                     std::chrono::duration<double>(MonotonicNow() - item->arrived).count());
+    std::vector<net::header> headers = state.wire.reply_headers(item->head);
+    if (state.unready) headers.push_back({"Connection", "close"});
+    item->exchange->BeginStream(item->head.status, headers);
+  }
+  item->exchange->Write(events);
+  if (item->exchange->PendingBytes() > kMaxPendingBytes) item->upstream->PauseReading();
+}
+
+bool IsIdempotent(const call& item) { return item.route->idempotent || item.route->resumable; }
+
+bool MayTryAgain(gateway_state& state, const call& item, attempt_failure failure, time_point now) {
+  if (item.due - now < kLeastTimeLeft) return false;
+  if (item.may_have_run && !IsIdempotent(item)) return false;
+  if (failure == attempt_failure::kNotSent) return true;
+  return item.counted_sends < item.route->max_attempts && TryRepeat(state.budget, now);
+}
+
+void OnFailure(gateway_state& state, const call_ptr& item, attempt_failure failure) {
+  const time_point now = MonotonicNow();
+  const std::string target_id = item->path.front().endpoint_id;
+  std::string fault_id = target_id;
+  if (endpoint* named = FindByAddress(state, item->facts.fault_address)) {
+    fault_id = named->listed.id;
+  }
+  log::Log(log::level::kInfo, "attempt failed",
+           {{"request", item->incoming.id},
+            {"attempt", item->attempt},
+            {"endpoint", target_id},
+            {"fault", fault_id},
+            {"reason", ToString(failure)},
+            {"status", item->head.status},
+            {"events", item->events.events}});
+  endpoint* target = FindEndpoint(state, target_id);
+  endpoint* fault = FindEndpoint(state, fault_id);
+  if (failure != attempt_failure::kNotSent) ++item->sends;
+  const bool reached = failure != attempt_failure::kNotSent;
+  const bool pipelined = item->path.front().range.Size() > 0;
+  // Endpoints that have ended do not count as tried.
+  const bool target_lost = target == nullptr || target->down || failure == attempt_failure::kBroken;
+  if (reached && !(pipelined && target_lost)) ++item->counted_sends;
+  if (failure == attempt_failure::kBroken || failure == attempt_failure::kStalled ||
+      failure == attempt_failure::kFailed) {
+    item->may_have_run = true;
+  }
+  if (target != nullptr && failure != attempt_failure::kNotExecuted) {
+    RecordOutcome(*target, true, now);
+  }
+  item->avoided.insert(fault_id);
+  // An answer of the endpoint is passed on when there is no better one to be had.
+  const bool has_answer = failure == attempt_failure::kFailed && !item->streaming;
+  const net::reply_head head = item->head;
+  const std::string body = item->reply_body;
+  const bool overloaded = failure == attempt_failure::kNotExecuted && item->head.status != 421;
+  CloseAttempt(state, *item);
+  if (fault != nullptr && failure == attempt_failure::kNotSent) {
+    MarkDown(state, *fault, "cannot be reached");
+  } else if (fault != nullptr && pipelined &&
+             (failure == attempt_failure::kBroken || failure == attempt_failure::kNotExecuted)) {
+    AskEndpoint(state, *fault, failure == attempt_failure::kNotExecuted ? "refused" : "broke off");
+  }
+  if (!state.calls.contains(item->number)) return;
+  if (MayTryAgain(state, *item, failure, now)) {
+    CountRetry(state.metrics, ToString(failure));
+    return Begin(state, item);
+  }
+  if (has_answer) {
+    metrics::Increment(state.metrics.registry, state.metrics.completed);
+    Answer(state, item->exchange, head.status, state.wire.reply_headers(head), body);
+    return Retire(state, item);
+  }
+  GiveUp(state, item,
+         {.status = 503,
+          .reason = overloaded ? "endpoint_full" : "endpoint_failed",
+          .retry_after = SpreadRetry(state)});
+}
+
+constexpr attempt_events kEvents{OnAnswer, OnFailure, OnOutput};
+
+void WatchTry(gateway_state& state, const call_ptr& item) {
+  if (item->path.front().range.Size() > 0 || !item->route->idempotent) return;
+  if (item->counted_sends + 1 >= item->route->max_attempts) return;
+  const duration goal(static_cast<duration::rep>(
+      kTryGoalParts * static_cast<double>(item->route->latency_goal.count())));
+  const std::weak_ptr<call> weak = item;
+  item->try_timer =
+      Subscribe(state.loop.Timers(), MonotonicNow() + std::max<duration>(goal, kLeastTryTime),
+                [&state, weak, attempt = item->attempt](time_point) {
+                  const call_ptr held = weak.lock();
+                  if (!held || !held->upstream || held->attempt != attempt) return;
+                  OnFailure(state, held, attempt_failure::kStalled);
+                });
+}
+
+void Begin(gateway_state& state, const call_ptr& item) {
+  switch (StartAttempt(state, item, kEvents)) {
+    case start_result::kStarted:
+      return WatchTry(state, item);
+    case start_result::kNoRoom:
+      return GiveUp(state, item, {503, "no_room", SpreadRetry(state)});
+    case start_result::kNoEndpoint:
+      return GiveUp(state, item, {503, "no_endpoint", kEndpointRetryAfter});
+  }
+}
+
+void OnDue(gateway_state& state, const call_ptr& item) {
+  if (item->upstream) item->may_have_run = true;
+  GiveUp(state, item, {.status = item->may_have_run ? 504 : 503, .reason = "deadline"});
+}
+
+void OnHangup(gateway_state& state, const call_ptr& item) {
+  metrics::Increment(state.metrics.registry, state.metrics.hung_up);
+  log::Log(log::level::kDebug, "caller hung up",
+           {{"request", item->incoming.id}, {"events", item->events.events}});
+  Retire(state, item);
+}
+
+void Register(gateway_state& state, const call_ptr& item) {
+  state.calls[item->number] = item;
+  metrics::Increment(state.metrics.registry, state.metrics.accepted);
+  const std::weak_ptr<call> weak = item;
+  item->exchange->on_hangup = [&state, weak] {
+    if (const call_ptr held = weak.lock()) OnHangup(state, held);
+  };
+  item->exchange->on_drained = [weak] {
+    const call_ptr held = weak.lock();
+    if (held && held->upstream) held->upstream->ResumeReading();
+  };
+  item->due_timer = Subscribe(state.loop.Timers(), item->due, [&state, weak](time_point) {
+    if (const call_ptr held = weak.lock()) OnDue(state, held);
+  });
+}
+
+bool HasPart(const call& item, std::string_view endpoint_id) {
+  return std::ranges::find(item.path, endpoint_id, &call_hop::endpoint_id) != item.path.end();
+}
+
+}  // namespace
+
+void AcceptCall(gateway_state& state, const net::exchange_ptr& exchange) {
+  auto item = std::make_shared<call>();
+  item->incoming = state.wire.read_call(*exchange);
+  const std::string& id = item->incoming.id;
+  if (state.draining) return Refuse(state, exchange, id, {503, "stopping", kStartRetryAfter});
+  if (!state.configuration || !state.endpoints_known) {
+    return Refuse(state, exchange, id, {503, "not_ready", kStartRetryAfter});
+  }
+  item->configuration = state.configuration;
+  item->route = catalog::FindRoute(*item->configuration, item->incoming.host, item->incoming.path);
+  if (item->route == nullptr) return RefuseUnknown(state, exchange, id, {404, "unknown_route"});
+  item->priority = item->route->priority;
+  if (!item->configuration->content.workspaces.empty() && !item->route->anonymous) {
+    const catalog::workspace* owner =
+        catalog::FindWorkspace(*item->configuration, item->incoming.key);
+    if (owner == nullptr) return RefuseUnknown(state, exchange, id, {401, "unknown_key"});
+    item->workspace = owner->name;
+    item->priority = owner->priority.value_or(item->priority);
+  }
+  item->number = state.next_call++;
+  item->exchange = exchange;
+  item->body = exchange->Body();
+  item->service = catalog::PickTarget(*item->route, UniformUnit(state.rng)).service;
+  item->arrived = MonotonicNow();
+  item->due = item->arrived + item->route->timeout;
+  if (item->incoming.time_left) {
+    item->due = std::min(item->due, item->arrived + *item->incoming.time_left);
+  }
+  CountRequest(state.budget, item->arrived);
+  Register(state, item);
+  Begin(state, item);
+}
+
+void MoveCallsOff(gateway_state& state, const std::string& endpoint_id, bool lost) {
+  std::vector<call_ptr> affected;
+  for (const auto& [number, item] : state.calls) {
+    if (item->upstream && HasPart(*item, endpoint_id)) affected.push_back(item);
+  }
+  for (const call_ptr& item : affected) {
+    if (!item->upstream || !HasPart(*item, endpoint_id)) continue;
+    const bool pipelined = item->path.front().range.Size() > 0;
+    const bool is_head = item->path.front().endpoint_id == endpoint_id;
+    if (!pipelined) continue;
+    if (!is_head) {
+      Reroute(state, item, kEvents);
+    } else if (lost) {
+      OnFailure(state, item, attempt_failure::kStalled);
+    }
+  }
+}
+
+void CheckProgress(gateway_state& state) {
+  const time_point now = MonotonicNow();
+  std::set<std::string> heads;
+  for (const auto& [number, item] : state.calls) {
+    if (!item->upstream || item->path.front().range.Size() == 0 || item->rerouting) continue;
+    if (now - item->last_progress < kStallCheck) continue;
+    heads.insert(item->path.front().endpoint_id);
+  }
+  for (const std::string& id : heads) {
+    endpoint* head = FindEndpoint(state, id);
+    if (head != nullptr) AskEndpoint(state, *head, "no progress");
+  }
+}
+
+int CutCalls(gateway_state& state) {
+  std::vector<call_ptr> open;
+  std::ranges::transform(state.calls, std::back_inserter(open),
+                         [](const auto& entry) { return entry.second; });
+  for (const call_ptr& item : open) {
+    item->may_have_run = item->may_have_run || item->upstream != nullptr;
+    GiveUp(state, item, {.status = 503, .reason = "stopping", .retry_after = kStartRetryAfter});
+  }
+  return static_cast<int>(open.size());
+}
+
+void CheckStopped(gateway_state& state) {
+  if (!state.draining || !state.calls.empty() || !state.on_stopped) return;
+  const auto on_stopped = std::exchange(state.on_stopped, nullptr);
+  // The last reply is still being written.
+  Subscribe(state.loop.Timers(), MonotonicNow() + 200ms,
+            [on_stopped](time_point) { on_stopped(0); });
+}
+
+}  // namespace balsambay::gateway
--- /dev/null
+++ b/libs/gateway/src/details/attempt.h
@@ -0,0 +1,41 @@
+// One attempt of a request at an endpoint: choice, sending, reply.
+#pragma once
+
+#include <string_view>
+
+#include "details/state.h"
+
+namespace balsambay::gateway {
+
+// Why an attempt produced no answer.
+enum class attempt_failure : uint8_t {
+  kNotSent,      // the endpoint could not be reached; nothing was sent
+  kNotExecuted,  // the endpoint or an engine on its path refused before it began
+  kBroken,       // connection broken, malformed or foreign reply
+  kStalled,      // no answer for too long, or an engine on the path was lost
+  kFailed,       // the endpoint answered with an error of its own
+};
+
+std::string_view ToString(attempt_failure failure);
+
+// What the attempt reports to the request that owns it. Each has no effect for attempts that are
+// not the open one.
+struct attempt_events {
+  void (*on_answer)(gateway_state& state, const call_ptr& item);
+  void (*on_failure)(gateway_state& state, const call_ptr& item, attempt_failure failure);
+  void (*on_output)(gateway_state& state, const call_ptr& item, std::string_view events);
+};
+
+enum class start_result : uint8_t { kStarted, kNoRoom, kNoEndpoint };
+
+// Chooses an endpoint or path and sends the request there.
+start_result StartAttempt(gateway_state& state, const call_ptr& item, const attempt_events& events);
+
+// Cancels the open attempt and releases its load.
+void CloseAttempt(gateway_state& state, call& item);
+
+// Replaces the engines after the head of the open attempt. Reports kStalled when that is not
+// possible.
+void Reroute(gateway_state& state, const call_ptr& item, const attempt_events& events);
+
+}  // namespace balsambay::gateway
--- /dev/null
+++ b/libs/gateway/src/details/fleet.h
@@ -0,0 +1,41 @@
+// Endpoints as this gateway sees them: the platform's list, their reports and direct evidence.
+#pragma once
+
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "details/state.h"
+
+namespace balsambay::gateway {
+
+endpoint* FindEndpoint(gateway_state& state, std::string_view id);
+endpoint* FindByAddress(gateway_state& state, std::string_view address);
+
+// Whether new work may be sent there.
+bool IsUsable(const gateway_state& state, const endpoint& item, time_point now);
+
+// Engines of a pipelined service for the choice of a path. `ids[i]` is the id of `engines[i]`.
+struct engine_views {
+  std::vector<pipeline::engine> engines;
+  std::vector<std::string> ids;
+};
+
+engine_views ViewEngines(const gateway_state& state, const catalog::service& service,
+                         time_point now);
+
+void ReplaceEndpoints(gateway_state& state, std::span<const listed_endpoint> listed);
+
+// Takes an endpoint out of use until it reports again. Requests on it move elsewhere.
+void MarkDown(gateway_state& state, endpoint& item, std::string_view reason);
+
+void ApplyReport(gateway_state& state, endpoint& item, const engine_report& report);
+
+// Outcome of a request on the endpoint.
+void RecordOutcome(endpoint& item, bool failed, time_point now);
+double FailureRate(const endpoint& item, time_point now);
+
+// Adds or removes the load of a call's open path.
+void AttachLoad(gateway_state& state, const call& item, int sign);
+
+}  // namespace balsambay::gateway
--- /dev/null
+++ b/libs/gateway/src/details/repeat_budget.h
@@ -0,0 +1,24 @@
+// Limit on second sends. All gateways share one budget per window; each spends only the part that
+// is safe without knowing what the others spend.
+#pragma once
+
+#include <deque>
+
+#include "base/time.h"
+
+namespace balsambay::gateway {
+
+struct repeat_budget {
+  duration window = std::chrono::seconds(10);
+  double ratio = 0;      // of the own requests of the window
+  double own_slack = 0;  // this gateway's part of the fixed allowance
+  std::deque<time_point> requests;
+  std::deque<time_point> repeats;
+};
+
+void CountRequest(repeat_budget& budget, time_point now);
+
+// Spends one repeat when the budget allows it.
+bool TryRepeat(repeat_budget& budget, time_point now);
+
+}  // namespace balsambay::gateway
--- /dev/null
+++ b/libs/gateway/src/details/state.h
@@ -0,0 +1,170 @@
+// State of one gateway, shared by its parts.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/random.h"
+#include "catalog/catalog.h"
+#include "details/event_stream.h"
+#include "details/repeat_budget.h"
+#include "details/telemetry.h"
+#include "gateway/gateway.h"
+#include "lease/holder.h"
+#include "net/datagram.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "pipeline/path.h"
+
+namespace balsambay::gateway {
+
+// Load that requests put on an endpoint.
+struct load {
+  double committed = 0;  // tokens x layers that they may come to hold
+  int sequences = 0;
+  int head_requests = 0;
+};
+
+// One endpoint: what the platform lists, what the endpoint reports and what requests have shown.
+struct endpoint {
+  listed_endpoint listed;
+  std::optional<pipeline::layer_range> held;  // newest of list and report
+  uint64_t accepted_orders = 0;
+  bool busy = false;
+  double slowdown = 1;
+  load own;                 // requests of this gateway
+  load peers;               // of all others, as they last said
+  bool down = false;        // did not answer; not used until it reports
+  time_point next_probe;    // while down
+  bool probing = false;     // a report is under way
+  time_point reported_at;   // last report
+  time_point checked_at;    // last report that was asked for because a request stalled
+  double failure_rate = 0;  // moving mean over requests, decays with time since `failure_at`
+  time_point failure_at;
+};
+
+struct call;
+using call_ptr = std::shared_ptr<call>;
+
+struct call_hop {
+  std::string endpoint_id;
+  std::string address;
+  pipeline::layer_range range;
+};
+
+// One request of a caller. Owned by gateway_state::calls from acceptance to its final answer;
+// callbacks hold weak pointers, so that nothing acts on a request that has ended.
+struct call {
+  uint64_t number = 0;
+  incoming_call incoming;
+  std::string body;
+  net::exchange_ptr exchange;
+  std::shared_ptr<const catalog::catalog> configuration;  // in force when it arrived
+  const catalog::route* route = nullptr;                  // in `configuration`
+  std::string service;
+  std::string workspace;
+  int priority = 0;
+  time_point arrived;
+  time_point due;  // the final answer is given by then
+
+  // The open attempt.
+  uint32_t attempt = 0;
+  std::vector<call_hop> path;  // one entry for plain services
+  double committed_tokens = 0;
+  std::shared_ptr<net::client_call> upstream;
+  net::reply_head head;
+  reply_facts facts;
+  std::string reply_body;  // answers that are sent whole
+  time_point attempt_started;
+  time_point last_progress;
+  bool progressed = false;  // the open attempt has produced output
+  bool checking = false;    // the head is being asked why there is no progress
+  time_point next_check;
+  bool rerouting = false;
+
+  // Over all attempts.
+  int sends = 0;          // attempts that reached an endpoint
+  int counted_sends = 0;  // those to endpoints that are still there
+  bool may_have_run = false;
+  bool streaming = false;  // the reply to the caller has begun
+  event_splitter events;
+  std::set<std::string> avoided;  // endpoint ids that failed for this request
+  timer_id due_timer = 0;
+  timer_id try_timer = 0;
+};
+
+// State of the orders to one engine, at the gateway that places layers.
+struct placement_order {
+  pipeline::layer_range range;
+  uint64_t incarnation = 0;
+  std::optional<uint64_t> expected_orders;  // accepted before this one
+  bool in_call = false;
+  bool accepted = false;
+  time_point started;
+  time_point next_step;
+};
+
+struct peer {
+  peer_address address;
+  time_point heard;                   // min(): never
+  std::map<std::string, load> loads;  // by endpoint address
+};
+
+struct gateway_state {
+  gateway_state(const settings& values, wire calls, table_sender sender, net::loop& main_loop)
+      : config(values),
+        wire(std::move(calls)),
+        table(std::move(sender)),
+        loop(main_loop),
+        client(net::MakeHttpClient(main_loop.Timers())),
+        rng(values.seed != 0 ? values.seed : std::random_device{}()) {}
+
+  settings config;
+  struct wire wire;
+  table_sender table;
+  net::loop& loop;
+  std::unique_ptr<net::http_client> client;
+  std::unique_ptr<net::http_server> server;
+  std::unique_ptr<net::http_server> ready_server;
+  std::unique_ptr<net::http_server> metrics_server;
+  std::unique_ptr<net::datagram_socket> peer_socket;
+  random_generator rng;
+
+  std::shared_ptr<const catalog::catalog> configuration;  // null: none yet
+  bool configuration_fed = false;                         // newer versions would be known
+  bool endpoints_known = false;
+  bool list_reachable = true;
+  time_point list_back_at;        // when the list could last be followed again
+  std::set<std::string> missing;  // endpoints that lapsed while the list could not be followed
+  std::map<std::string, endpoint> endpoints;  // by id
+  std::unordered_map<std::string, std::string> id_by_address;
+  std::map<std::string, peer> peers;                  // by id, without this gateway
+  std::map<std::string, time_point> zone_down_until;  // zones that cannot be reached
+
+  std::unordered_map<uint64_t, call_ptr> calls;
+  uint64_t next_call = 1;
+  repeat_budget budget;
+
+  // Placement of layers.
+  lease::holder lease;
+  std::map<std::string, placement_order> orders;  // by endpoint id
+  time_point endpoints_changed;
+  time_point held_since;  // when this gateway last began to place layers
+  double tokens_per_stage = 0;
+  bool placing = false;
+
+  bool unready = false;
+  bool draining = false;  // takes no new work
+  bool stopping_lease = false;
+  time_point stop_at;
+  std::function<void(int)> on_stopped;
+  telemetry metrics;
+};
+
+}  // namespace balsambay::gateway
--- /dev/null
+++ b/libs/gateway/src/details/telemetry.h
@@ -0,0 +1,29 @@
+// Metrics of the gateway: a counter for each refusal and retry reason, latency histograms.
+#pragma once
+
+#include <string_view>
+
+#include "metrics/metrics.h"
+
+namespace balsambay::gateway {
+
+struct telemetry {
+  telemetry();
+  metrics::registry registry;
+  metrics::counter_id accepted;
+  metrics::counter_id completed;
+  metrics::counter_id broken_off;  // replies that ended early
+  metrics::counter_id hung_up;     // callers that left
+  metrics::counter_id rerouted;
+  metrics::counter_id orders;
+  metrics::counter_id table_failures;
+  metrics::histogram_id first_output_seconds;
+  metrics::histogram_id duration_seconds;
+  metrics::gauge_id open_calls;
+  metrics::gauge_id config_version;
+};
+
+void CountRefusal(telemetry& metrics, std::string_view reason);
+void CountRetry(telemetry& metrics, std::string_view reason);
+
+}  // namespace balsambay::gateway
--- /dev/null
+++ b/libs/gateway/src/fleet.cc
@@ -0,0 +1,181 @@
+// Endpoint registry.
+#include "details/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "details/calls.h"
+#include "log/log.h"
+
+namespace balsambay::gateway {
+namespace {
+
+using std::chrono_literals::operator""ms;
+
+// First report that is asked of an endpoint that went down.
+constexpr duration kFirstProbeDelay = 300ms;
+// Entries that lapsed while the list could not be followed are back within this time, if their
+// endpoints live.
+constexpr duration kLapsedLifetime = 2200ms;
+constexpr double kFailureWeight = 0.2;     // of the newest request in the moving mean
+constexpr double kFailureHalfLifeS = 3.0;  // without requests, an endpoint is tried again soon
+
+size_t KindIndex(const pipeline::model_spec& model, std::string_view name) {
+  const auto it = std::ranges::find(model.kinds, name, &pipeline::accelerator_kind::name);
+  return static_cast<size_t>(it - model.kinds.begin());
+}
+
+void Update(gateway_state& state, endpoint& item, const listed_endpoint& listed) {
+  const bool restarted = item.listed.incarnation != listed.incarnation;
+  const bool now_leaving = listed.leaving && !item.listed.leaving;
+  // Within one incarnation, leaving is final.
+  const bool leaving = listed.leaving || (!restarted && item.listed.leaving);
+  if (item.listed.address != listed.address) state.id_by_address.erase(item.listed.address);
+  const bool held_changed = restarted || item.listed.held != listed.held;
+  item.listed = listed;
+  item.listed.leaving = leaving;
+  state.id_by_address[listed.address] = listed.id;
+  if (held_changed) item.held = listed.held;
+  if (restarted) {
+    item.accepted_orders = 0;
+    item.busy = false;
+    item.down = false;
+    item.failure_rate = 0;
+  }
+  if (now_leaving) {
+    log::Log(log::level::kInfo, "endpoint is leaving", {{"endpoint", listed.id}});
+    MoveCallsOff(state, listed.id, false);
+  }
+}
+
+void Remove(gateway_state& state, const std::string& id) {
+  const auto found = state.endpoints.find(id);
+  log::Log(log::level::kInfo, "endpoint left the list", {{"endpoint", id}});
+  const auto by_address = state.id_by_address.find(found->second.listed.address);
+  if (by_address != state.id_by_address.end() && by_address->second == id) {
+    state.id_by_address.erase(by_address);
+  }
+  state.endpoints.erase(found);
+  MoveCallsOff(state, id, false);
+}
+
+}  // namespace
+
+endpoint* FindEndpoint(gateway_state& state, std::string_view id) {
+  const auto found = state.endpoints.find(std::string(id));
+  return found == state.endpoints.end() ? nullptr : &found->second;
+}
+
+endpoint* FindByAddress(gateway_state& state, std::string_view address) {
+  const auto found = state.id_by_address.find(std::string(address));
+  return found == state.id_by_address.end() ? nullptr : FindEndpoint(state, found->second);
+}
+
+bool IsUsable(const gateway_state& state, const endpoint& item, time_point now) {
+  if (item.listed.leaving || item.down) return false;
+  const auto zone = state.zone_down_until.find(item.listed.zone);
+  return zone == state.zone_down_until.end() || zone->second <= now;
+}
+
+engine_views ViewEngines(const gateway_state& state, const catalog::service& service,
+                         time_point now) {
+  engine_views out;
+  for (const auto& [id, item] : state.endpoints) {
+    if (item.listed.service != service.name) continue;
+    const size_t kind = KindIndex(*service.pipelined, item.listed.accelerator);
+    if (kind == service.pipelined->kinds.size()) continue;
+    out.engines.push_back(
+        {.id = id,
+         .address = item.listed.address,
+         .zone = item.listed.zone,
+         .kind = kind,
+         .held = item.held.value_or(pipeline::layer_range{}),
+         .usable = IsUsable(state, item, now),
+         .slowdown = item.slowdown,
+         .committed = item.own.committed + item.peers.committed,
+         .sequences = static_cast<double>(item.own.sequences + item.peers.sequences),
+         .head_requests = static_cast<double>(item.own.head_requests + item.peers.head_requests)});
+    out.ids.push_back(id);
+  }
+  return out;
+}
+
+void ReplaceEndpoints(gateway_state& state, std::span<const listed_endpoint> listed) {
+  state.endpoints_known = true;
+  std::vector<std::string> gone;
+  for (const auto& [id, item] : state.endpoints) {
+    if (std::ranges::find(listed, id, &listed_endpoint::id) == listed.end()) gone.push_back(id);
+  }
+  for (const listed_endpoint& entry : listed) {
+    state.missing.erase(entry.id);
+    const auto [found, added] = state.endpoints.try_emplace(entry.id);
+    if (added) found->second.listed.incarnation = entry.incarnation + 1;
+    if (added || found->second.listed != entry) {
+      state.endpoints_changed = MonotonicNow();
+      Update(state, found->second, entry);
+    }
+  }
+  if (gone.empty()) return;
+  const time_point now = MonotonicNow();
+  state.endpoints_changed = now;
+  const bool may_be_back =
+      state.list_back_at != time_point() && now - state.list_back_at < kLapsedLifetime;
+  if (!may_be_back) {
+    std::ranges::for_each(gone, [&](const std::string& id) { Remove(state, id); });
+    return;
+  }
+  for (const std::string& id : gone) {
+    if (!state.missing.insert(id).second) continue;
+    Subscribe(state.loop.Timers(), state.list_back_at + kLapsedLifetime, [&state, id](time_point) {
+      if (state.missing.erase(id) > 0 && state.endpoints.contains(id)) Remove(state, id);
+    });
+  }
+}
+
+void MarkDown(gateway_state& state, endpoint& item, std::string_view reason) {
+  if (item.down) return;
+  item.down = true;
+  item.next_probe = MonotonicNow() + kFirstProbeDelay;
+  log::Log(log::level::kWarning, "endpoint out of use",
+           {{"endpoint", item.listed.id}, {"address", item.listed.address}, {"reason", reason}});
+  MoveCallsOff(state, item.listed.id, true);
+}
+
+void ApplyReport(gateway_state& state, endpoint& item, const engine_report& report) {
+  if (report.incarnation != 0 && report.incarnation < item.listed.incarnation) return;
+  if (item.down) {
+    log::Log(log::level::kInfo, "endpoint back in use", {{"endpoint", item.listed.id}});
+  }
+  item.down = false;
+  item.reported_at = MonotonicNow();
+  item.accepted_orders = report.accepted_orders;
+  item.busy = report.busy;
+  item.slowdown = std::max(1.0, report.slowdown);
+  if (item.held != report.held) {
+    item.held = report.held;
+    state.endpoints_changed = item.reported_at;
+  }
+}
+
+double FailureRate(const endpoint& item, time_point now) {
+  const double seconds = std::chrono::duration<double>(now - item.failure_at).count();
+  return item.failure_rate * std::exp2(-seconds / kFailureHalfLifeS);
+}
+
+void RecordOutcome(endpoint& item, bool failed, time_point now) {
+  const double rate = FailureRate(item, now);
+  item.failure_rate = rate + kFailureWeight * ((failed ? 1.0 : 0.0) - rate);
+  item.failure_at = now;
+}
+
+void AttachLoad(gateway_state& state, const call& item, int sign) {
+  for (size_t i = 0; i < item.path.size(); ++i) {
+    endpoint* target = FindEndpoint(state, item.path[i].endpoint_id);
+    if (target == nullptr) continue;
+    target->own.committed += sign * item.committed_tokens * item.path[i].range.Size();
+    target->own.sequences += sign;
+    if (i == 0) target->own.head_requests += sign;
+  }
+}
+
+}  // namespace balsambay::gateway
--- /dev/null
+++ b/libs/gateway/src/gateway.cc
@@ -0,0 +1,155 @@
+// Start, configuration, readiness and shutdown of a gateway.
+#include "gateway/gateway.h"
+
+#include "details/calls.h"
+#include "details/fleet.h"
+#include "details/monitor.h"
+#include "details/placer.h"
+#include "log/log.h"
+#include "metrics/prometheus.h"
+
+namespace balsambay::gateway {
+namespace {
+
+using std::chrono_literals::operator""ms;
+
+// Left for the process to end before the platform kills it.
+constexpr duration kExitReserve = 300ms;
+// Callers' connections are kept open; they close them themselves.
+constexpr duration kIdleTimeout = std::chrono::minutes(5);
+
+class gateway_impl final : public gateway {
+ public:
+  gateway_impl(const settings& settings, wire wire, table_sender table, net::loop& loop)
+      : state_(settings, std::move(wire), std::move(table), loop) {
+    ApplyBudget();
+  }
+
+  result<void> Listen() {
+    const net::server_limits limits{.max_body_bytes = size_t{64} << 20,
+                                    .body_timeout = std::chrono::seconds(30),
+                                    .idle_timeout = kIdleTimeout};
+    net::server_handlers calls;
+    calls.on_request = [this](const net::exchange_ptr& exchange) { AcceptCall(state_, exchange); };
+    calls.on_reject = [](net::rejection, std::vector<net::header>&) { return std::string(); };
+    BOOST_OUTCOME_TRY(server, net::ListenHttp(state_.config.listen, limits, state_.loop.Timers(),
+                                              std::move(calls)));
+    state_.server = std::move(server);
+    net::server_handlers ready;
+    ready.on_request = [this](const net::exchange_ptr& exchange) { AnswerReady(exchange); };
+    ready.on_reject = [](net::rejection, std::vector<net::header>&) { return std::string(); };
+    BOOST_OUTCOME_TRY(ready_server, net::ListenHttp(state_.config.listen_ready, limits,
+                                                    state_.loop.Timers(), std::move(ready)));
+    state_.ready_server = std::move(ready_server);
+    if (state_.config.listen_metrics.empty()) return Success();
+    net::server_handlers metrics;
+    metrics.on_request = [this](const net::exchange_ptr& exchange) { AnswerMetrics(exchange); };
+    metrics.on_reject = [](net::rejection, std::vector<net::header>&) { return std::string(); };
+    BOOST_OUTCOME_TRY(metrics_server, net::ListenHttp(state_.config.listen_metrics, limits,
+                                                      state_.loop.Timers(), std::move(metrics)));
+    state_.metrics_server = std::move(metrics_server);
+    return Success();
+  }
+
+  result<void> Run() {
+    BOOST_OUTCOME_TRYV(Listen());
+    BOOST_OUTCOME_TRYV(StartPeers(state_));
+    StartMonitor(state_);
+    StartPlacer(state_);
+    log::Log(log::level::kInfo, "gateway started",
+             {{"id", state_.config.id}, {"zone", state_.config.zone}});
+    return Success();
+  }
+
+  void OnConfiguration(catalog::document document) override {
+    const uint64_t known = state_.configuration ? state_.configuration->content.version : 0;
+    if (document.version <= known) return;
+    log::Log(log::level::kInfo, "configuration in force",
+             {{"version", document.version},
+              {"before", known},
+              {"routes", document.routes.size()},
+              {"workspaces", document.workspaces.size()}});
+    state_.configuration =
+        std::make_shared<const catalog::catalog>(catalog::Build(std::move(document)));
+    metrics::Set(state_.metrics.registry, state_.metrics.config_version,
+                 static_cast<double>(state_.configuration->content.version));
+  }
+
+  void OnConfigurationFeed(bool reachable) override { state_.configuration_fed = reachable; }
+
+  void OnEndpoints(std::span<const listed_endpoint> endpoints) override {
+    ReplaceEndpoints(state_, endpoints);
+  }
+
+  void OnEndpointList(bool reachable) override {
+    const time_point now = MonotonicNow();
+    if (reachable) state_.list_back_at = now;
+    state_.list_reachable = reachable;
+  }
+
+  void OnPeers(std::span<const peer_address> peers) override { ReplacePeers(state_, peers); }
+
+  void OnSettings(const settings& settings) override {
+    state_.config.retry_ratio = settings.retry_ratio;
+    state_.config.retry_window = settings.retry_window;
+    state_.config.retry_slack = settings.retry_slack;
+    state_.config.stop_grace = settings.stop_grace;
+    ApplyBudget();
+  }
+
+  void Stop(std::function<void(int)> on_stopped) override {
+    if (state_.unready) return;
+    log::Log(log::level::kInfo, "stopping", {{"open_requests", state_.calls.size()}});
+    state_.unready = true;
+    state_.on_stopped = std::move(on_stopped);
+    const time_point now = MonotonicNow();
+    StopPlacer(state_);
+    timer_service& timers = state_.loop.Timers();
+    Subscribe(timers, now + state_.config.unready_delay, [this](time_point) {
+      state_.draining = true;
+      CheckStopped(state_);
+    });
+    Subscribe(timers, now + state_.config.stop_grace - kExitReserve, [this](time_point) {
+      state_.draining = true;
+      const auto stopped = std::exchange(state_.on_stopped, nullptr);
+      const int cut = CutCalls(state_);
+      if (!stopped) return;
+      log::Log(log::level::kWarning, "grace time is over", {{"cut_requests", cut}});
+      Subscribe(state_.loop.Timers(), MonotonicNow() + 100ms,
+                [stopped, cut](time_point) { stopped(cut); });
+    });
+  }
+
+ private:
+  void ApplyBudget() {
+    state_.budget.window = state_.config.retry_window;
+    state_.budget.ratio = state_.config.retry_ratio;
+    state_.budget.own_slack =
+        state_.config.retry_slack / static_cast<double>(state_.peers.size() + 1);
+  }
+
+  void AnswerReady(const net::exchange_ptr& exchange) {
+    const bool ready = !state_.unready && state_.configuration && state_.endpoints_known;
+    exchange->Respond(ready ? 200 : 503, {}, ready ? "ready\n" : "not ready\n");
+  }
+
+  void AnswerMetrics(const net::exchange_ptr& exchange) {
+    metrics::Set(state_.metrics.registry, state_.metrics.open_calls,
+                 static_cast<double>(state_.calls.size()));
+    const std::vector<net::header> headers = {{"Content-Type", std::string(metrics::kContentType)}};
+    exchange->Respond(200, headers, metrics::PrometheusText(state_.metrics.registry));
+  }
+
+  gateway_state state_;
+};
+
+}  // namespace
+
+result<std::unique_ptr<gateway>> Start(const settings& settings, wire wire, table_sender table,
+                                       net::loop& loop) {
+  auto made = std::make_unique<gateway_impl>(settings, std::move(wire), std::move(table), loop);
+  BOOST_OUTCOME_TRYV(made->Run());
+  return std::unique_ptr<gateway>(std::move(made));
+}
+
+}  // namespace balsambay::gateway
--- /dev/null
+++ b/libs/gateway/src/peers.cc
@@ -0,0 +1,124 @@
+// Load exchange between gateways: each sends the load that its requests put on endpoints. The
+// messages are small, absolute and frequent, so a lost one does no harm.
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "details/fleet.h"
+#include "details/monitor.h"
+#include "log/log.h"
+
+namespace balsambay::gateway {
+namespace {
+
+using nlohmann::json;
+using std::chrono_literals::operator""ms;
+
+constexpr int kMessageVersion = 1;
+// With few gateways each is told ten times a second; the interval grows with their number, so that
+// what one gateway receives stays bounded.
+constexpr duration kBaseInterval = 100ms;
+constexpr size_t kPeersPerBaseInterval = 8;
+// The load that a silent peer reported is dropped after this time.
+constexpr duration kPeerLifetime = 2000ms;
+
+void AddLoads(gateway_state& state, const peer& from, int sign) {
+  for (const auto& [address, part] : from.loads) {
+    endpoint* target = FindByAddress(state, address);
+    if (target == nullptr) continue;
+    target->peers.committed += sign * part.committed;
+    target->peers.sequences += sign * part.sequences;
+    target->peers.head_requests += sign * part.head_requests;
+  }
+}
+
+std::string EncodeLoads(const gateway_state& state) {
+  json loads = json::array();
+  for (const auto& [id, item] : state.endpoints) {
+    if (item.own.sequences == 0) continue;
+    loads.push_back({item.listed.address, static_cast<int64_t>(item.own.committed),
+                     item.own.sequences, item.own.head_requests});
+  }
+  const std::vector<uint8_t> bytes =
+      json::to_cbor({{"v", kMessageVersion}, {"id", state.config.id}, {"loads", loads}});
+  return {bytes.begin(), bytes.end()};
+}
+
+// Sums are made anew, because endpoints come and go between two messages.
+void SumLoads(gateway_state& state) {
+  for (auto& [id, item] : state.endpoints) item.peers = {};
+  for (const auto& [id, other] : state.peers) AddLoads(state, other, 1);
+}
+
+void ReadLoads(gateway_state& state, std::string_view data) {
+  const json message = json::from_cbor(data, true, false);
+  if (!message.is_object() || message.value("v", json()) != json(kMessageVersion)) return;
+  const json id = message.value("id", json());
+  const json loads = message.value("loads", json());
+  if (!id.is_string() || !loads.is_array()) return;
+  const auto found = state.peers.find(id.get<std::string>());
+  if (found == state.peers.end()) return;
+  peer& from = found->second;
+  from.heard = MonotonicNow();
+  from.loads.clear();
+  for (const json& entry : loads) {
+    if (!entry.is_array() || entry.size() != 4 || !entry[0].is_string()) continue;
+    const bool numbers = std::all_of(entry.begin() + 1, entry.end(),
+                                     [](const json& value) { return value.is_number(); });
+    if (!numbers) continue;
+    from.loads[entry[0].get<std::string>()] = {entry[1].get<double>(), entry[2].get<int>(),
+                                               entry[3].get<int>()};
+  }
+  SumLoads(state);
+}
+
+void DropSilent(gateway_state& state, time_point now) {
+  bool changed = false;
+  for (auto& [id, other] : state.peers) {
+    if (other.loads.empty() || now - other.heard < kPeerLifetime) continue;
+    other.loads.clear();
+    changed = true;
+  }
+  if (changed) SumLoads(state);
+}
+
+void SendLoads(gateway_state& state, time_point now) {
+  const std::string message = EncodeLoads(state);
+  for (const auto& [id, other] : state.peers) {
+    state.peer_socket->Send(other.address.address, message);
+  }
+  DropSilent(state, now);
+  const auto factor = 1 + state.peers.size() / kPeersPerBaseInterval;
+  const duration pause = Jitter(state.rng, kBaseInterval * factor, 0.1);
+  Subscribe(state.loop.Timers(), now + pause, [&state](time_point at) { SendLoads(state, at); });
+}
+
+}  // namespace
+
+result<void> StartPeers(gateway_state& state) {
+  BOOST_OUTCOME_TRY(socket,
+                    net::BindDatagram(state.config.listen_peers,
+                                      [&state](std::string_view data) { ReadLoads(state, data); }));
+  state.peer_socket = std::move(socket);
+  SendLoads(state, MonotonicNow());
+  return Success();
+}
+
+void ReplacePeers(gateway_state& state, std::span<const peer_address> peers) {
+  std::map<std::string, peer> next;
+  for (const peer_address& address : peers) {
+    if (address.id == state.config.id) continue;
+    const auto known = state.peers.find(address.id);
+    const bool same = known != state.peers.end() && known->second.address == address;
+    next[address.id] = same ? known->second : peer{.address = address, .heard = {}, .loads = {}};
+    if (!same) {
+      log::Log(log::level::kInfo, "peer",
+               {{"id", address.id}, {"zone", address.zone}, {"address", address.address}});
+    }
+  }
+  state.peers = std::move(next);
+  SumLoads(state);
+  // An equal part of the shared allowance; a peer that is not known yet may double one part.
+  state.budget.own_slack = state.config.retry_slack / static_cast<double>(state.peers.size() + 1);
+}
+
+}  // namespace balsambay::gateway
--- /dev/null
+++ b/libs/gateway/src/placer.cc
@@ -0,0 +1,272 @@
+// Orders to engines. The lease keeps two gateways from ordering at the same time; each order also
+// names how many orders the engine has accepted, so that late and repeated ones are refused.
+#include "details/placer.h"
+
+#include <algorithm>
+
+#include "details/fleet.h"
+#include "log/log.h"
+#include "pipeline/placement.h"
+
+namespace balsambay::gateway {
+namespace {
+
+using std::chrono_literals::operator""ms;
+
+constexpr std::string_view kLeaseKey = "lease/placement";
+// Longer than the platform's shortest outages, short enough that a new holder repairs coverage
+// while callers still wait.
+constexpr lease::timing kLeaseTiming{.lease_time = 3000ms,
+                                     .margin = 500ms,
+                                     .renew_interval = 1000ms,
+                                     .observe_interval = 500ms,
+                                     .call_timeout = 700ms,
+                                     .retry_interval = 300ms};
+constexpr duration kTick = 100ms;
+// The list of engines fills up over some hundred ms after a start.
+constexpr duration kSettleTime = 400ms;
+constexpr duration kOrderTimeout = 500ms;
+constexpr duration kStepInterval = 150ms;
+// An accepted order that shows no effect for this long, while the engine is idle, is planned anew.
+constexpr duration kOrderLifetime = 8000ms;
+
+const catalog::service* PipelinedService(const gateway_state& state) {
+  if (!state.configuration) return nullptr;
+  const auto& services = state.configuration->content.services;
+  const auto it = std::ranges::find_if(
+      services, [](const catalog::service& item) { return item.pipelined.has_value(); });
+  return it == services.end() ? nullptr : &*it;
+}
+
+void SendLeaseCalls(gateway_state& state, const std::vector<lease::table_call>& calls);
+
+void OnLeaseOutcome(gateway_state& state, uint64_t id, const lease::table_outcome& outcome) {
+  if (std::holds_alternative<lease::unknown_outcome>(outcome)) {
+    metrics::Increment(state.metrics.registry, state.metrics.table_failures);
+  }
+  SendLeaseCalls(state, lease::OnTableReply(state.lease, id, outcome, MonotonicNow()));
+}
+
+void SendLeaseCalls(gateway_state& state, const std::vector<lease::table_call>& calls) {
+  for (const lease::table_call& entry : calls) {
+    state.table(entry, [&state, id = entry.id](const lease::table_outcome& outcome) {
+      OnLeaseOutcome(state, id, outcome);
+    });
+  }
+}
+
+bool MayAct(const gateway_state& state) { return lease::MayAct(state.lease, MonotonicNow()); }
+
+void OnOrderReply(gateway_state& state, const std::string& id, const net::whole_reply& reply) {
+  const auto found = state.orders.find(id);
+  if (found == state.orders.end()) return;
+  placement_order& order = found->second;
+  order.in_call = false;
+  order.next_step = MonotonicNow() + kStepInterval;
+  const bool answered = reply.end.failure == net::call_failure::kNone;
+  log::Log(log::level::kInfo, "order answered",
+           {{"endpoint", id},
+            {"from", order.range.begin},
+            {"to", order.range.end},
+            {"status", answered ? reply.status : 0},
+            {"detail", answered ? std::string_view(reply.body).substr(0, 120) : reply.end.detail}});
+  // Without an answer the order may still take effect; the next report tells.
+  if (!answered) return;
+  if (reply.status == 202) {
+    order.accepted = true;
+  } else if (reply.status == 200) {
+    if (endpoint* item = FindEndpoint(state, id)) item->held = order.range;
+    state.orders.erase(found);
+  } else {
+    state.orders.erase(found);
+  }
+}
+
+void SendOrder(gateway_state& state, const endpoint& item, placement_order& order) {
+  if (!MayAct(state)) return;
+  net::client_request request =
+      state.wire.write_place(item.listed.address, order.range, *order.expected_orders);
+  request.header_timeout = kOrderTimeout;
+  request.fresh_connection = true;
+  order.in_call = true;
+  metrics::Increment(state.metrics.registry, state.metrics.orders);
+  net::Fetch(*state.client, std::move(request),
+             [&state, id = item.listed.id](const net::whole_reply& reply) {
+               OnOrderReply(state, id, reply);
+             });
+}
+
+void OnOrderReport(gateway_state& state, const std::string& id, const net::whole_reply& reply) {
+  const auto found = state.orders.find(id);
+  endpoint* item = FindEndpoint(state, id);
+  if (found == state.orders.end() || item == nullptr) return;
+  placement_order& order = found->second;
+  const time_point now = MonotonicNow();
+  order.in_call = false;
+  order.next_step = now + kStepInterval;
+  auto report = reply.end.failure == net::call_failure::kNone && reply.status == 200
+                    ? state.wire.read_report(reply.body)
+                    : Failure(errc::kUnavailable, "no report: " + reply.end.detail);
+  if (report.has_error()) {
+    log::Log(log::level::kInfo, "engine has no report for its order",
+             {{"endpoint", id}, {"detail", report.error().detail}});
+    if (now - order.started > kOrderLifetime) state.orders.erase(found);
+    return;
+  }
+  const engine_report& seen = report.value();
+  ApplyReport(state, *item, seen);
+  if (seen.held == order.range) {
+    log::Log(log::level::kInfo, "layers are held",
+             {{"endpoint", id}, {"from", order.range.begin}, {"to", order.range.end}});
+    state.orders.erase(found);
+    return;
+  }
+  const bool restarted =
+      seen.incarnation != 0 && order.incarnation != 0 && seen.incarnation != order.incarnation;
+  if (restarted || now - order.started > kOrderLifetime) {
+    state.orders.erase(found);
+    return;
+  }
+  if (seen.busy || order.accepted) return;
+  if (!order.expected_orders) {
+    order.expected_orders = seen.accepted_orders;
+  } else if (*order.expected_orders != seen.accepted_orders) {
+    // Another order took effect; the plan is made anew from what the engine then holds.
+    state.orders.erase(found);
+    return;
+  }
+  SendOrder(state, *item, order);
+}
+
+void StepOrder(gateway_state& state, const std::string& id, placement_order& order) {
+  endpoint* item = FindEndpoint(state, id);
+  if (item == nullptr || item->listed.leaving) {
+    state.orders.erase(id);
+    return;
+  }
+  net::client_request request = state.wire.write_report_request(item->listed.address);
+  request.header_timeout = kOrderTimeout;
+  request.fresh_connection = true;
+  order.in_call = true;
+  net::Fetch(*state.client, std::move(request),
+             [&state, id](const net::whole_reply& reply) { OnOrderReport(state, id, reply); });
+}
+
+void StepOrders(gateway_state& state, time_point now) {
+  std::vector<std::string> due;
+  for (const auto& [id, order] : state.orders) {
+    if (!order.in_call && order.next_step <= now) due.push_back(id);
+  }
+  for (const std::string& id : due) {
+    const auto found = state.orders.find(id);
+    if (found != state.orders.end()) StepOrder(state, id, found->second);
+  }
+}
+
+void AddOrder(gateway_state& state, const std::string& id, pipeline::layer_range range,
+              time_point now) {
+  const endpoint& item = *FindEndpoint(state, id);
+  placement_order order;
+  order.range = range;
+  order.incarnation = item.listed.incarnation;
+  // An engine that holds nothing and is not busy has accepted no order since its start, as far as
+  // the list tells; a wrong guess is refused and the report read then.
+  order.started = now;
+  order.next_step = now;
+  log::Log(log::level::kInfo, "layers planned",
+           {{"endpoint", id},
+            {"zone", item.listed.zone},
+            {"kind", item.listed.accelerator},
+            {"from", range.begin},
+            {"to", range.end}});
+  state.orders[id] = order;
+}
+
+// Engines as they will be when the orders under way are done.
+engine_views PlannedViews(const gateway_state& state, const catalog::service& service,
+                          time_point now) {
+  engine_views views = ViewEngines(state, service, now);
+  for (size_t i = 0; i < views.ids.size(); ++i) {
+    const auto order = state.orders.find(views.ids[i]);
+    if (order != state.orders.end()) views.engines[i].held = order->second.range;
+  }
+  return views;
+}
+
+void PlanAll(gateway_state& state, const catalog::service& service, const engine_views& views,
+             time_point now) {
+  const pipeline::placement_plan plan = pipeline::PlanPlacement(*service.pipelined, views.engines);
+  state.tokens_per_stage = plan.tokens_per_stage;
+  log::Log(log::level::kInfo, "placement planned",
+           {{"engines", views.engines.size()},
+            {"copies", plan.copies},
+            {"tokens_per_stage", plan.tokens_per_stage},
+            {"requests_per_s", plan.requests_per_s}});
+  const bool all_empty = std::ranges::all_of(
+      views.engines, [](const pipeline::engine& item) { return item.held.Size() == 0; });
+  if (!all_empty) return;
+  for (size_t i = 0; i < plan.ranges.size(); ++i) {
+    if (plan.ranges[i].Size() > 0) AddOrder(state, views.ids[i], plan.ranges[i], now);
+  }
+}
+
+void Plan(gateway_state& state, time_point now) {
+  const catalog::service* service = PipelinedService(state);
+  if (service == nullptr || !state.endpoints_known) return;
+  engine_views views = PlannedViews(state, *service, now);
+  if (views.engines.empty()) return;
+  if (!state.placing) {
+    // A new holder first learns what the engines hold.
+    if (now - state.endpoints_changed < kSettleTime || now - state.held_since < kSettleTime) return;
+    state.placing = true;
+    PlanAll(state, *service, views, now);
+    views = PlannedViews(state, *service, now);
+  }
+  std::vector<char> movable(views.engines.size());
+  std::ranges::transform(views.ids, movable.begin(), [&](const std::string& id) -> char {
+    return state.orders.empty() && !FindEndpoint(state, id)->busy ? 1 : 0;
+  });
+  const auto changes =
+      pipeline::PlanRepair(*service->pipelined, views.engines, movable, state.tokens_per_stage);
+  for (const pipeline::placement_change& change : changes) {
+    const std::string& id = views.ids[change.engine];
+    if (!state.orders.contains(id) && !FindEndpoint(state, id)->busy) {
+      AddOrder(state, id, change.range, now);
+    }
+  }
+}
+
+void Tick(gateway_state& state, time_point now) {
+  SendLeaseCalls(state, lease::OnTick(state.lease, now));
+  if (MayAct(state)) {
+    if (state.held_since == time_point()) {
+      state.held_since = now;
+      log::Log(log::level::kInfo, "placement lease taken", {{"epoch", state.lease.row.epoch}});
+    }
+    Plan(state, now);
+    StepOrders(state, now);
+  } else if (state.held_since != time_point()) {
+    log::Log(log::level::kInfo, "placement lease lost", {{"epoch", state.lease.row.epoch}});
+    state.held_since = {};
+    state.placing = false;
+    state.orders.clear();
+  }
+  Subscribe(state.loop.Timers(), now + kTick, [&state](time_point at) { Tick(state, at); });
+}
+
+}  // namespace
+
+void StartPlacer(gateway_state& state) {
+  state.lease.key = kLeaseKey;
+  state.lease.self = state.config.id + "#" + std::to_string(WallClockMs());
+  state.lease.config = kLeaseTiming;
+  Tick(state, MonotonicNow());
+}
+
+void StopPlacer(gateway_state& state) {
+  if (state.stopping_lease) return;
+  state.stopping_lease = true;
+  SendLeaseCalls(state, lease::Release(state.lease, MonotonicNow()));
+}
+
+}  // namespace balsambay::gateway
--- /dev/null
+++ b/libs/gateway/src/telemetry.cc
@@ -0,0 +1,45 @@
+// Names of the gateway's metrics.
+#include "details/telemetry.h"
+
+#include <string>
+
+namespace balsambay::gateway {
+
+telemetry::telemetry()
+    : accepted(metrics::AddCounter(registry, "gateway_requests_total", "Requests taken.")),
+      completed(
+          metrics::AddCounter(registry, "gateway_completed_total", "Answers passed on whole.")),
+      broken_off(metrics::AddCounter(registry, "gateway_broken_off_total",
+                                     "Replies that were cut because they could not be completed.")),
+      hung_up(metrics::AddCounter(registry, "gateway_hung_up_total",
+                                  "Requests whose caller closed the connection.")),
+      rerouted(metrics::AddCounter(registry, "gateway_rerouted_total",
+                                   "Running requests that were moved to other engines.")),
+      orders(metrics::AddCounter(registry, "gateway_orders_total", "Orders sent to engines.")),
+      table_failures(metrics::AddCounter(registry, "gateway_table_failures_total",
+                                         "Calls to the shared table without a usable reply.")),
+      first_output_seconds(metrics::AddHistogram(registry, "gateway_first_output_seconds",
+                                                 "Time to the first output.",
+                                                 metrics::kLatencySeconds)),
+      duration_seconds(metrics::AddHistogram(registry, "gateway_duration_seconds",
+                                             "Time to the whole answer.",
+                                             metrics::kLatencySeconds)),
+      open_calls(metrics::AddGauge(registry, "gateway_open_requests", "Requests in progress.")),
+      config_version(
+          metrics::AddGauge(registry, "gateway_config_version", "Configuration in force.")) {}
+
+void CountRefusal(telemetry& metrics, std::string_view reason) {
+  metrics::Increment(metrics.registry,
+                     metrics::AddCounter(metrics.registry, "gateway_refusals_total",
+                                         "Requests answered without an endpoint's answer.",
+                                         {{"reason", std::string(reason)}}));
+}
+
+void CountRetry(telemetry& metrics, std::string_view reason) {
+  metrics::Increment(
+      metrics.registry,
+      metrics::AddCounter(metrics.registry, "gateway_retries_total",
+                          "Further attempts of requests.", {{"reason", std::string(reason)}}));
+}
+
+}  // namespace balsambay::gateway
--- a/libs/net/include/net/http_client.h
+++ b/libs/net/include/net/http_client.h
@@ -17,13 +17,21 @@
   std::string method = "POST";
   std::string url;  // http://IP:PORT/PATH
   std::vector<header> headers;
-  std::string body;                                    // sent as application/json when not empty
+  std::string body;  // sent as application/json unless `headers` name a Content-Type
   duration header_timeout = std::chrono::seconds(10);  // until the reply's headers
   // A reused connection may be closed by the peer at the same moment, which leaves the outcome
   // open. A fresh one turns that case into a connect error with proof that nothing was sent.
   bool fresh_connection = false;
 };
 
+// Head of a reply, in the order received.
+struct reply_head {
+  int status = 0;
+  std::vector<header> headers;
+  // Value of a header, empty when absent. Names are case-insensitive.
+  std::string_view Get(std::string_view name) const;
+};
+
 enum class call_failure {
   kNone,
   kConnect,  // no byte of the request was written
@@ -47,8 +55,7 @@
 };
 
 struct client_callbacks {
-  // `get` looks up a reply header (empty when absent); valid only during the call.
-  std::function<void(int status, const std::function<std::string(const char*)>& get)> on_headers;
+  std::function<void(const reply_head& head)> on_headers;
   std::function<void(std::string_view data)> on_data;
   std::function<void(const call_end&)> on_end;  // exactly once, unless cancelled
 };
--- a/libs/net/include/net/http_server.h
+++ b/libs/net/include/net/http_server.h
@@ -38,6 +38,9 @@
   virtual std::string_view Query() const = 0;  // without '?', may be empty
   // Value of a request header, empty when absent. Names are case-insensitive.
   virtual std::string_view Header(const char* name) const = 0;
+  // All request headers in the order received; the views are valid during the call of `fn`.
+  virtual void ForEachHeader(
+      const std::function<void(std::string_view name, std::string_view value)>& fn) const = 0;
   virtual std::string_view Body() const = 0;
 
   // Sends a whole reply.
@@ -47,6 +50,8 @@
   virtual void BeginStream(int status, std::span<const header> headers) = 0;
   virtual void Write(std::string_view data) = 0;
   virtual void End() = 0;
+  // Closes the connection without completing the reply, once the bytes written so far are sent.
+  virtual void Abort() = 0;
 
   // Bytes written but not yet taken by the socket. The owner stops producing while this is large.
   virtual size_t PendingBytes() const = 0;
--- a/libs/net/src/engine_client.cc
+++ b/libs/net/src/engine_client.cc
@@ -53,7 +53,7 @@
     call.fresh_connection = !request_.repeatable;
     const auto self = shared_from_this();
     client_callbacks callbacks;
-    callbacks.on_headers = [self](int status, const auto& get) { self->OnHeaders(status, get); };
+    callbacks.on_headers = [self](const reply_head& head) { self->OnHeaders(head); };
     callbacks.on_data = [self](std::string_view data) { self->OnData(data); };
     callbacks.on_end = [self](const call_end& end) { self->OnCallEnd(end); };
     call_ = client_.Send(std::move(call), std::move(callbacks));
@@ -100,14 +100,14 @@
 
   const std::string& Head() const { return request_.stages.front().endpoint; }
 
-  void OnHeaders(int status, const std::function<std::string(const char*)>& get) {
-    if (status == 200) return;
-    if (status == 503 && get("Balsambay-Not-Started") == "1") {
-      const bool leaving = get("Balsambay-Leaving") == "1";
+  void OnHeaders(const reply_head& head) {
+    if (head.status == 200) return;
+    if (head.status == 503 && head.Get("Balsambay-Not-Started") == "1") {
+      const bool leaving = head.Get("Balsambay-Leaving") == "1";
       return Fail(leaving ? run_failure::kLeaving : run_failure::kRefused, Head(),
                   "refused before starting");
     }
-    Fail(run_failure::kBroken, Head(), "status " + std::to_string(status));
+    Fail(run_failure::kBroken, Head(), "status " + std::to_string(head.status));
   }
 
   void OnData(std::string_view data) {
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -5,7 +5,9 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
-#include <array>
+#include <algorithm>
+
+#include "base/text.h"
 
 namespace balsambay::net {
 namespace {
@@ -16,6 +18,21 @@
 constexpr int kMaxConnections = 20000;
 // libsoup checks every idle connection for each request that it starts, so few are kept.
 constexpr int kIdleSeconds = 5;
+// A peer that acknowledges nothing for this long is unreachable; ms. Long enough for two
+// retransmissions on a lossy link.
+constexpr int kUnacknowledgedMs = 2000;
+
+reply_head ReadHead(SoupMessage* message) {
+  reply_head head{.status = static_cast<int>(soup_message_get_status(message)), .headers = {}};
+  SoupMessageHeadersIter it;
+  soup_message_headers_iter_init(&it, soup_message_get_response_headers(message));
+  const char* name = nullptr;
+  const char* value = nullptr;
+  while (soup_message_headers_iter_next(&it, &name, &value) != FALSE) {
+    head.headers.push_back({name, value});
+  }
+  return head;
+}
 
 class soup_call final : public client_call, public std::enable_shared_from_this<soup_call> {
  public:
@@ -38,15 +55,15 @@
       });
       return;
     }
-    SoupMessageHeaders* headers = soup_message_get_request_headers(message_);
-    for (const header& entry : request.headers) {
-      soup_message_headers_replace(headers, entry.name.c_str(), entry.value.c_str());
-    }
     if (!request.body.empty()) {
       GBytes* bytes = g_bytes_new(request.body.data(), request.body.size());
       soup_message_set_request_body_from_bytes(message_, "application/json", bytes);
       g_bytes_unref(bytes);
     }
+    SoupMessageHeaders* headers = soup_message_get_request_headers(message_);
+    for (const header& entry : request.headers) {
+      soup_message_headers_replace(headers, entry.name.c_str(), entry.value.c_str());
+    }
     soup_message_add_flags(message_, SOUP_MESSAGE_NO_REDIRECT);
     // libsoup reuses connections only for idempotent messages. It would also repeat them by itself
     // when a reused connection breaks; OnStarting() prevents that.
@@ -91,6 +108,7 @@
     if (event != G_SOCKET_CLIENT_CONNECTED || !G_IS_SOCKET_CONNECTION(stream)) return;
     GSocket* socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream));
     g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, TRUE, nullptr);
+    g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMs, nullptr);
   }
 
   void TimeOut() {
@@ -139,13 +157,10 @@
       return;
     }
     balsambay::Cancel(self.timers_, self.timer_);
-    SoupMessageHeaders* headers = soup_message_get_response_headers(self.message_);
-    const auto get = [headers](const char* name) {
-      const char* value = soup_message_headers_get_one(headers, name);
-      return value == nullptr ? std::string() : std::string(value);
-    };
     if (self.callbacks_.on_headers) {
-      self.callbacks_.on_headers(static_cast<int>(soup_message_get_status(self.message_)), get);
+      // A copy, because the callback may cancel this call and so drop its own function object.
+      const auto on_headers = self.callbacks_.on_headers;
+      on_headers(ReadHead(self.message_));
     }
     if (!self.finished_ && !self.paused_) self.Read();
   }
@@ -208,7 +223,10 @@
       : timers_(timers),
         session_(soup_session_new_with_options("max-conns", kMaxConnections, "max-conns-per-host",
                                                kMaxConnections, "timeout", 0, "idle-timeout",
-                                               kIdleSeconds, nullptr)) {}
+                                               kIdleSeconds, "proxy-resolver", nullptr, nullptr)) {
+    // Bodies pass through unchanged, so no encoding is asked for.
+    soup_session_remove_feature_by_type(session_, SOUP_TYPE_CONTENT_DECODER);
+  }
   ~soup_http_client() override { g_object_unref(session_); }
 
   std::shared_ptr<client_call> Send(client_request request, client_callbacks callbacks) override {
@@ -224,6 +242,12 @@
 
 }  // namespace
 
+std::string_view reply_head::Get(std::string_view name) const {
+  const auto it = std::ranges::find_if(
+      headers, [&](const header& entry) { return EqualsIgnoreCase(entry.name, name); });
+  return it == headers.end() ? std::string_view() : it->value;
+}
+
 std::unique_ptr<http_client> MakeHttpClient(timer_service& timers) {
   return std::make_unique<soup_http_client>(timers);
 }
@@ -233,7 +257,7 @@
                                    size_t max_body_bytes) {
   auto reply = std::make_shared<whole_reply>();
   client_callbacks callbacks;
-  callbacks.on_headers = [reply](int status, const auto&) { reply->status = status; };
+  callbacks.on_headers = [reply](const reply_head& head) { reply->status = head.status; };
   callbacks.on_data = [reply, max_body_bytes](std::string_view data) {
     if (reply->body.size() + data.size() <= max_body_bytes) reply->body += data;
   };
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -8,9 +8,10 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <charconv>
 #include <vector>
 
+#include "details/address.h"
+
 namespace balsambay::net {
 namespace {
 
@@ -54,6 +55,15 @@
     return value == nullptr ? std::string_view() : value;
   }
 
+  void ForEachHeader(
+      const std::function<void(std::string_view, std::string_view)>& fn) const override {
+    SoupMessageHeadersIter it;
+    soup_message_headers_iter_init(&it, soup_server_message_get_request_headers(message_));
+    const char* name = nullptr;
+    const char* value = nullptr;
+    while (soup_message_headers_iter_next(&it, &name, &value) != FALSE) fn(name, value);
+  }
+
   std::string_view Body() const override {
     const SoupMessageBody* body = soup_server_message_get_request_body(message_);
     return body->data == nullptr ? std::string_view()
@@ -90,6 +100,16 @@
     if (open_) Finish();
   }
 
+  void Abort() override {
+    if (!open_) return;
+    open_ = false;
+    on_hangup = nullptr;
+    on_drained = nullptr;
+    StopWatching();
+    if (pending_ == 0) return Break();
+    aborting_ = true;
+  }
+
   size_t PendingBytes() const override { return pending_; }
   bool IsOpen() const override { return open_; }
 
@@ -129,6 +149,11 @@
     watch_ = nullptr;
   }
 
+  void Break() {
+    ShutdownConnection(message_);
+    soup_server_message_unpause(message_);
+  }
+
   void HangUp() {
     if (!open_) return;
     open_ = false;
@@ -166,7 +191,13 @@
     if (!self->streaming_) return;
     const bool was_pending = self->pending_ > 0;
     self->pending_ -= std::min<size_t>(self->pending_, size);
-    if (was_pending && self->pending_ == 0 && self->open_ && self->on_drained) self->on_drained();
+    if (!was_pending || self->pending_ > 0) return;
+    if (self->aborting_) {
+      self->aborting_ = false;
+      self->Break();
+    } else if (self->open_ && self->on_drained) {
+      self->on_drained();
+    }
   }
 
   SoupServerMessage* message_;
@@ -175,6 +206,7 @@
   size_t pending_ = 0;
   bool open_ = true;  // false once the reply has ended or the caller has hung up
   bool streaming_ = false;
+  bool aborting_ = false;  // the connection is closed when `pending_` has fallen to zero
   std::shared_ptr<soup_exchange> self_;
 };
 
@@ -314,19 +346,6 @@
   }
 
  private:
-  static GSocketAddress* ParseAddress(std::string_view address) {
-    const size_t colon = address.rfind(':');
-    if (colon == std::string_view::npos) return nullptr;
-    const std::string host(address.substr(0, colon));
-    const std::string_view digits = address.substr(colon + 1);
-    unsigned port = 0;
-    const auto parsed = std::from_chars(digits.data(), digits.data() + digits.size(), port);
-    if (parsed.ec != std::errc() || parsed.ptr != digits.data() + digits.size() || port > 65535) {
-      return nullptr;
-    }
-    return g_inet_socket_address_new_from_string(host.c_str(), port);
-  }
-
   server_state state_;
   SoupServer* server_;
 };
--- /dev/null
+++ b/libs/pipeline/tests/placement_test.cc
@@ -0,0 +1,100 @@
+// Placement: memory never exceeded, copies complete, lost ranges restored.
+#include "pipeline/placement.h"
+
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "fleet.h"
+
+namespace balsambay::pipeline {
+namespace {
+
+void Apply(std::vector<engine>& engines, const placement_plan& plan) {
+  for (size_t i = 0; i < engines.size(); ++i) engines[i].held = plan.ranges[i];
+}
+
+// Guards against an order that makes an engine run out of memory and crash.
+TEST_CASE("plans never exceed the memory of an engine") {
+  rc::prop("random fleets", [] {
+    const model_spec model = TestModel();
+    auto engines = RandomEngines(model);
+    const placement_plan plan = PlanPlacement(model, engines);
+    for (size_t i = 0; i < engines.size(); ++i) {
+      const layer_range range = plan.ranges[i];
+      if (range.Size() == 0) continue;
+      RC_ASSERT(engines[i].usable);
+      RC_ASSERT(range.begin >= 0);
+      RC_ASSERT(range.end <= model.layers);
+      RC_ASSERT(KvTokenLayers(model, model.kinds[engines[i].kind], range.Size()) > 0);
+    }
+    const std::vector<char> movable(engines.size(), 1);
+    for (const placement_change& change : PlanRepair(model, engines, movable, 60'000)) {
+      RC_ASSERT(engines[change.engine].usable);
+      RC_ASSERT(
+          KvTokenLayers(model, model.kinds[engines[change.engine].kind], change.range.Size()) > 0);
+    }
+  });
+}
+
+TEST_CASE("a mixed site gets complete copies") {
+  const model_spec model = TestModel();
+  auto engines = MixedSite();
+  const placement_plan plan = PlanPlacement(model, engines);
+  CHECK(plan.copies >= 3);
+  Apply(engines, plan);
+  CHECK(LeastCoverageTokens(model, engines) > 0);
+  for (const char* zone : {"a", "b", "c"}) {
+    // Zone loss: each zone can serve from its own engines.
+    auto inside = engines;
+    for (engine& item : inside) item.usable = item.zone == zone;
+    CHECK(ChoosePath(model, inside, {.tokens = 800, .home_zone = zone, .head = {}}).verdict ==
+          path_verdict::kFound);
+  }
+}
+
+// Rolling release: an engine leaves and an empty one comes; it takes over the missing layers.
+TEST_CASE("an empty engine takes the layers that are covered least") {
+  const model_spec model = TestModel();
+  auto engines = MixedSite();
+  const placement_plan plan = PlanPlacement(model, engines);
+  Apply(engines, plan);
+  const auto lost = std::ranges::find_if(
+      engines, [](const engine& item) { return item.kind == 3 && item.held.Size() > 0; });
+  const layer_range range = lost->held;
+  lost->held = {};
+  const std::vector<char> movable(engines.size(), 0);
+  const auto changes = PlanRepair(model, engines, movable, plan.tokens_per_stage);
+  REQUIRE(!changes.empty());
+  const bool restored = std::ranges::any_of(changes, [&](const placement_change& change) {
+    return change.range.begin < range.end && change.range.end > range.begin;
+  });
+  CHECK(restored);
+}
+
+// Guards against moving engines around while all layers are covered evenly.
+TEST_CASE("an even placement is left alone") {
+  const model_spec model = TestModel();
+  auto engines = MixedSite();
+  const placement_plan plan = PlanPlacement(model, engines);
+  Apply(engines, plan);
+  const std::vector<char> movable(engines.size(), 1);
+  for (int round = 0; round < 5; ++round) {
+    for (const placement_change& change :
+         PlanRepair(model, engines, movable, plan.tokens_per_stage)) {
+      engines[change.engine].held = change.range;
+    }
+  }
+  CHECK(PlanRepair(model, engines, movable, plan.tokens_per_stage).empty());
+}
+
+TEST_CASE("a model that fits nowhere is not placed") {
+  const model_spec model = TestModel();
+  const std::vector<engine> engines = {MakeEngine("e1", 4, {}), MakeEngine("e2", 4, {})};
+  const placement_plan plan = PlanPlacement(model, engines);
+  CHECK(plan.copies == 0);
+}
+
+}  // namespace
+}  // namespace balsambay::pipeline
--- a/libs/router/src/service_calls.cc
+++ b/libs/router/src/service_calls.cc
@@ -84,11 +84,11 @@
   auto reply = std::make_shared<service_reply>();
   const std::weak_ptr<request> weak = item;
   net::client_callbacks callbacks;
-  callbacks.on_headers = [reply](int status, const auto& get) {
-    reply->status = status;
-    reply->not_started = status == 503 && get("Balsambay-Not-Started") == "1";
-    reply->leaving = get("Balsambay-Leaving") == "1";
-    reply->content_type = get("Content-Type");
+  callbacks.on_headers = [reply](const net::reply_head& head) {
+    reply->status = head.status;
+    reply->not_started = head.status == 503 && head.Get("Balsambay-Not-Started") == "1";
+    reply->leaving = head.Get("Balsambay-Leaving") == "1";
+    reply->content_type = head.Get("Content-Type");
   };
   callbacks.on_data = [reply](std::string_view data) {
     // One piece above the limit is kept as the mark of a reply that is too large.
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -255,10 +255,10 @@
   request.header_timeout = std::chrono::seconds(30);
   request.fresh_connection = true;
   net::client_callbacks callbacks;
-  callbacks.on_headers = [out](int status, const auto& get) {
-    out->status = status;
-    out->outcome = get("Balsambay-Outcome");
-    out->retry_after = get("Retry-After");
+  callbacks.on_headers = [out](const net::reply_head& head) {
+    out->status = head.status;
+    out->outcome = head.Get("Balsambay-Outcome");
+    out->retry_after = head.Get("Retry-After");
     out->last_data = MonotonicNow();
   };
   callbacks.on_data = [out](std::string_view data) {
--- a/tools/loadgen/load.cc
+++ b/tools/loadgen/load.cc
@@ -121,7 +121,7 @@
   item->result.measured = scheduled >= run.out.started + run.config.warm_up;
   ++run.open;
   net::client_callbacks callbacks;
-  callbacks.on_headers = [item](int status, const auto&) { item->result.status = status; };
+  callbacks.on_headers = [item](const net::reply_head& head) { item->result.status = head.status; };
   callbacks.on_data = [item](std::string_view data) {
     const bool is_stream = item->run.config.stream && item->run.config.service.empty();
     if (is_stream && item->result.status == 200) {
