--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -12,13 +12,15 @@
 
 using std::chrono_literals::operator""ms;
 
-constexpr std::array<std::string_view, 5> kFailureNames = {"not_sent", "not_executed", "broken",
-                                                           "stalled", "failed"};
+constexpr std::array<std::string_view, 6> kFailureNames = {"not_sent", "not_executed", "broken",
+                                                           "stalled",  "failed",       "moved"};
 
 // Engines of the platform take 10 ranks; requests without one have 5.
 constexpr int kMaxPriority = 9;
 // An order to reroute is answered at once or not at all.
 constexpr duration kRerouteTimeout = 400ms;
+// Further paths that are tried when one of the new engines refuses.
+constexpr int kMaxReroutes = 3;
 // A reply larger than this is not collected in memory.
 constexpr size_t kMaxReplyBytes = size_t{16} << 20;
 // An endpoint that failed all its recent requests counts as this many requests longer.
@@ -58,6 +60,27 @@
   return out;
 }
 
+int ZoneCrossings(const pipeline::path& stages, const std::vector<pipeline::engine>& engines) {
+  int crossings = 0;
+  for (size_t i = 1; i < stages.size(); ++i) {
+    if (engines[stages[i].engine].zone != engines[stages[i - 1].engine].zone) ++crossings;
+  }
+  return crossings;
+}
+
+// Of the open path, as far as its engines are still known.
+int CrossingsOf(gateway_state& state, const call& item) {
+  int crossings = 0;
+  std::string_view last;
+  for (const call_hop& part : item.path) {
+    const endpoint* engine = FindEndpoint(state, part.endpoint_id);
+    if (engine == nullptr) continue;
+    if (!last.empty() && last != engine->listed.zone) ++crossings;
+    last = engine->listed.zone;
+  }
+  return crossings;
+}
+
 std::vector<hop> WireHops(const std::vector<call_hop>& path) {
   std::vector<hop> out;
   std::ranges::transform(path, std::back_inserter(out), [](const call_hop& entry) {
@@ -71,12 +94,21 @@
   const engine_views views = ViewEngines(state, service, MonotonicNow());
   const std::vector<size_t> excluded = ExcludedIndexes(item, views);
   item.committed_tokens = ExpectedTokens(item, model);
+  // A request that may not be sent to further endpoints begins again where it was.
+  std::vector<size_t> heads;
+  if (static_cast<int>(item.reached.size()) >= item.route->max_attempts) {
+    for (size_t i = 0; i < views.ids.size(); ++i) {
+      if (item.reached.contains(views.ids[i])) heads.push_back(i);
+    }
+    if (heads.empty()) return start_result::kNoEndpoint;
+  }
   pipeline::path_query query{.tokens = item.committed_tokens,
                              .home_zone = state.config.zone,
                              .head = {},
                              // An answer that has begun is worth more than one that has not.
                              .ignore_room = item.streaming,
-                             .excluded = excluded};
+                             .excluded = excluded,
+                             .heads = heads};
   pipeline::path_choice choice = pipeline::ChoosePath(model, views.engines, query);
   if (choice.verdict == pipeline::path_verdict::kUncovered) return start_result::kNoEndpoint;
   if (choice.verdict == pipeline::path_verdict::kNoRoom) return start_result::kNoRoom;
@@ -163,8 +195,7 @@
       break;
   }
   const bool incomplete = IsStreamAnswer(*item) && !item->events.partial.empty();
-  const bool empty = IsStreamAnswer(*item) && item->events.events == 0;
-  if (incomplete || empty) return Fail(state, item, attempt_failure::kBroken, events);
+  if (incomplete) return Fail(state, item, attempt_failure::kBroken, events);
   if (item->head.status >= 500) return Fail(state, item, attempt_failure::kFailed, events);
   events.on_answer(state, item);
 }
@@ -208,6 +239,19 @@
   AttachLoad(state, item, 1);
 }
 
+// A refusal that names an engine is met with a path without it.
+void OnRerouteRefused(gateway_state& state, const call_ptr& item, const net::whole_reply& reply,
+                      const attempt_events& events) {
+  endpoint* fault = reply.status == 409
+                        ? FindByAddress(state, state.wire.read_order_fault(reply.body))
+                        : nullptr;
+  if (fault == nullptr || ++item->reroutes > kMaxReroutes) {
+    return Fail(state, item, attempt_failure::kStalled, events);
+  }
+  item->avoided.insert(fault->listed.id);
+  Reroute(state, item, events);
+}
+
 }  // namespace
 
 std::string_view ToString(attempt_failure failure) {
@@ -228,6 +272,7 @@
   item->last_progress = now;
   item->progressed = false;
   item->rerouting = false;
+  item->reroutes = 0;
   item->head = {};
   item->facts = {};
   item->reply_body.clear();
@@ -274,6 +319,11 @@
   if (choice.verdict != pipeline::path_verdict::kFound) {
     return Fail(state, item, attempt_failure::kStalled, events);
   }
+  // New engines read the whole text so far. Across zones its activations share one pipe, where the
+  // requests of a lost engine would queue; reading it anew inside one zone takes less time.
+  if (ZoneCrossings(choice.stages, views.engines) > CrossingsOf(state, *item)) {
+    return Fail(state, item, attempt_failure::kMoved, events);
+  }
   std::vector<call_hop> path = ToHops(choice.stages, views);
   net::client_request order =
       state.wire.write_reroute(item->path.front().address, item->incoming.id, WireHops(path));
@@ -295,7 +345,8 @@
                          {"head", path.front().endpoint_id},
                          {"status", reply.status},
                          {"detail", reply.end.detail}});
-               if (!done) return Fail(state, held, attempt_failure::kStalled, events);
+               if (!done) return OnRerouteRefused(state, held, reply, events);
+               held->reroutes = 0;
                held->last_progress = MonotonicNow();
                AdoptPath(state, *held, path);
              });
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ranges>
 
 #include "details/attempt.h"
 #include "details/fleet.h"
@@ -29,9 +30,36 @@
 // of the route's latency goal.
 constexpr double kTryGoalParts = 1.0;
 constexpr duration kLeastTryTime = 100ms;
-// A stream without output for this long is looked into; several times the usual pause between
-// events, and well below the time after which callers leave.
-constexpr duration kStallCheck = 300ms;
+// A stream without output for this long is looked into: about twice the usual pause between
+// events, and half of the longest pause that callers accept.
+constexpr duration kStallCheck = 100ms;
+// The first output includes the reading of the prompt.
+constexpr duration kFirstStallCheck = 250ms;
+// A refusal counts against an endpoint for this long; by then the platform's list or a report tells
+// why.
+constexpr duration kRefusalHold = 700ms;
+// Refusals are proofs that nothing ran, so a request may meet a few.
+constexpr int kMaxSends = 5;
+
+// An engine is suspected when at least this part of the requests through it has stalled: those that
+// only share a path with a lost engine also run requests that go on.
+constexpr double kSuspectPart = 0.8;
+// Each check costs a connection. Enough for all engines of a path at once: the one that is lost
+// shows by its silence while the others answer.
+constexpr size_t kMaxChecksPerTick = 14;
+
+// Requests of this gateway through one engine.
+struct suspicion {
+  int calls = 0;
+  int stalled = 0;
+};
+
+// When requests move off an endpoint that leaves: before it ends, which is 2 s after its notice or
+// later. Requests that it only helps with move in place; those that entered there start again, so
+// they get more time to end.
+constexpr duration kMoveEarliest = 200ms;
+constexpr duration kHeadMoveEarliest = 1000ms;
+constexpr duration kMoveLatest = 1700ms;
 
 struct refusal {
   int status = 503;
@@ -108,6 +136,27 @@
 
 // --- Outcomes of attempts.
 
+int64_t Ms(duration value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+// An answer that came whole but missed a goal of its route.
+void LogIfLate(const call& item, time_point now) {
+  const catalog::route& route = *item.route;
+  const duration first = route.streamed ? item.first_output : now - item.arrived;
+  const bool gap_late =
+      route.event_gap_goal > duration::zero() && item.longest_gap > route.event_gap_goal;
+  if (first <= route.latency_goal && !gap_late) return;
+  log::Log(log::level::kInfo, "answer late",
+           {{"request", item.incoming.id},
+            {"service", item.service},
+            {"first_ms", Ms(first)},
+            {"gap_ms", Ms(item.longest_gap)},
+            {"attempt", item.attempt},
+            {"endpoint", item.path.front().endpoint_id},
+            {"hops", item.path.size()}});
+}
+
 void OnAnswer(gateway_state& state, const call_ptr& item) {
   const time_point now = MonotonicNow();
   endpoint* target = FindEndpoint(state, item->path.front().endpoint_id);
@@ -115,6 +164,7 @@
   metrics::Increment(state.metrics.registry, state.metrics.completed);
   metrics::Observe(state.metrics.registry, state.metrics.duration_seconds,
                    std::chrono::duration<double>(now - item->arrived).count());
+  LogIfLate(*item, now);
   if (item->streaming) {
     item->exchange->End();
   } else {
@@ -125,10 +175,14 @@
 }
 
 void OnOutput(gateway_state& state, const call_ptr& item, std::string_view events) {
+  const time_point now = MonotonicNow();
+  if (item->streaming) item->longest_gap = std::max(item->longest_gap, now - item->last_output);
+  item->last_output = now;
   if (!item->streaming) {
     item->streaming = true;
+    item->first_output = now - item->arrived;
     metrics::Observe(state.metrics.registry, state.metrics.first_output_seconds,
-                     std::chrono::duration<double>(MonotonicNow() - item->arrived).count());
+                     std::chrono::duration<double>(item->first_output).count());
     std::vector<net::header> headers = state.wire.reply_headers(item->head);
     if (state.unready) headers.push_back({"Connection", "close"});
     item->exchange->BeginStream(item->head.status, headers);
@@ -139,11 +193,15 @@
 
 bool IsIdempotent(const call& item) { return item.route->idempotent || item.route->resumable; }
 
-bool MayTryAgain(gateway_state& state, const call& item, attempt_failure failure, time_point now) {
+bool MayTryAgain(gateway_state& state, const call& item, attempt_failure failure, bool pipelined,
+                 time_point now) {
   if (item.due - now < kLeastTimeLeft) return false;
   if (item.may_have_run && !IsIdempotent(item)) return false;
   if (failure == attempt_failure::kNotSent) return true;
-  return item.counted_sends < item.route->max_attempts && TryRepeat(state.budget, now);
+  // A pipelined request may go through a head again with other engines behind it.
+  const bool sent_out = static_cast<int>(item.reached.size()) >= item.route->max_attempts;
+  if (item.sends >= kMaxSends || (sent_out && !pipelined)) return false;
+  return TryRepeat(state.budget, now);
 }
 
 void OnFailure(gateway_state& state, const call_ptr& item, attempt_failure failure) {
@@ -168,15 +226,18 @@
   const bool pipelined = item->path.front().range.Size() > 0;
   // Endpoints that have ended do not count as tried.
   const bool target_lost = target == nullptr || target->down || failure == attempt_failure::kBroken;
-  if (reached && !(pipelined && target_lost)) ++item->counted_sends;
+  if (reached && !(pipelined && target_lost)) item->reached.insert(target_id);
+  if (fault != nullptr && failure == attempt_failure::kNotExecuted && pipelined) {
+    fault->refused_until = now + kRefusalHold;
+  }
   if (failure == attempt_failure::kBroken || failure == attempt_failure::kStalled ||
-      failure == attempt_failure::kFailed) {
+      failure == attempt_failure::kFailed || failure == attempt_failure::kMoved) {
     item->may_have_run = true;
   }
-  if (target != nullptr && failure != attempt_failure::kNotExecuted) {
-    RecordOutcome(*target, true, now);
-  }
-  item->avoided.insert(fault_id);
+  const bool blamed =
+      failure != attempt_failure::kNotExecuted && failure != attempt_failure::kMoved;
+  if (target != nullptr && blamed) RecordOutcome(*target, true, now);
+  if (failure != attempt_failure::kMoved) item->avoided.insert(fault_id);
   // An answer of the endpoint is passed on when there is no better one to be had.
   const bool has_answer = failure == attempt_failure::kFailed && !item->streaming;
   const net::reply_head head = item->head;
@@ -190,7 +251,7 @@
     AskEndpoint(state, *fault, failure == attempt_failure::kNotExecuted ? "refused" : "broke off");
   }
   if (!state.calls.contains(item->number)) return;
-  if (MayTryAgain(state, *item, failure, now)) {
+  if (MayTryAgain(state, *item, failure, pipelined, now)) {
     CountRetry(state.metrics, ToString(failure));
     return Begin(state, item);
   }
@@ -209,7 +270,7 @@
 
 void WatchTry(gateway_state& state, const call_ptr& item) {
   if (item->path.front().range.Size() > 0 || !item->route->idempotent) return;
-  if (item->counted_sends + 1 >= item->route->max_attempts) return;
+  if (static_cast<int>(item->reached.size()) + 1 >= item->route->max_attempts) return;
   const duration goal(static_cast<duration::rep>(
       kTryGoalParts * static_cast<double>(item->route->latency_goal.count())));
   const std::weak_ptr<call> weak = item;
@@ -265,6 +326,27 @@
   return std::ranges::find(item.path, endpoint_id, &call_hop::endpoint_id) != item.path.end();
 }
 
+// An endpoint that leaves goes on serving for a while. Most requests end in that time; the others
+// move one after the other, since those that move together wait for each other.
+void MoveLater(gateway_state& state, const call_ptr& item, const std::string& endpoint_id) {
+  const bool is_head = item->path.front().endpoint_id == endpoint_id;
+  const duration earliest = is_head ? kHeadMoveEarliest : kMoveEarliest;
+  const duration spread = kMoveLatest - earliest;
+  const duration delay =
+      earliest + duration(static_cast<duration::rep>(UniformUnit(state.rng) *
+                                                     static_cast<double>(spread.count())));
+  const std::weak_ptr<call> weak = item;
+  Subscribe(state.loop.Timers(), MonotonicNow() + delay, [&state, weak, endpoint_id](time_point) {
+    const call_ptr held = weak.lock();
+    if (!held || !held->upstream || !HasPart(*held, endpoint_id)) return;
+    if (held->path.front().endpoint_id == endpoint_id) {
+      OnFailure(state, held, attempt_failure::kMoved);
+    } else {
+      Reroute(state, held, kEvents);
+    }
+  });
+}
+
 }  // namespace
 
 void AcceptCall(gateway_state& state, const net::exchange_ptr& exchange) {
@@ -310,25 +392,41 @@
     const bool pipelined = item->path.front().range.Size() > 0;
     const bool is_head = item->path.front().endpoint_id == endpoint_id;
     if (!pipelined) continue;
-    if (!is_head) {
-      Reroute(state, item, kEvents);
-    } else if (lost) {
+    if (!lost) {
+      MoveLater(state, item, endpoint_id);
+    } else if (is_head) {
       OnFailure(state, item, attempt_failure::kStalled);
+    } else {
+      Reroute(state, item, kEvents);
     }
   }
 }
 
 void CheckProgress(gateway_state& state) {
   const time_point now = MonotonicNow();
-  std::set<std::string> heads;
+  std::map<std::string_view, suspicion> seen;
   for (const auto& [number, item] : state.calls) {
     if (!item->upstream || item->path.front().range.Size() == 0 || item->rerouting) continue;
-    if (now - item->last_progress < kStallCheck) continue;
-    heads.insert(item->path.front().endpoint_id);
+    const duration patience = item->progressed ? kStallCheck : kFirstStallCheck;
+    const bool stalled = now - item->last_progress >= patience;
+    for (const call_hop& part : item->path) {
+      suspicion& entry = seen[part.endpoint_id];
+      ++entry.calls;
+      if (stalled) ++entry.stalled;
+    }
   }
-  for (const std::string& id : heads) {
-    endpoint* head = FindEndpoint(state, id);
-    if (head != nullptr) AskEndpoint(state, *head, "no progress");
+  std::vector<std::pair<std::string_view, suspicion>> suspects;
+  std::ranges::copy_if(seen, std::back_inserter(suspects), [&](const auto& entry) {
+    const suspicion& counts = entry.second;
+    if (counts.stalled == 0 || counts.stalled < kSuspectPart * counts.calls) return false;
+    const endpoint* suspect = FindEndpoint(state, entry.first);
+    return suspect != nullptr && MayAsk(*suspect, now);
+  });
+  std::ranges::stable_sort(suspects, std::greater<>(),
+                           [](const auto& entry) { return entry.second.stalled; });
+  for (const auto& [id, counts] : suspects | std::views::take(kMaxChecksPerTick)) {
+    endpoint* suspect = FindEndpoint(state, id);
+    if (suspect != nullptr) AskEndpoint(state, *suspect, kNoProgress);
   }
 }
 
--- a/libs/gateway/src/details/attempt.h
+++ b/libs/gateway/src/details/attempt.h
@@ -14,6 +14,7 @@
   kBroken,       // connection broken, malformed or foreign reply
   kStalled,      // no answer for too long, or an engine on the path was lost
   kFailed,       // the endpoint answered with an error of its own
+  kMoved,        // the endpoint is about to leave; the request goes on elsewhere
 };
 
 std::string_view ToString(attempt_failure failure);
--- a/libs/gateway/src/details/monitor.h
+++ b/libs/gateway/src/details/monitor.h
@@ -7,14 +7,23 @@
 
 namespace balsambay::gateway {
 
+// Why an engine is asked.
+inline constexpr std::string_view kNoProgress = "no progress";
+inline constexpr std::string_view kToldByPeer = "told by a peer";
+
 // Asks an engine for its report, unless it is being asked already; no answer takes it out of use.
 // Requests that the report names as stalled move off the engines that cause it.
 void AskEndpoint(gateway_state& state, endpoint& item, std::string_view why);
 
+// Whether asking now could tell something new.
+bool MayAsk(const endpoint& item, time_point now);
+
 void StartMonitor(gateway_state& state);
 
 // Load exchange with other gateways.
 result<void> StartPeers(gateway_state& state);
+// Tells the others at once that an endpoint does not answer.
+void ReportDown(gateway_state& state, const endpoint& item);
 void ReplacePeers(gateway_state& state, std::span<const peer_address> peers);
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -44,7 +44,9 @@
   time_point next_probe;    // while down
   bool probing = false;     // a report is under way
   time_point reported_at;   // last report
-  time_point checked_at;    // last report that was asked for because a request stalled
+  time_point checked_at;  // last report that was asked for because a request stalled
+  int missed_reports = 0;
+  time_point refused_until;  // refused work lately; not chosen before
   double failure_rate = 0;  // moving mean over requests, decays with time since `failure_at`
   time_point failure_at;
 };
@@ -84,14 +86,16 @@
   time_point attempt_started;
   time_point last_progress;
   bool progressed = false;  // the open attempt has produced output
-  bool checking = false;    // the head is being asked why there is no progress
-  time_point next_check;
   bool rerouting = false;
+  int reroutes = 0;  // refused ones of the open attempt, in a row
 
   // Over all attempts.
-  int sends = 0;          // attempts that reached an endpoint
-  int counted_sends = 0;  // those to endpoints that are still there
+  int sends = 0;                  // attempts that reached an endpoint
+  std::set<std::string> reached;  // endpoints that they were sent to and that are still there
   bool may_have_run = false;
+  duration first_output{0};  // after arrival
+  duration longest_gap{0};   // between outputs
+  time_point last_output;
   bool streaming = false;  // the reply to the caller has begun
   event_splitter events;
   std::set<std::string> avoided;  // endpoint ids that failed for this request
@@ -151,6 +155,9 @@
   uint64_t next_call = 1;
   repeat_budget budget;
 
+  time_point progress_due = time_point::max() - std::chrono::hours(1);
+  time_point held_up_at;  // when the loop last ran late
+
   // Placement of layers.
   lease::holder lease;
   std::map<std::string, placement_order> orders;  // by endpoint id
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -72,7 +72,7 @@
 }
 
 bool IsUsable(const gateway_state& state, const endpoint& item, time_point now) {
-  if (item.listed.leaving || item.down) return false;
+  if (item.listed.leaving || item.down || now < item.refused_until) return false;
   const auto zone = state.zone_down_until.find(item.listed.zone);
   return zone == state.zone_down_until.end() || zone->second <= now;
 }
@@ -147,6 +147,7 @@
     log::Log(log::level::kInfo, "endpoint back in use", {{"endpoint", item.listed.id}});
   }
   item.down = false;
+  item.missed_reports = 0;
   item.reported_at = MonotonicNow();
   item.accepted_orders = report.accepted_orders;
   item.busy = report.busy;
--- a/libs/gateway/src/monitor.cc
+++ b/libs/gateway/src/monitor.cc
@@ -14,8 +14,15 @@
 using std::chrono_literals::operator""ms;
 
 constexpr duration kTick = 100ms;
-// Engines answer reports without a slot, so a missing answer means that they are gone.
+constexpr duration kProgressTick = 40ms;
+// Engines answer reports without a slot, so missing answers mean that they are gone. One may be
+// lost on the way.
 constexpr duration kReportTimeout = 400ms;
+// For an engine whose requests have all stalled, one missing answer is enough.
+constexpr duration kCheckTimeout = 100ms;
+constexpr int kMissedReports = 2;
+// A timer that runs this late shows that this process was held up; silence proves nothing then.
+constexpr duration kHeldUp = 50ms;
 // A report is some hundred ms old, so asking more often tells nothing new.
 constexpr duration kCheckInterval = 250ms;
 constexpr duration kDownProbeInterval = 500ms;
@@ -46,14 +53,30 @@
   }
 }
 
+void Ask(gateway_state& state, endpoint& item, std::string_view why, duration timeout);
+
+void OnNoReport(gateway_state& state, endpoint& item, bool refused, std::string_view why) {
+  item.next_probe = MonotonicNow() + kDownProbeInterval;
+  if (item.down) return;
+  ++item.missed_reports;
+  if (!refused && why != kNoProgress && item.missed_reports < kMissedReports) {
+    return Ask(state, item, why, kCheckTimeout);
+  }
+  MarkDown(state, item, "no report, asked because: " + std::string(why));
+  if (why != kToldByPeer) ReportDown(state, item);
+}
+
 void OnReport(gateway_state& state, const std::string& id, const std::string& address,
-              const net::whole_reply& reply, std::string_view why) {
+              const net::whole_reply& reply, std::string_view why, time_point due) {
   endpoint* item = FindEndpoint(state, id);
   if (item == nullptr || item->listed.address != address) return;
   item->probing = false;
   if (reply.end.failure != net::call_failure::kNone || reply.status != 200) {
-    item->next_probe = MonotonicNow() + kDownProbeInterval;
-    return MarkDown(state, *item, std::string("no report, asked because: ") + std::string(why));
+    const time_point now = MonotonicNow();
+    if (now > due + kHeldUp || now - state.held_up_at < kReportTimeout) {
+      return Ask(state, *item, why, kReportTimeout);
+    }
+    return OnNoReport(state, *item, now < due, why);
   }
   auto report = state.wire.read_report(reply.body);
   if (report.has_error()) {
@@ -65,15 +88,16 @@
   MoveStalled(state, report.value());
 }
 
-void Ask(gateway_state& state, endpoint& item, std::string_view why) {
+void Ask(gateway_state& state, endpoint& item, std::string_view why, duration timeout) {
   item.probing = true;
   net::client_request request = state.wire.write_report_request(item.listed.address);
-  request.header_timeout = kReportTimeout;
+  request.header_timeout = timeout;
   request.fresh_connection = true;
-  net::Fetch(
-      *state.client, std::move(request),
-      [&state, id = item.listed.id, address = item.listed.address, reason = std::string(why)](
-          const net::whole_reply& reply) { OnReport(state, id, address, reply, reason); });
+  net::Fetch(*state.client, std::move(request),
+             [&state, id = item.listed.id, address = item.listed.address, reason = std::string(why),
+              due = MonotonicNow() + timeout](const net::whole_reply& reply) {
+               OnReport(state, id, address, reply, reason, due);
+             });
 }
 
 // Whether this gateway is the one that asks the engine in regular rounds: the highest hash among
@@ -95,10 +119,10 @@
     if (item.down) {
       if (now >= item.next_probe) {
         item.next_probe = now + kDownProbeInterval;
-        Ask(state, item, "out of use");
+        Ask(state, item, "out of use", kReportTimeout);
       }
     } else if (now - item.reported_at >= kRoundInterval && IsOwnTurn(state, item, now)) {
-      Ask(state, item, "regular");
+      Ask(state, item, "regular", kReportTimeout);
     }
   }
 }
@@ -128,7 +152,7 @@
       ++engines;
       if (item.down) ++down;
       if (engines <= 2 && !item.down && !item.probing && now - item.reported_at > kCheckInterval) {
-        Ask(state, item, "silent zone");
+        Ask(state, item, "silent zone", kCheckTimeout);
       }
     }
     if (down < std::min(engines, 2)) continue;
@@ -147,22 +171,36 @@
 }
 
 void Tick(gateway_state& state, time_point now) {
-  CheckProgress(state);
   AskInTurn(state, now);
   ReviveServices(state, now);
   CheckZones(state, now);
   Subscribe(state.loop.Timers(), now + kTick, [&state](time_point at) { Tick(state, at); });
 }
 
+void ProgressTick(gateway_state& state, time_point now) {
+  if (now > state.progress_due + kHeldUp) state.held_up_at = now;
+  CheckProgress(state);
+  state.progress_due = now + kProgressTick;
+  Subscribe(state.loop.Timers(), now + kProgressTick,
+            [&state](time_point at) { ProgressTick(state, at); });
+}
+
 }  // namespace
 
+bool MayAsk(const endpoint& item, time_point now) {
+  return !item.probing && !item.down && now - item.checked_at >= kCheckInterval;
+}
+
 void AskEndpoint(gateway_state& state, endpoint& item, std::string_view why) {
   const time_point now = MonotonicNow();
-  if (item.probing || item.down || now - item.checked_at < kCheckInterval) return;
+  if (!MayAsk(item, now)) return;
   item.checked_at = now;
-  if (IsEngine(state, item)) Ask(state, item, why);
+  if (IsEngine(state, item)) Ask(state, item, why, kCheckTimeout);
 }
 
-void StartMonitor(gateway_state& state) { Tick(state, MonotonicNow()); }
+void StartMonitor(gateway_state& state) {
+  Tick(state, MonotonicNow());
+  ProgressTick(state, MonotonicNow());
+}
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -31,6 +31,11 @@
   }
 }
 
+std::string Encode(const json& message) {
+  const std::vector<uint8_t> bytes = json::to_cbor(message);
+  return {bytes.begin(), bytes.end()};
+}
+
 std::string EncodeLoads(const gateway_state& state) {
   json loads = json::array();
   for (const auto& [id, item] : state.endpoints) {
@@ -38,9 +43,7 @@
     loads.push_back({item.listed.address, static_cast<int64_t>(item.own.committed),
                      item.own.sequences, item.own.head_requests});
   }
-  const std::vector<uint8_t> bytes =
-      json::to_cbor({{"v", kMessageVersion}, {"id", state.config.id}, {"loads", loads}});
-  return {bytes.begin(), bytes.end()};
+  return Encode({{"v", kMessageVersion}, {"id", state.config.id}, {"loads", loads}});
 }
 
 // Sums are made anew, because endpoints come and go between two messages.
@@ -54,9 +57,17 @@
   if (!message.is_object() || message.value("v", json()) != json(kMessageVersion)) return;
   const json id = message.value("id", json());
   const json loads = message.value("loads", json());
-  if (!id.is_string() || !loads.is_array()) return;
+  const json down = message.value("down", json());
+  if (!id.is_string()) return;
   const auto found = state.peers.find(id.get<std::string>());
   if (found == state.peers.end()) return;
+  if (down.is_string()) {
+    // Another gateway may lack a path that this one has, so the engine is asked.
+    endpoint* item = FindByAddress(state, down.get<std::string>());
+    if (item != nullptr) AskEndpoint(state, *item, kToldByPeer);
+    return;
+  }
+  if (!loads.is_array()) return;
   peer& from = found->second;
   from.heard = MonotonicNow();
   from.loads.clear();
@@ -103,6 +114,14 @@
   return Success();
 }
 
+void ReportDown(gateway_state& state, const endpoint& item) {
+  const std::string message = Encode(
+      {{"v", kMessageVersion}, {"id", state.config.id}, {"down", item.listed.address}});
+  for (const auto& [id, other] : state.peers) {
+    state.peer_socket->Send(other.address.address, message);
+  }
+}
+
 void ReplacePeers(gateway_state& state, std::span<const peer_address> peers) {
   std::map<std::string, peer> next;
   for (const peer_address& address : peers) {
--- a/libs/pipeline/include/pipeline/path.h
+++ b/libs/pipeline/include/pipeline/path.h
@@ -43,6 +43,8 @@
   bool ignore_room = false;
   // Indexes of engines that must not be used.
   std::span<const size_t> excluded = {};
+  // When not empty, the path begins at one of these.
+  std::span<const size_t> heads = {};
 };
 
 enum class path_verdict : uint8_t {
--- a/libs/pipeline/src/path.cc
+++ b/libs/pipeline/src/path.cc
@@ -15,7 +15,7 @@
 constexpr double kHopMs = 0.4;
 // Added to the delay of a hop to another zone: activations share the pipe with other requests, and
 // a path inside one zone survives a partition.
-constexpr double kCrossZonePenaltyMs = 4;
+constexpr double kCrossZonePenaltyMs = 8;
 // Added for an engine at full memory, ms; falls with the sixth power of the used part. Of the order
 // of a whole path's time between tokens, so that a full engine costs as much as a detour.
 constexpr double kPressureMs = 25;
@@ -49,6 +49,11 @@
          std::ranges::find(state.query.excluded, index) == state.query.excluded.end();
 }
 
+bool MayBeHead(const search& state, size_t index) {
+  return state.query.heads.empty() ||
+         std::ranges::find(state.query.heads, index) != state.query.heads.end();
+}
+
 struct stage_cost {
   double token_ms = 0;
   double total = kInfinite;
@@ -116,6 +121,7 @@
         const layer_range held = state.engines[index].held;
         const bool is_head = state.query.head && state.query.head->engine == index;
         if (is_head || layer < held.begin || layer >= held.end) continue;
+        if (boundary == 0 && !MayBeHead(state, index)) continue;
         for (size_t next = boundary + 1;
              next < state.boundaries.size() && state.boundaries[next] <= held.end; ++next) {
           Relax(state, boundary, zone, index, next, current.cost, current.token_ms);
