Placement: new engines succeed the ones that leave; requests wait for a path in place; adaptive check time

Ruled out: memory of engines (no preemptions), the store. Now: a new engine is kept idle for 2.5 s and takes exactly the layers of an engine of its zone that leaves; requests move in place as soon as a path without a new zone crossing exists, and begin anew only at the end of the notice; requests that may not be sent again stay where they are; the time after which a report is missing follows the mean and deviation of reports.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -20,7 +20,7 @@
 // An order to reroute is answered at once or not at all.
 constexpr duration kRerouteTimeout = 400ms;
 // Further paths that are tried when one of the new engines refuses.
-constexpr int kMaxReroutes = 3;
+constexpr int kMaxReroutes = 2;
 // A reply larger than this is not collected in memory.
 constexpr size_t kMaxReplyBytes = size_t{16} << 20;
 // An endpoint that failed all its recent requests counts as this many requests longer.
@@ -245,11 +245,11 @@
   endpoint* fault = reply.status == 409
                         ? FindByAddress(state, state.wire.read_order_fault(reply.body))
                         : nullptr;
-  if (fault == nullptr || ++item->reroutes > kMaxReroutes) {
-    return Fail(state, item, attempt_failure::kStalled, events);
+  if (fault != nullptr && ++item->reroutes <= kMaxReroutes) {
+    item->avoided.insert(fault->listed.id);
+    if (Reroute(state, item, false, events)) return;
   }
-  item->avoided.insert(fault->listed.id);
-  Reroute(state, item, events);
+  events.on_reroute_failed(state, item);
 }
 
 }  // namespace
@@ -297,13 +297,15 @@
   item.upstream.reset();
 }
 
-void Reroute(gateway_state& state, const call_ptr& item, const attempt_events& events) {
+bool Reroute(gateway_state& state, const call_ptr& item, bool allow_crossings,
+             const attempt_events& events) {
   const catalog::service* service = ServiceOf(*item);
-  if (item->rerouting || service == nullptr || !service->pipelined) return;
+  if (service == nullptr || !service->pipelined) return false;
+  if (item->rerouting) return true;
   const engine_views views = ViewEngines(state, *service, MonotonicNow());
   const std::vector<size_t> excluded = ExcludedIndexes(*item, views);
   const auto head = std::ranges::find(views.ids, item->path.front().endpoint_id);
-  if (head == views.ids.end()) return Fail(state, item, attempt_failure::kStalled, events);
+  if (head == views.ids.end()) return false;
   pipeline::path_query query{
       .tokens = item->committed_tokens,
       .home_zone = state.config.zone,
@@ -316,14 +318,9 @@
     query.ignore_room = true;
     choice = pipeline::ChoosePath(*service->pipelined, views.engines, query);
   }
-  if (choice.verdict != pipeline::path_verdict::kFound) {
-    return Fail(state, item, attempt_failure::kStalled, events);
-  }
-  // New engines read the whole text so far. Across zones its activations share one pipe, where the
-  // requests of a lost engine would queue; reading it anew inside one zone takes less time.
-  if (ZoneCrossings(choice.stages, views.engines) > CrossingsOf(state, *item)) {
-    return Fail(state, item, attempt_failure::kMoved, events);
-  }
+  if (choice.verdict != pipeline::path_verdict::kFound) return false;
+  const bool crosses = ZoneCrossings(choice.stages, views.engines) > CrossingsOf(state, *item);
+  if (crosses && !allow_crossings) return false;
   std::vector<call_hop> path = ToHops(choice.stages, views);
   net::client_request order =
       state.wire.write_reroute(item->path.front().address, item->incoming.id, WireHops(path));
@@ -350,6 +347,7 @@
                held->last_progress = MonotonicNow();
                AdoptPath(state, *held, path);
              });
+  return true;
 }
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -54,12 +54,10 @@
   int stalled = 0;
 };
 
-// When requests move off an endpoint that leaves: before it ends, which is 2 s after its notice or
-// later. Requests that it only helps with move in place; those that entered there start again, so
-// they get more time to end.
-constexpr duration kMoveEarliest = 200ms;
-constexpr duration kHeadMoveEarliest = 1000ms;
-constexpr duration kMoveLatest = 1700ms;
+// Requests move off an endpoint that leaves before it ends, which is 2 s after its notice or later.
+// By then most have ended, or another engine holds its layers, so that they move in place.
+constexpr duration kMoveLatest = 1800ms;
+constexpr duration kMoveRetry = 150ms;
 
 struct refusal {
   int status = 503;
@@ -201,7 +199,7 @@
   // A pipelined request may go through a head again with other engines behind it.
   const bool sent_out = static_cast<int>(item.reached.size()) >= item.route->max_attempts;
   if (item.sends >= kMaxSends || (sent_out && !pipelined)) return false;
-  return TryRepeat(state.budget, now);
+  return MayRepeat(state.budget, now);
 }
 
 void OnFailure(gateway_state& state, const call_ptr& item, attempt_failure failure) {
@@ -244,14 +242,17 @@
   const std::string body = item->reply_body;
   const bool overloaded = failure == attempt_failure::kNotExecuted && item->head.status != 421;
   CloseAttempt(state, *item);
-  if (fault != nullptr && failure == attempt_failure::kNotSent) {
+  if (fault != nullptr && failure == attempt_failure::kNotSent && !pipelined) {
     MarkDown(state, *fault, "cannot be reached");
+  } else if (fault != nullptr && failure == attempt_failure::kNotSent) {
+    AskEndpoint(state, *fault, "cannot be reached");
   } else if (fault != nullptr && pipelined &&
              (failure == attempt_failure::kBroken || failure == attempt_failure::kNotExecuted)) {
     AskEndpoint(state, *fault, failure == attempt_failure::kNotExecuted ? "refused" : "broke off");
   }
   if (!state.calls.contains(item->number)) return;
   if (MayTryAgain(state, *item, failure, pipelined, now)) {
+    if (failure != attempt_failure::kNotSent) CountRepeat(state.budget, now);
     CountRetry(state.metrics, ToString(failure));
     return Begin(state, item);
   }
@@ -266,7 +267,32 @@
           .retry_after = SpreadRetry(state)});
 }
 
-constexpr attempt_events kEvents{OnAnswer, OnFailure, OnOutput};
+void OnRerouteFailed(gateway_state& state, const call_ptr& item);
+
+constexpr attempt_events kEvents{OnAnswer, OnFailure, OnOutput, OnRerouteFailed};
+
+// Begins the open attempt anew elsewhere. False when the request may not be sent again; the attempt
+// then goes on, since an engine that seemed lost may only be slow.
+bool Restart(gateway_state& state, const call_ptr& item, attempt_failure why) {
+  if (!IsIdempotent(*item) || !MayTryAgain(state, *item, why, true, MonotonicNow())) return false;
+  OnFailure(state, item, why);
+  return true;
+}
+
+void OnRerouteFailed(gateway_state& state, const call_ptr& item) {
+  Restart(state, item, attempt_failure::kMoved);
+}
+
+// Takes a request off an engine of its path. `last_chance`: also by ways that delay it.
+bool MoveOff(gateway_state& state, const call_ptr& item, const std::string& endpoint_id,
+             bool last_chance, attempt_failure why) {
+  if (item->path.front().endpoint_id == endpoint_id) {
+    return last_chance && Restart(state, item, why);
+  }
+  if (Reroute(state, item, false, kEvents)) return true;
+  if (!last_chance) return false;
+  return Restart(state, item, why) || Reroute(state, item, true, kEvents);
+}
 
 void WatchTry(gateway_state& state, const call_ptr& item) {
   if (item->path.front().range.Size() > 0 || !item->route->idempotent) return;
@@ -328,22 +354,21 @@
 
 // An endpoint that leaves goes on serving for a while. Most requests end in that time; the others
 // move one after the other, since those that move together wait for each other.
-void MoveLater(gateway_state& state, const call_ptr& item, const std::string& endpoint_id) {
-  const bool is_head = item->path.front().endpoint_id == endpoint_id;
-  const duration earliest = is_head ? kHeadMoveEarliest : kMoveEarliest;
-  const duration spread = kMoveLatest - earliest;
-  const duration delay =
-      earliest + duration(static_cast<duration::rep>(UniformUnit(state.rng) *
-                                                     static_cast<double>(spread.count())));
+void MoveLater(gateway_state& state, const call_ptr& item, const std::string& endpoint_id,
+               time_point latest) {
+  const time_point now = MonotonicNow();
+  const duration spread = std::max<duration>(latest - now, kMoveRetry);
+  const duration delay = std::min<duration>(
+      kMoveRetry + duration(static_cast<duration::rep>(UniformUnit(state.rng) *
+                                                       static_cast<double>(spread.count()) / 2)),
+      spread);
   const std::weak_ptr<call> weak = item;
-  Subscribe(state.loop.Timers(), MonotonicNow() + delay, [&state, weak, endpoint_id](time_point) {
+  Subscribe(state.loop.Timers(), now + delay, [&state, weak, endpoint_id, latest](time_point at) {
     const call_ptr held = weak.lock();
     if (!held || !held->upstream || !HasPart(*held, endpoint_id)) return;
-    if (held->path.front().endpoint_id == endpoint_id) {
-      OnFailure(state, held, attempt_failure::kMoved);
-    } else {
-      Reroute(state, held, kEvents);
-    }
+    const bool last_chance = at + kMoveRetry >= latest;
+    if (MoveOff(state, held, endpoint_id, last_chance, attempt_failure::kMoved)) return;
+    if (!last_chance) MoveLater(state, held, endpoint_id, latest);
   });
 }
 
@@ -383,21 +408,18 @@
 }
 
 void MoveCallsOff(gateway_state& state, const std::string& endpoint_id, bool lost) {
+  const time_point now = MonotonicNow();
   std::vector<call_ptr> affected;
   for (const auto& [number, item] : state.calls) {
     if (item->upstream && HasPart(*item, endpoint_id)) affected.push_back(item);
   }
   for (const call_ptr& item : affected) {
     if (!item->upstream || !HasPart(*item, endpoint_id)) continue;
-    const bool pipelined = item->path.front().range.Size() > 0;
-    const bool is_head = item->path.front().endpoint_id == endpoint_id;
-    if (!pipelined) continue;
-    if (!lost) {
-      MoveLater(state, item, endpoint_id);
-    } else if (is_head) {
-      OnFailure(state, item, attempt_failure::kStalled);
+    if (item->path.front().range.Size() == 0) continue;
+    if (lost) {
+      MoveOff(state, item, endpoint_id, true, attempt_failure::kStalled);
     } else {
-      Reroute(state, item, kEvents);
+      MoveLater(state, item, endpoint_id, now + kMoveLatest);
     }
   }
 }
--- a/libs/gateway/src/details/attempt.h
+++ b/libs/gateway/src/details/attempt.h
@@ -25,6 +25,8 @@
   void (*on_answer)(gateway_state& state, const call_ptr& item);
   void (*on_failure)(gateway_state& state, const call_ptr& item, attempt_failure failure);
   void (*on_output)(gateway_state& state, const call_ptr& item, std::string_view events);
+  // The engines of the open attempt could not be replaced; it goes on as it is.
+  void (*on_reroute_failed)(gateway_state& state, const call_ptr& item);
 };
 
 enum class start_result : uint8_t { kStarted, kNoRoom, kNoEndpoint };
@@ -35,8 +37,11 @@
 // Cancels the open attempt and releases its load.
 void CloseAttempt(gateway_state& state, call& item);
 
-// Replaces the engines after the head of the open attempt. Reports kStalled when that is not
-// possible.
-void Reroute(gateway_state& state, const call_ptr& item, const attempt_events& events);
+// Replaces the engines after the head of the open attempt. False when no path can be had; paths
+// that cross more zones than the present one count only with `allow_crossings`: new engines read
+// the whole text so far, and across zones its activations share one pipe, where the requests of a
+// lost engine would queue.
+bool Reroute(gateway_state& state, const call_ptr& item, bool allow_crossings,
+             const attempt_events& events);
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/details/repeat_budget.h
+++ b/libs/gateway/src/details/repeat_budget.h
@@ -18,7 +18,9 @@
 
 void CountRequest(repeat_budget& budget, time_point now);
 
-// Spends one repeat when the budget allows it.
-bool TryRepeat(repeat_budget& budget, time_point now);
+// Whether the budget allows one more repeat.
+bool MayRepeat(repeat_budget& budget, time_point now);
+
+void CountRepeat(repeat_budget& budget, time_point now);
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -21,6 +21,7 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "pipeline/path.h"
+#include "pipeline/placement.h"
 
 namespace balsambay::gateway {
 
@@ -114,6 +115,12 @@
   time_point next_step;
 };
 
+// What an engine held when it was last in use, at the gateway that places layers.
+struct placed_engine {
+  pipeline::vacancy held;
+  time_point lost_at;  // min(): in use
+};
+
 struct peer {
   peer_address address;
   time_point heard;                   // min(): never
@@ -157,6 +164,8 @@
 
   time_point progress_due = time_point::max() - std::chrono::hours(1);
   time_point held_up_at;  // when the loop last ran late
+  double report_ms = 0;            // moving mean of the time that reports take
+  double report_deviation_ms = 0;  // of that time from its mean
 
   // Placement of layers.
   lease::holder lease;
@@ -164,6 +173,8 @@
   time_point endpoints_changed;
   time_point held_since;  // when this gateway last began to place layers
   double tokens_per_stage = 0;
+  std::map<std::string, placed_engine> placed;         // by endpoint id
+  std::map<std::string, time_point> idle_since;        // engines without layers, by endpoint id
   bool placing = false;
 
   bool unready = false;
--- a/libs/gateway/src/monitor.cc
+++ b/libs/gateway/src/monitor.cc
@@ -2,6 +2,7 @@
 #include "details/monitor.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "base/hash.h"
 #include "details/calls.h"
@@ -20,6 +21,11 @@
 constexpr duration kReportTimeout = 400ms;
 // For an engine whose requests have all stalled, one missing answer is enough.
 constexpr duration kCheckTimeout = 100ms;
+// Reports take longer when this process is short of processor time; as for retransmissions of TCP,
+// an answer is missing when it takes longer than the mean by this many mean deviations.
+constexpr double kDeviations = 4;
+constexpr double kMeanWeight = 0.125;
+constexpr double kDeviationWeight = 0.25;
 constexpr int kMissedReports = 2;
 // A timer that runs this late shows that this process was held up; silence proves nothing then.
 constexpr duration kHeldUp = 50ms;
@@ -55,19 +61,33 @@
 
 void Ask(gateway_state& state, endpoint& item, std::string_view why, duration timeout);
 
+void LearnReportTime(gateway_state& state, duration taken) {
+  const double ms = std::chrono::duration<double, std::milli>(taken).count();
+  state.report_deviation_ms +=
+      kDeviationWeight * (std::abs(ms - state.report_ms) - state.report_deviation_ms);
+  state.report_ms += kMeanWeight * (ms - state.report_ms);
+}
+
+duration CheckTimeout(const gateway_state& state) {
+  const double ms = state.report_ms + kDeviations * state.report_deviation_ms;
+  const auto expected =
+      std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
+  return std::clamp<duration>(expected, kCheckTimeout, kReportTimeout);
+}
+
 void OnNoReport(gateway_state& state, endpoint& item, bool refused, std::string_view why) {
   item.next_probe = MonotonicNow() + kDownProbeInterval;
   if (item.down) return;
   ++item.missed_reports;
   if (!refused && why != kNoProgress && item.missed_reports < kMissedReports) {
-    return Ask(state, item, why, kCheckTimeout);
+    return Ask(state, item, why, CheckTimeout(state));
   }
   MarkDown(state, item, "no report, asked because: " + std::string(why));
   if (why != kToldByPeer) ReportDown(state, item);
 }
 
 void OnReport(gateway_state& state, const std::string& id, const std::string& address,
-              const net::whole_reply& reply, std::string_view why, time_point due) {
+              const net::whole_reply& reply, std::string_view why, time_point asked, time_point due) {
   endpoint* item = FindEndpoint(state, id);
   if (item == nullptr || item->listed.address != address) return;
   item->probing = false;
@@ -76,8 +96,10 @@
     if (now > due + kHeldUp || now - state.held_up_at < kReportTimeout) {
       return Ask(state, *item, why, kReportTimeout);
     }
-    return OnNoReport(state, *item, now < due, why);
+    const bool refused = reply.end.failure == net::call_failure::kConnect && now < due;
+    return OnNoReport(state, *item, refused, why);
   }
+  LearnReportTime(state, MonotonicNow() - asked);
   auto report = state.wire.read_report(reply.body);
   if (report.has_error()) {
     log::Log(log::level::kWarning, "report cannot be read",
@@ -95,8 +117,8 @@
   request.fresh_connection = true;
   net::Fetch(*state.client, std::move(request),
              [&state, id = item.listed.id, address = item.listed.address, reason = std::string(why),
-              due = MonotonicNow() + timeout](const net::whole_reply& reply) {
-               OnReport(state, id, address, reply, reason, due);
+              asked = MonotonicNow(), timeout](const net::whole_reply& reply) {
+               OnReport(state, id, address, reply, reason, asked, asked + timeout);
              });
 }
 
@@ -195,7 +217,7 @@
   const time_point now = MonotonicNow();
   if (!MayAsk(item, now)) return;
   item.checked_at = now;
-  if (IsEngine(state, item)) Ask(state, item, why, kCheckTimeout);
+  if (IsEngine(state, item)) Ask(state, item, why, CheckTimeout(state));
 }
 
 void StartMonitor(gateway_state& state) {
--- a/libs/gateway/src/placer.cc
+++ b/libs/gateway/src/placer.cc
@@ -30,6 +30,12 @@
 // An accepted order that shows no effect for this long, while the engine is idle, is planned anew.
 constexpr duration kOrderLifetime = 8000ms;
 
+// An engine that has just come is kept for the layers of one that is about to leave: replacements
+// come before the engines that they replace go.
+constexpr duration kNewcomerHold = 2500ms;
+// Layers that found no successor for this long are left to the repair of coverage.
+constexpr duration kVacancyLifetime = 10'000ms;
+
 const catalog::service* PipelinedService(const gateway_state& state) {
   if (!state.configuration) return nullptr;
   const auto& services = state.configuration->content.services;
@@ -210,6 +216,57 @@
   }
 }
 
+// Notes which engines hold what, and which of them went out of use.
+void WatchEngines(gateway_state& state, const engine_views& views, time_point now) {
+  std::set<std::string> in_use;
+  for (size_t i = 0; i < views.ids.size(); ++i) {
+    const pipeline::engine& item = views.engines[i];
+    if (!item.usable) continue;
+    if (item.held.Size() == 0) {
+      state.idle_since.try_emplace(views.ids[i], now);
+      continue;
+    }
+    state.idle_since.erase(views.ids[i]);
+    in_use.insert(views.ids[i]);
+    state.placed[views.ids[i]] = {{item.held, item.zone, item.kind}, {}};
+  }
+  for (auto& [id, entry] : state.placed) {
+    if (!in_use.contains(id) && entry.lost_at == time_point()) entry.lost_at = now;
+  }
+  std::erase_if(state.placed, [&](const auto& entry) {
+    const time_point lost_at = entry.second.lost_at;
+    return lost_at != time_point() && now - lost_at > kVacancyLifetime;
+  });
+  std::erase_if(state.idle_since, [&](const auto& entry) {
+    return std::ranges::find(views.ids, entry.first) == views.ids.end();
+  });
+}
+
+bool IsFree(gateway_state& state, const std::string& id) {
+  const endpoint* item = FindEndpoint(state, id);
+  return item != nullptr && !state.orders.contains(id) && !item->busy;
+}
+
+// Gives the layers of engines that went out of use to idle engines of their zones.
+void FillVacancies(gateway_state& state, const pipeline::model_spec& model,
+                   const engine_views& views, time_point now) {
+  std::vector<char> idle(views.ids.size());
+  std::ranges::transform(views.ids, idle.begin(), [&](const std::string& id) -> char {
+    return state.idle_since.contains(id) && IsFree(state, id) ? 1 : 0;
+  });
+  std::vector<std::string> filled;
+  for (const auto& [id, entry] : state.placed) {
+    if (entry.lost_at == time_point()) continue;
+    const auto successor = pipeline::FindSuccessor(model, views.engines, idle, entry.held,
+                                                   state.tokens_per_stage);
+    if (!successor) continue;
+    idle[*successor] = 0;
+    AddOrder(state, views.ids[*successor], entry.held.range, now);
+    filled.push_back(id);
+  }
+  std::ranges::for_each(filled, [&](const std::string& id) { state.placed.erase(id); });
+}
+
 void Plan(gateway_state& state, time_point now) {
   const catalog::service* service = PipelinedService(state);
   if (service == nullptr || !state.endpoints_known) return;
@@ -222,17 +279,21 @@
     PlanAll(state, *service, views, now);
     views = PlannedViews(state, *service, now);
   }
+  WatchEngines(state, views, now);
+  FillVacancies(state, *service->pipelined, views, now);
+  views = PlannedViews(state, *service, now);
   std::vector<char> movable(views.engines.size());
-  std::ranges::transform(views.ids, movable.begin(), [&](const std::string& id) -> char {
-    return state.orders.empty() && !FindEndpoint(state, id)->busy ? 1 : 0;
-  });
+  for (size_t i = 0; i < views.ids.size(); ++i) {
+    movable[i] = state.orders.empty() && IsFree(state, views.ids[i]) ? 1 : 0;
+    const auto idle = state.idle_since.find(views.ids[i]);
+    const bool kept = idle != state.idle_since.end() && now - idle->second < kNewcomerHold;
+    if (kept && views.engines[i].held.Size() == 0) views.engines[i].usable = false;
+  }
   const auto changes =
       pipeline::PlanRepair(*service->pipelined, views.engines, movable, state.tokens_per_stage);
   for (const pipeline::placement_change& change : changes) {
     const std::string& id = views.ids[change.engine];
-    if (!state.orders.contains(id) && !FindEndpoint(state, id)->busy) {
-      AddOrder(state, id, change.range, now);
-    }
+    if (IsFree(state, id)) AddOrder(state, id, change.range, now);
   }
 }
 
@@ -250,6 +311,8 @@
     state.held_since = {};
     state.placing = false;
     state.orders.clear();
+    state.placed.clear();
+    state.idle_since.clear();
   }
   Subscribe(state.loop.Timers(), now + kTick, [&state](time_point at) { Tick(state, at); });
 }
--- a/libs/gateway/src/repeat_budget.cc
+++ b/libs/gateway/src/repeat_budget.cc
@@ -15,14 +15,14 @@
   budget.requests.push_back(now);
 }
 
-bool TryRepeat(repeat_budget& budget, time_point now) {
+bool MayRepeat(repeat_budget& budget, time_point now) {
   DropOld(budget.requests, now - budget.window);
   DropOld(budget.repeats, now - budget.window);
   const double allowed =
       budget.ratio * static_cast<double>(budget.requests.size()) + budget.own_slack;
-  if (static_cast<double>(budget.repeats.size()) + 1 > allowed) return false;
-  budget.repeats.push_back(now);
-  return true;
+  return static_cast<double>(budget.repeats.size()) + 1 <= allowed;
 }
 
+void CountRepeat(repeat_budget& budget, time_point now) { budget.repeats.push_back(now); }
+
 }  // namespace balsambay::gateway
--- a/libs/pipeline/include/pipeline/placement.h
+++ b/libs/pipeline/include/pipeline/placement.h
@@ -3,7 +3,9 @@
 // cover least.
 #pragma once
 
+#include <optional>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "pipeline/path.h"
@@ -26,6 +28,20 @@
   layer_range range;
 };
 
+// Layers that an engine held before it left or was lost.
+struct vacancy {
+  layer_range range;
+  std::string zone;
+  size_t kind = 0;
+};
+
+// The idle engine that should take over exactly these layers: of the same zone, so that requests
+// can move there without crossing zones, with enough memory, of the same kind if possible. nullopt:
+// none. `idle[i]` says whether engine i may be given layers.
+std::optional<size_t> FindSuccessor(const model_spec& model, std::span<const engine> engines,
+                                    std::span<const char> idle, const vacancy& vacancy,
+                                    double tokens_per_stage);
+
 // What holds the layers now or will after orders under way: `engines[i].held`. Returns new ranges
 // for idle usable engines that hold nothing, most useful first, and, when none of them is left and
 // some layers are covered far worse than others, one engine to move. `movable` says which engines
--- a/libs/pipeline/src/placement.cc
+++ b/libs/pipeline/src/placement.cc
@@ -167,6 +167,9 @@
   return best;
 }
 
+// A successor of another kind must have at least this part of the planned KV memory.
+constexpr double kSuccessorPart = 0.6;
+
 // A move must improve the coverage by this part of the whole shortage, since loading takes time and
 // what the engine holds is unusable meanwhile.
 constexpr double kMoveGain = 0.25;
@@ -195,6 +198,25 @@
   return out;
 }
 
+std::optional<size_t> FindSuccessor(const model_spec& model, std::span<const engine> engines,
+                                    std::span<const char> idle, const vacancy& vacancy,
+                                    double tokens_per_stage) {
+  std::optional<size_t> best;
+  double best_excess = 0;
+  for (size_t i = 0; i < engines.size(); ++i) {
+    if (idle[i] == 0 || !engines[i].usable || engines[i].held.Size() > 0) continue;
+    if (engines[i].zone != vacancy.zone) continue;
+    const double tokens = TokensOf(model, engines[i], vacancy.range.Size());
+    if (engines[i].kind != vacancy.kind && tokens < kSuccessorPart * tokens_per_stage) continue;
+    // An engine of another kind may be far too large; the closest one is taken.
+    const double excess = engines[i].kind == vacancy.kind ? 0 : 1 + tokens;
+    if (best && excess >= best_excess) continue;
+    best = i;
+    best_excess = excess;
+  }
+  return best;
+}
+
 std::vector<placement_change> PlanRepair(const model_spec& model, std::span<const engine> engines,
                                          std::span<const char> movable, double tokens_per_stage) {
   std::vector<placement_change> out;
