--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -33,6 +33,9 @@
  public:
   virtual ~gateway() = default;
 
+  // For callers.
+  virtual int Port() const = 0;
+
   // Versions that are not newer than the one in force are ignored.
   virtual void OnConfiguration(catalog::document document) = 0;
 
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -61,6 +61,8 @@
     return Success();
   }
 
+  int Port() const override { return state_.server->Port(); }
+
   void OnConfiguration(catalog::document document) override {
     const uint64_t known = state_.configuration ? state_.configuration->content.version : 0;
     if (document.version <= known) return;
--- /dev/null
+++ b/libs/gateway/tests/event_stream_test.cc
@@ -0,0 +1,71 @@
+// Event boundaries and the retry budget.
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "details/event_stream.h"
+#include "details/repeat_budget.h"
+
+namespace balsambay::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: text " + std::to_string(id) + "\n\n";
+}
+
+// Guards against passing on half an event, which a continued stream would then double or tear.
+TEST_CASE("only whole events are passed on, whatever the pieces") {
+  rc::prop("random pieces", [] {
+    std::string text;
+    const int count = *rc::gen::inRange(1, 20);
+    for (int i = 1; i <= count; ++i) text += Event(i);
+    const size_t cut = *rc::gen::inRange<size_t>(0, text.size() + 1);
+    event_splitter splitter;
+    std::string passed;
+    for (size_t begin = 0; begin < cut;) {
+      const size_t size = std::min(*rc::gen::inRange<size_t>(1, 40), cut - begin);
+      passed += TakeWholeEvents(splitter, std::string_view(text).substr(begin, size));
+      begin += size;
+    }
+    RC_ASSERT(passed + splitter.partial == text.substr(0, cut));
+    RC_ASSERT(passed.empty() || passed.ends_with("\n\n"));
+    RC_ASSERT(splitter.last_id == (splitter.events == 0 ? "" : std::to_string(splitter.events)));
+  });
+}
+
+// An endpoint that breaks off in the middle of an event: the next one repeats it from its start.
+TEST_CASE("a partial event is dropped before the stream continues elsewhere") {
+  event_splitter splitter;
+  std::string passed = TakeWholeEvents(splitter, Event(1) + "id: 2\ndata: te");
+  DropPartialEvent(splitter);
+  passed += TakeWholeEvents(splitter, Event(2));
+  CHECK(passed == Event(1) + Event(2));
+  CHECK(splitter.last_id == "2");
+}
+
+TEST_CASE("carriage returns end lines too") {
+  event_splitter splitter;
+  CHECK(TakeWholeEvents(splitter, "id: 7\r\ndata: x\r\n\r\nid") == "id: 7\r\ndata: x\r\n\r\n");
+  CHECK(splitter.last_id == "7");
+}
+
+// A brown-out: repeats stay within the share of the window, whatever fails.
+TEST_CASE("repeats stay within the budget of each window") {
+  repeat_budget budget{.window = 10s, .ratio = 0.2, .own_slack = 5, .requests = {}, .repeats = {}};
+  time_point now{};
+  int repeats = 0;
+  for (int i = 0; i < 100; ++i) {
+    now += 10ms;
+    CountRequest(budget, now);
+    if (!MayRepeat(budget, now)) continue;
+    CountRepeat(budget, now);
+    ++repeats;
+  }
+  CHECK(repeats == 25);
+  now += 11s;
+  CHECK(MayRepeat(budget, now));
+}
+
+}  // namespace
+}  // namespace balsambay::gateway
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -1,4 +1,4 @@
-// HTTP client over SoupSession.
+// HTTP client: reused connections over SoupSession, connections for one call directly.
 #include "net/http_client.h"
 
 #include <libsoup/soup.h>
@@ -8,6 +8,8 @@
 #include <algorithm>
 
 #include "base/text.h"
+#include "details/direct_call.h"
+#include "details/socket_options.h"
 
 namespace balsambay::net {
 namespace {
@@ -18,9 +20,6 @@
 constexpr int kMaxConnections = 20000;
 // libsoup checks every idle connection for each request that it starts, so few are kept.
 constexpr int kIdleSeconds = 5;
-// A peer that acknowledges nothing for this long is unreachable; ms. Long enough for two
-// retransmissions on a lossy link.
-constexpr int kUnacknowledgedMs = 2000;
 
 reply_head ReadHead(SoupMessage* message) {
   reply_head head{.status = static_cast<int>(soup_message_get_status(message)), .headers = {}};
@@ -67,8 +66,7 @@
     soup_message_add_flags(message_, SOUP_MESSAGE_NO_REDIRECT);
     // libsoup reuses connections only for idempotent messages. It would also repeat them by itself
     // when a reused connection breaks; OnStarting() prevents that.
-    soup_message_add_flags(
-        message_, request.fresh_connection ? SOUP_MESSAGE_NEW_CONNECTION : SOUP_MESSAGE_IDEMPOTENT);
+    soup_message_add_flags(message_, SOUP_MESSAGE_IDEMPOTENT);
     g_signal_connect(message_, "starting", G_CALLBACK(OnStarting), this);
     g_signal_connect(message_, "network-event", G_CALLBACK(OnNetworkEvent), this);
     const std::weak_ptr<soup_call> weak = weak_from_this();
@@ -106,9 +104,7 @@
   // delayed ACK.
   static void OnNetworkEvent(SoupMessage*, GSocketClientEvent event, GIOStream* stream, gpointer) {
     if (event != G_SOCKET_CLIENT_CONNECTED || !G_IS_SOCKET_CONNECTION(stream)) return;
-    GSocket* socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream));
-    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, TRUE, nullptr);
-    g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMs, nullptr);
+    SetStreamOptions(g_socket_connection_get_socket(G_SOCKET_CONNECTION(stream)));
   }
 
   void TimeOut() {
@@ -230,6 +226,9 @@
   ~soup_http_client() override { g_object_unref(session_); }
 
   std::shared_ptr<client_call> Send(client_request request, client_callbacks callbacks) override {
+    if (request.fresh_connection) {
+      return SendDirect(timers_, std::move(request), std::move(callbacks));
+    }
     auto call = std::make_shared<soup_call>(timers_, std::move(callbacks));
     call->Start(session_, std::move(request));
     return call;
