--- a/libs/gateway/src/placer.cc
+++ b/libs/gateway/src/placer.cc
@@ -16,10 +16,10 @@
 constexpr std::string_view kLeaseKey = "lease/placement";
 // Longer than the platform's shortest outages, short enough that a new holder repairs coverage
 // while callers still wait.
-constexpr lease::timing kLeaseTiming{.lease_time = 3000ms,
+constexpr lease::timing kLeaseTiming{.lease_time = 4000ms,
                                      .margin = 500ms,
-                                     .renew_interval = 1000ms,
-                                     .observe_interval = 500ms,
+                                     .renew_interval = 1500ms,
+                                     .observe_interval = 700ms,
                                      .call_timeout = 700ms,
                                      .retry_interval = 300ms};
 constexpr duration kTick = 100ms;
