--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -242,9 +242,8 @@
 // A refusal that names an engine is met with a path without it.
 void OnRerouteRefused(gateway_state& state, const call_ptr& item, const net::whole_reply& reply,
                       const attempt_events& events) {
-  endpoint* fault = reply.status == 409
-                        ? FindByAddress(state, state.wire.read_order_fault(reply.body))
-                        : nullptr;
+  endpoint* fault =
+      reply.status == 409 ? FindByAddress(state, state.wire.read_order_fault(reply.body)) : nullptr;
   if (fault != nullptr && ++item->reroutes <= kMaxReroutes) {
     item->avoided.insert(fault->listed.id);
     if (Reroute(state, item, false, events)) return;
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -39,16 +39,16 @@
   uint64_t accepted_orders = 0;
   bool busy = false;
   double slowdown = 1;
-  load own;                 // requests of this gateway
-  load peers;               // of all others, as they last said
-  bool down = false;        // did not answer; not used until it reports
-  time_point next_probe;    // while down
-  bool probing = false;     // a report is under way
-  time_point reported_at;   // last report
-  time_point checked_at;  // last report that was asked for because a request stalled
+  load own;                // requests of this gateway
+  load peers;              // of all others, as they last said
+  bool down = false;       // did not answer; not used until it reports
+  time_point next_probe;   // while down
+  bool probing = false;    // a report is under way
+  time_point reported_at;  // last report
+  time_point checked_at;   // last report that was asked for because a request stalled
   int missed_reports = 0;
   time_point refused_until;  // refused work lately; not chosen before
-  double failure_rate = 0;  // moving mean over requests, decays with time since `failure_at`
+  double failure_rate = 0;   // moving mean over requests, decays with time since `failure_at`
   time_point failure_at;
 };
 
@@ -124,6 +124,7 @@
 struct peer {
   peer_address address;
   time_point heard;                   // min(): never
+  bool reaches_store = false;         // as it last said
   std::map<std::string, load> loads;  // by endpoint address
 };
 
@@ -163,7 +164,7 @@
   repeat_budget budget;
 
   time_point progress_due = time_point::max() - std::chrono::hours(1);
-  time_point held_up_at;  // when the loop last ran late
+  time_point held_up_at;           // when the loop last ran late
   double report_ms = 0;            // moving mean of the time that reports take
   double report_deviation_ms = 0;  // of that time from its mean
 
@@ -173,8 +174,8 @@
   time_point endpoints_changed;
   time_point held_since;  // when this gateway last began to place layers
   double tokens_per_stage = 0;
-  std::map<std::string, placed_engine> placed;         // by endpoint id
-  std::map<std::string, time_point> idle_since;        // engines without layers, by endpoint id
+  std::map<std::string, placed_engine> placed;   // by endpoint id
+  std::map<std::string, time_point> idle_since;  // engines without layers, by endpoint id
   bool placing = false;
 
   bool unready = false;
--- a/libs/gateway/src/monitor.cc
+++ b/libs/gateway/src/monitor.cc
@@ -87,7 +87,8 @@
 }
 
 void OnReport(gateway_state& state, const std::string& id, const std::string& address,
-              const net::whole_reply& reply, std::string_view why, time_point asked, time_point due) {
+              const net::whole_reply& reply, std::string_view why, time_point asked,
+              time_point due) {
   endpoint* item = FindEndpoint(state, id);
   if (item == nullptr || item->listed.address != address) return;
   item->probing = false;
--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -43,7 +43,10 @@
     loads.push_back({item.listed.address, static_cast<int64_t>(item.own.committed),
                      item.own.sequences, item.own.head_requests});
   }
-  return Encode({{"v", kMessageVersion}, {"id", state.config.id}, {"loads", loads}});
+  return Encode({{"v", kMessageVersion},
+                 {"id", state.config.id},
+                 {"store", state.configuration_fed},
+                 {"loads", loads}});
 }
 
 // Sums are made anew, because endpoints come and go between two messages.
@@ -70,6 +73,7 @@
   if (!loads.is_array()) return;
   peer& from = found->second;
   from.heard = MonotonicNow();
+  from.reaches_store = message.value("store", json()) == json(true);
   from.loads.clear();
   for (const json& entry : loads) {
     if (!entry.is_array() || entry.size() != 4 || !entry[0].is_string()) continue;
@@ -115,8 +119,8 @@
 }
 
 void ReportDown(gateway_state& state, const endpoint& item) {
-  const std::string message = Encode(
-      {{"v", kMessageVersion}, {"id", state.config.id}, {"down", item.listed.address}});
+  const std::string message =
+      Encode({{"v", kMessageVersion}, {"id", state.config.id}, {"down", item.listed.address}});
   for (const auto& [id, other] : state.peers) {
     state.peer_socket->Send(other.address.address, message);
   }
@@ -128,7 +132,7 @@
     if (address.id == state.config.id) continue;
     const auto known = state.peers.find(address.id);
     const bool same = known != state.peers.end() && known->second.address == address;
-    next[address.id] = same ? known->second : peer{.address = address, .heard = {}, .loads = {}};
+    next[address.id] = same ? known->second : peer{address, {}, false, {}};
     if (!same) {
       log::Log(log::level::kInfo, "peer",
                {{"id", address.id}, {"zone", address.zone}, {"address", address.address}});
--- a/libs/gateway/src/placer.cc
+++ b/libs/gateway/src/placer.cc
@@ -23,6 +23,10 @@
                                      .call_timeout = 700ms,
                                      .retry_interval = 300ms};
 constexpr duration kTick = 100ms;
+// Only this many gateways, those with the lowest ids among the ones that were heard lately and
+// reach the store, watch the lease: each read is paid for.
+constexpr int kCandidates = 3;
+constexpr duration kHeardLately = 2000ms;
 // The list of engines fills up over some hundred ms after a start.
 constexpr duration kSettleTime = 400ms;
 constexpr duration kOrderTimeout = 500ms;
@@ -257,8 +261,8 @@
   std::vector<std::string> filled;
   for (const auto& [id, entry] : state.placed) {
     if (entry.lost_at == time_point()) continue;
-    const auto successor = pipeline::FindSuccessor(model, views.engines, idle, entry.held,
-                                                   state.tokens_per_stage);
+    const auto successor =
+        pipeline::FindSuccessor(model, views.engines, idle, entry.held, state.tokens_per_stage);
     if (!successor) continue;
     idle[*successor] = 0;
     AddOrder(state, views.ids[*successor], entry.held.range, now);
@@ -297,8 +301,19 @@
   }
 }
 
+bool IsCandidate(const gateway_state& state, time_point now) {
+  const auto ahead = std::ranges::count_if(state.peers, [&](const auto& entry) {
+    const peer& other = entry.second;
+    return entry.first < state.config.id && other.reaches_store && now - other.heard < kHeardLately;
+  });
+  return ahead < kCandidates;
+}
+
 void Tick(gateway_state& state, time_point now) {
-  SendLeaseCalls(state, lease::OnTick(state.lease, now));
+  const bool observing = state.lease.state == lease::holder_state::kObserving;
+  if (!observing || IsCandidate(state, now)) {
+    SendLeaseCalls(state, lease::OnTick(state.lease, now));
+  }
   if (MayAct(state)) {
     if (state.held_since == time_point()) {
       state.held_since = now;
--- a/libs/gateway/tests/event_stream_test.cc
+++ b/libs/gateway/tests/event_stream_test.cc
@@ -1,8 +1,10 @@
 // Event boundaries and the retry budget.
-#include <catch2/catch.hpp>
+#include "details/event_stream.h"
+
 #include <rapidcheck/catch.h>
 
-#include "details/event_stream.h"
+#include <catch2/catch.hpp>
+
 #include "details/repeat_budget.h"
 
 namespace balsambay::gateway {
--- a/libs/log/include/log/log.h
+++ b/libs/log/include/log/log.h
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "base/result.h"
+#include "base/time.h"
 
 namespace balsambay::log {
 
@@ -41,6 +42,22 @@
 // text: bytes that are not UTF-8 are written as U+FFFD, numbers that are not finite as null.
 void Log(level value, std::string_view message, std::initializer_list<field> fields = {});
 
+// Keeps the volume bounded: lines beyond the rate are counted and left out, and a line tells how
+// many once there is room again. Warnings and errors have half of the burst for themselves.
+struct line_limit {
+  double lines_per_s = 200;  // a fault that touches every request of a small VM for a second
+  double burst = 400;
+  double tokens = 400;
+  time_point at{};
+  uint64_t left_out = 0;
+};
+
+// Whether a line may be written at `now`.
+bool AdmitLine(line_limit& limit, level value, time_point now);
+
+// From now on, writing never waits for a reader: what does not fit into the pipe is lost.
+void NeverBlock();
+
 // The line that Log() writes, without the newline. `wall_clock_ms` is Unix time.
 std::string FormatLine(int64_t wall_clock_ms, level value, std::string_view message,
                        std::initializer_list<field> fields);
--- a/libs/log/src/log.cc
+++ b/libs/log/src/log.cc
@@ -2,11 +2,14 @@
 #include "log/log.h"
 
 #include <easylogging++.h>
+#include <fcntl.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cstdio>
 #include <ctime>
+#include <iostream>
 #include <nlohmann/json.hpp>
 
 #include "base/time.h"
@@ -95,8 +98,34 @@
   return line.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+bool AdmitLine(line_limit& limit, level value, time_point now) {
+  const double seconds = std::chrono::duration<double>(now - limit.at).count();
+  limit.tokens = std::min(limit.burst, limit.tokens + seconds * limit.lines_per_s);
+  limit.at = now;
+  const double reserved = value >= level::kWarning ? 0 : limit.burst / 2;
+  if (limit.tokens < 1 + reserved) {
+    ++limit.left_out;
+    return false;
+  }
+  limit.tokens -= 1;
+  return true;
+}
+
+void NeverBlock() {
+  const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (flags >= 0) fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
 void Log(level value, std::string_view message, std::initializer_list<field> fields) {
   if (!IsEnabled(value)) return;
+  static line_limit limit;
+  if (!AdmitLine(limit, value, MonotonicNow())) return;
+  // A full pipe leaves the stream in a failed state.
+  std::cout.clear();
+  if (const uint64_t left_out = std::exchange(limit.left_out, 0); left_out > 0) {
+    Write(level::kWarning,
+          FormatLine(WallClockMs(), level::kWarning, "log lines left out", {{"count", left_out}}));
+  }
   Write(value, FormatLine(WallClockMs(), value, message, fields));
 }
 
--- a/libs/log/tests/log_test.cc
+++ b/libs/log/tests/log_test.cc
@@ -65,5 +65,20 @@
   CHECK(ParseLevel("loud").error().code == errc::kInvalidArgument);
 }
 
+// A fault that touches every request: the volume stays bounded, warnings still come through.
+TEST_CASE("lines beyond the rate are left out and counted") {
+  line_limit limit;
+  time_point now{};
+  limit.at = now;
+  int written = 0;
+  for (int i = 0; i < 10'000; ++i) {
+    now += std::chrono::microseconds(100);
+    if (AdmitLine(limit, level::kInfo, now)) ++written;
+  }
+  CHECK(written == Approx(200 + 200).margin(2));
+  CHECK(limit.left_out == static_cast<uint64_t>(10'000 - written));
+  CHECK(AdmitLine(limit, level::kWarning, now));
+}
+
 }  // namespace
 }  // namespace balsambay::log
--- a/libs/net/src/direct_call.cc
+++ b/libs/net/src/direct_call.cc
@@ -33,9 +33,8 @@
 }
 
 bool HasHeader(const client_request& request, std::string_view name) {
-  return std::ranges::any_of(request.headers, [&](const header& entry) {
-    return EqualsIgnoreCase(entry.name, name);
-  });
+  return std::ranges::any_of(
+      request.headers, [&](const header& entry) { return EqualsIgnoreCase(entry.name, name); });
 }
 
 std::string RenderRequest(const client_request& request) {
@@ -78,8 +77,8 @@
     GSocketAddress* address = ParseAddress(SplitUrl(request.url).address);
     if (address == nullptr) return FailLater("invalid URL " + request.url);
     GError* failure = nullptr;
-    socket_ = g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
-                           &failure);
+    socket_ =
+        g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &failure);
     if (socket_ != nullptr) {
       g_socket_set_blocking(socket_, FALSE);
       SetStreamOptions(socket_);
@@ -184,8 +183,8 @@
       g_error_free(failure);
       return;
     }
-    const gssize size = g_socket_send(socket_, output_.data() + written_,
-                                      output_.size() - written_, nullptr, &failure);
+    const gssize size = g_socket_send(socket_, output_.data() + written_, output_.size() - written_,
+                                      nullptr, &failure);
     if (size < 0) {
       const bool later = g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE;
       // Some bytes may have left even when the call reports an error.
@@ -207,8 +206,7 @@
   void Read() {
     static std::array<char, kReadBufferBytes> buffer;
     GError* failure = nullptr;
-    const gssize size =
-        g_socket_receive(socket_, buffer.data(), buffer.size(), nullptr, &failure);
+    const gssize size = g_socket_receive(socket_, buffer.data(), buffer.size(), nullptr, &failure);
     if (size < 0) {
       const bool later = g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE;
       if (!later) Fail(failure->message);
@@ -225,9 +223,7 @@
     }
   }
 
-  static direct_call& From(http_parser* parser) {
-    return *static_cast<direct_call*>(parser->data);
-  }
+  static direct_call& From(http_parser* parser) { return *static_cast<direct_call*>(parser->data); }
 
   static int OnHeaderField(http_parser* parser, const char* data, size_t size) {
     auto& headers = From(parser).head_.headers;
