--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <array>
-#include <ranges>
 
 #include "details/attempt.h"
 #include "details/fleet.h"
@@ -446,7 +445,8 @@
   });
   std::ranges::stable_sort(suspects, std::greater<>(),
                            [](const auto& entry) { return entry.second.stalled; });
-  for (const auto& [id, counts] : suspects | std::views::take(kMaxChecksPerTick)) {
+  if (suspects.size() > kMaxChecksPerTick) suspects.resize(kMaxChecksPerTick);
+  for (const auto& [id, counts] : suspects) {
     endpoint* suspect = FindEndpoint(state, id);
     if (suspect != nullptr) AskEndpoint(state, *suspect, kNoProgress);
   }
--- a/libs/gateway/src/event_stream.cc
+++ b/libs/gateway/src/event_stream.cc
@@ -38,7 +38,7 @@
   splitter.partial.erase(0, length);
   for (size_t begin = 0; begin < whole.size();) {
     const size_t end = whole.find('\n', begin);
-    ReadLine(splitter, std::string_view(whole).substr(begin, end - begin));
+    ReadLine(splitter, std::string_view{whole}.substr(begin, end - begin));
     begin = end + 1;
   }
   return whole;
--- a/libs/gateway/src/placer.cc
+++ b/libs/gateway/src/placer.cc
@@ -79,7 +79,7 @@
             {"from", order.range.begin},
             {"to", order.range.end},
             {"status", answered ? reply.status : 0},
-            {"detail", answered ? std::string_view(reply.body).substr(0, 120) : reply.end.detail}});
+            {"detail", answered ? std::string_view{reply.body}.substr(0, 120) : reply.end.detail}});
   // Without an answer the order may still take effect; the next report tells.
   if (!answered) return;
   if (reply.status == 202) {
--- a/libs/net/src/direct_call.cc
+++ b/libs/net/src/direct_call.cc
@@ -214,7 +214,7 @@
       return;
     }
     const size_t parsed =
-        http_parser_execute(&parser_, &kSettings, buffer.data(), static_cast<size_t>(size));
+        http_parser_execute(&parser_, &ParserSettings(), buffer.data(), static_cast<size_t>(size));
     if (finished_) return;
     if (complete_) return Finish({});
     if (size == 0) return Fail("connection closed before the end of the reply");
@@ -266,7 +266,12 @@
     return 0;
   }
 
-  static constexpr http_parser_settings MakeSettings() {
+  static const http_parser_settings& ParserSettings() {
+    static const http_parser_settings settings = MakeSettings();
+    return settings;
+  }
+
+  static http_parser_settings MakeSettings() {
     http_parser_settings out{};
     out.on_header_field = OnHeaderField;
     out.on_header_value = OnHeaderValue;
@@ -276,8 +281,6 @@
     return out;
   }
 
-  static const http_parser_settings kSettings;
-
   timer_service& timers_;
   client_callbacks callbacks_;
   http_parser parser_{};
@@ -296,8 +299,6 @@
   bool paused_ = false;
 };
 
-const http_parser_settings direct_call::kSettings = direct_call::MakeSettings();
-
 }  // namespace
 
 std::shared_ptr<client_call> SendDirect(timer_service& timers, client_request request,
--- a/libs/pipeline/src/path.cc
+++ b/libs/pipeline/src/path.cc
@@ -96,7 +96,7 @@
   state.zones.push_back(state.query.home_zone);
   for (size_t i = 0; i < state.engines.size(); ++i) {
     const engine& item = state.engines[i];
-    auto zone = std::ranges::find(state.zones, std::string_view(item.zone));
+    auto zone = std::ranges::find(state.zones, std::string_view{item.zone});
     if (zone == state.zones.end()) zone = state.zones.insert(zone, item.zone);
     state.zone_of.push_back(static_cast<size_t>(zone - state.zones.begin()));
     if (!IsAllowed(state, i)) continue;
--- a/libs/pipeline/src/placement.cc
+++ b/libs/pipeline/src/placement.cc
@@ -95,7 +95,7 @@
     TrimToFit(model, engines, copy);
     // Stages of one zone follow each other, so that a joined copy crosses zones least.
     std::ranges::stable_sort(
-        copy, {}, [&](const part& item) { return std::string_view(engines[item.engine].zone); });
+        copy, {}, [&](const part& item) { return std::string_view{engines[item.engine].zone}; });
     std::vector<chain_stage> stages;
     for (const part& item : copy) {
       stages.push_back({&model.kinds[engines[item.engine].kind], item.layers});
