--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -76,11 +76,8 @@
   exchange->Respond(status, headers, body);
 }
 
-void Refuse(gateway_state& state, const net::exchange_ptr& exchange, std::string_view request_id,
-            const refusal& why) {
+void SendRefusal(gateway_state& state, const net::exchange_ptr& exchange, const refusal& why) {
   CountRefusal(state.metrics, why.reason);
-  log::Log(log::level::kInfo, "request refused",
-           {{"request", request_id}, {"status", why.status}, {"reason", why.reason}});
   std::vector<net::header> headers = {{"Content-Type", "text/plain"}};
   if (why.retry_after > duration::zero()) {
     headers.push_back({"Retry-After", RetryAfterText(why.retry_after)});
@@ -88,6 +85,26 @@
   Answer(state, exchange, why.status, std::move(headers), std::string(why.reason) + "\n");
 }
 
+int64_t Ms(duration value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+uint64_t VersionInForce(const gateway_state& state) {
+  return state.configuration ? state.configuration->content.version : 0;
+}
+
+// For requests that never reached the choice of an endpoint.
+void Refuse(gateway_state& state, const net::exchange_ptr& exchange, std::string_view request_id,
+            const refusal& why) {
+  log::Log(log::level::kInfo, "request refused",
+           {{"request", request_id},
+            {"status", why.status},
+            {"reason", why.reason},
+            {"version", VersionInForce(state)},
+            {"version_current", state.configuration_fed}});
+  SendRefusal(state, exchange, why);
+}
+
 // A route or key that is not known may belong to a version that could not be read yet.
 void RefuseUnknown(gateway_state& state, const net::exchange_ptr& exchange, std::string_view id,
                    const refusal& why) {
@@ -119,7 +136,18 @@
   }
   if (item->may_have_run && why.status == 503) why.status = 502;
   if (item->may_have_run) why.retry_after = duration::zero();
-  Refuse(state, item->exchange, item->incoming.id, why);
+  log::Log(log::level::kInfo, "request given up",
+           {{"request", item->incoming.id},
+            {"status", why.status},
+            {"reason", why.reason},
+            {"service", item->service},
+            {"version", item->configuration->content.version},
+            {"attempts", item->attempt},
+            {"may_have_run", item->may_have_run},
+            {"tokens", item->committed_tokens},
+            {"age_ms", Ms(MonotonicNow() - item->arrived)},
+            {"open_requests", state.calls.size()}});
+  SendRefusal(state, item->exchange, why);
   Retire(state, item);
 }
 
@@ -133,10 +161,6 @@
 
 // --- Outcomes of attempts.
 
-int64_t Ms(duration value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 // An answer that came whole but missed a goal of its route.
 void LogIfLate(const call& item, time_point now) {
   const catalog::route& route = *item.route;
