Gateway: an error of the continuing endpoint cuts the stream; a client that ends takes its calls along

Cause (path_test, fails first): a stream continued at another engine that answered with an error ended as if it were complete; and a call on its own connection outlived the client whose owner its callbacks refer to (use after free when a gateway is destroyed inside a process, seen as a crash of test_platform, traced with valgrind).

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -196,7 +196,11 @@
   }
   const bool incomplete = IsStreamAnswer(*item) && !item->events.partial.empty();
   if (incomplete) return Fail(state, item, attempt_failure::kBroken, events);
-  if (item->head.status >= 500) return Fail(state, item, attempt_failure::kFailed, events);
+  // An error cannot end an answer that has begun.
+  const bool misplaced = item->streaming && item->head.status != 200;
+  if (misplaced || item->head.status >= 500) {
+    return Fail(state, item, attempt_failure::kFailed, events);
+  }
   events.on_answer(state, item);
 }
 
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -223,11 +223,20 @@
     // Bodies pass through unchanged, so no encoding is asked for.
     soup_session_remove_feature_by_type(session_, SOUP_TYPE_CONTENT_DECODER);
   }
-  ~soup_http_client() override { g_object_unref(session_); }
+  // Callbacks may refer to the owner of the client, so none runs after it is gone.
+  ~soup_http_client() override {
+    for (const std::weak_ptr<client_call>& open : direct_) {
+      if (const auto call = open.lock()) call->Cancel();
+    }
+    g_object_unref(session_);
+  }
 
   std::shared_ptr<client_call> Send(client_request request, client_callbacks callbacks) override {
     if (request.fresh_connection) {
-      return SendDirect(timers_, std::move(request), std::move(callbacks));
+      if (direct_.size() >= prune_at_) PruneDirect();
+      auto direct = SendDirect(timers_, std::move(request), std::move(callbacks));
+      direct_.push_back(direct);
+      return direct;
     }
     auto call = std::make_shared<soup_call>(timers_, std::move(callbacks));
     call->Start(session_, std::move(request));
@@ -235,8 +244,17 @@
   }
 
  private:
+  void PruneDirect() {
+    std::erase_if(direct_, [](const auto& entry) { return entry.expired(); });
+    prune_at_ = std::max(kPruneAt, 2 * direct_.size());
+  }
+
+  static constexpr size_t kPruneAt = 64;
+
   timer_service& timers_;
   SoupSession* session_;
+  std::vector<std::weak_ptr<client_call>> direct_;  // calls that may be open
+  size_t prune_at_ = kPruneAt;
 };
 
 }  // namespace
