--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -291,6 +291,14 @@
   return start_result::kStarted;
 }
 
+bool MayStartElsewhere(gateway_state& state, const call& item) {
+  const catalog::service* service = ServiceOf(item);
+  if (service == nullptr || !service->pipelined) return false;
+  call next = item;
+  next.reached.insert(item.path.front().endpoint_id);
+  return ChoosePipeline(state, next, *service) == start_result::kStarted;
+}
+
 void CloseAttempt(gateway_state& state, call& item) {
   if (!item.upstream) return;
   AttachLoad(state, item, -1);
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -58,6 +58,11 @@
 constexpr duration kMoveLatest = 1800ms;
 constexpr duration kMoveRetry = 150ms;
 
+// Longest pause in a stream after which it is still worth continuing it, and the time between two
+// looks for an endpoint that can.
+constexpr duration kLongestPause = 1500ms;
+constexpr duration kEndpointWaitStep = 100ms;
+
 struct refusal {
   int status = 503;
   std::string_view reason;
@@ -114,6 +119,7 @@
 
 void Retire(gateway_state& state, const call_ptr& item) {
   CloseAttempt(state, *item);
+  Cancel(state.loop.Timers(), item->try_timer);
   Cancel(state.loop.Timers(), item->due_timer);
   item->exchange->on_hangup = nullptr;
   item->exchange->on_drained = nullptr;
@@ -298,6 +304,7 @@
 // then goes on, since an engine that seemed lost may only be slow.
 bool Restart(gateway_state& state, const call_ptr& item, attempt_failure why) {
   if (!IsIdempotent(*item) || !MayTryAgain(state, *item, why, true, MonotonicNow())) return false;
+  if (!MayStartElsewhere(state, *item)) return false;
   OnFailure(state, item, why);
   return true;
 }
@@ -332,13 +339,29 @@
                 });
 }
 
+// A stream that has begun cannot be refused any more, so it waits a little for an endpoint: layers
+// come back within about a second, and callers bear a pause of two.
+bool WaitForEndpoint(gateway_state& state, const call_ptr& item) {
+  const time_point now = MonotonicNow();
+  if (!item->streaming || now - item->last_output > kLongestPause) return false;
+  const std::weak_ptr<call> weak = item;
+  item->try_timer =
+      Subscribe(state.loop.Timers(), now + kEndpointWaitStep, [&state, weak](time_point) {
+        const call_ptr held = weak.lock();
+        if (held && !held->upstream) Begin(state, held);
+      });
+  return true;
+}
+
 void Begin(gateway_state& state, const call_ptr& item) {
   switch (StartAttempt(state, item, kEvents)) {
     case start_result::kStarted:
       return WatchTry(state, item);
     case start_result::kNoRoom:
+      if (WaitForEndpoint(state, item)) return;
       return GiveUp(state, item, {503, "no_room", SpreadRetry(state)});
     case start_result::kNoEndpoint:
+      if (WaitForEndpoint(state, item)) return;
       return GiveUp(state, item, {503, "no_endpoint", kEndpointRetryAfter});
   }
 }
--- a/libs/gateway/src/details/attempt.h
+++ b/libs/gateway/src/details/attempt.h
@@ -34,6 +34,9 @@
 // Chooses an endpoint or path and sends the request there.
 start_result StartAttempt(gateway_state& state, const call_ptr& item, const attempt_events& events);
 
+// Whether the request could go on elsewhere if its open attempt ended now.
+bool MayStartElsewhere(gateway_state& state, const call& item);
+
 // Cancels the open attempt and releases its load.
 void CloseAttempt(gateway_state& state, call& item);
 
