--- a/libs/gateway/src/monitor.cc
+++ b/libs/gateway/src/monitor.cc
@@ -47,11 +47,9 @@
 }
 
 void MoveStalled(gateway_state& state, const engine_report& report) {
-  std::vector<std::string> addresses;
-  std::ranges::transform(report.stalled, std::back_inserter(addresses), &stalled_request::address);
-  std::ranges::sort(addresses);
-  const auto repeated = std::ranges::unique(addresses);
-  addresses.erase(repeated.begin(), repeated.end());
+  std::set<std::string> addresses;
+  std::ranges::transform(report.stalled, std::inserter(addresses, addresses.end()),
+                         &stalled_request::address);
   for (const std::string& address : addresses) {
     endpoint* fault = FindByAddress(state, address);
     // The fault may be a link between engines, so the engine itself is asked.
