--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -120,7 +120,6 @@
   const time_point now = MonotonicNow();
   const endpoint* best = nullptr;
   double best_cost = 0;
-  bool any_full = false;
   for (const auto& [id, candidate] : state.endpoints) {
     if (candidate.listed.service != item.service || item.avoided.contains(id)) continue;
     if (!IsUsable(state, candidate, now)) continue;
@@ -133,7 +132,7 @@
       best_cost = cost;
     }
   }
-  if (best == nullptr) return any_full ? start_result::kNoRoom : start_result::kNoEndpoint;
+  if (best == nullptr) return start_result::kNoEndpoint;
   item.committed_tokens = 0;
   item.path = {{best->listed.id, best->listed.address, {}}};
   return start_result::kStarted;
@@ -271,7 +270,6 @@
   const time_point now = MonotonicNow();
   const endpoint& target = *FindEndpoint(state, item->path.front().endpoint_id);
   ++item->attempt;
-  item->attempt_started = now;
   item->last_progress = now;
   item->progressed = false;
   item->rerouting = false;
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -84,7 +84,6 @@
   net::reply_head head;
   reply_facts facts;
   std::string reply_body;  // answers that are sent whole
-  time_point attempt_started;
   time_point last_progress;
   bool progressed = false;  // the open attempt has produced output
   bool rerouting = false;
@@ -151,7 +150,6 @@
   std::shared_ptr<const catalog::catalog> configuration;  // null: none yet
   bool configuration_fed = false;                         // newer versions would be known
   bool endpoints_known = false;
-  bool list_reachable = true;
   time_point list_back_at;        // when the list could last be followed again
   std::set<std::string> missing;  // endpoints that lapsed while the list could not be followed
   std::map<std::string, endpoint> endpoints;  // by id
@@ -181,7 +179,6 @@
   bool unready = false;
   bool draining = false;  // takes no new work
   bool stopping_lease = false;
-  time_point stop_at;
   std::function<void(int)> on_stopped;
   telemetry metrics;
 };
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -84,9 +84,7 @@
   }
 
   void OnEndpointList(bool reachable) override {
-    const time_point now = MonotonicNow();
-    if (reachable) state_.list_back_at = now;
-    state_.list_reachable = reachable;
+    if (reachable) state_.list_back_at = MonotonicNow();
   }
 
   void OnPeers(std::span<const peer_address> peers) override { ReplacePeers(state_, peers); }
