Gateway: a refused change of path leaves the attempt running

A refused order to change the path gave up an attempt whose leaving engine still served; the new attempt was refused too, and `avoided` kept the only engines with these layers out for all of the 1.5 s that the stream waited. Ruled out: want of room (the engines named had served others meanwhile) and lost engines (none was down in the log). Change: restart only when an engine of the path is out of use or gone; the move is tried again until the last chance; a stream that waits for an endpoint forgets which ones failed it. Test: "a refused reroute leaves the attempt running" fails before (2 starts, stream cut). The test "a stream that cannot be completed ends broken" had an engine that recovered at once, which the stream now outlives; its engine now refuses after the break, and the old case is a test of its own that expects the whole answer.

--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -309,8 +309,16 @@
   return true;
 }
 
+// Whether an engine of the open path cannot serve any more. One that only leaves still does.
+bool HasLostPart(gateway_state& state, const call& item) {
+  return std::ranges::any_of(item.path, [&](const call_hop& part) {
+    const endpoint* engine = FindEndpoint(state, part.endpoint_id);
+    return engine == nullptr || engine->down;
+  });
+}
+
 void OnRerouteFailed(gateway_state& state, const call_ptr& item) {
-  Restart(state, item, attempt_failure::kMoved);
+  if (HasLostPart(state, *item)) Restart(state, item, attempt_failure::kMoved);
 }
 
 // Takes a request off an engine of its path. `last_chance`: also by ways that delay it.
@@ -348,7 +356,10 @@
   item->try_timer =
       Subscribe(state.loop.Timers(), now + kEndpointWaitStep, [&state, weak](time_point) {
         const call_ptr held = weak.lock();
-        if (held && !held->upstream) Begin(state, held);
+        if (!held || held->upstream) return;
+        // What failed may have recovered, and there is nothing else to wait for.
+        held->avoided.clear();
+        Begin(state, held);
       });
   return true;
 }
@@ -413,7 +424,8 @@
     const call_ptr held = weak.lock();
     if (!held || !held->upstream || !HasPart(*held, endpoint_id)) return;
     const bool last_chance = at + kMoveRetry >= latest;
-    if (MoveOff(state, held, endpoint_id, last_chance, attempt_failure::kMoved)) return;
+    MoveOff(state, held, endpoint_id, last_chance, attempt_failure::kMoved);
+    // The order to move may still be refused.
     if (!last_chance) MoveLater(state, held, endpoint_id, latest);
   });
 }
