--- a/apps/balsambayd/flags.cc
+++ b/apps/balsambayd/flags.cc
@@ -36,6 +36,8 @@
 ABSL_FLAG(int, unready_delay_ms, 2000,
           "how long requests are still taken after SIGTERM, ms (0 to 60000)");
 ABSL_FLAG(int, shards, 8, "shards of at-most-once records; the same for all daemons (1 to 1024)");
+ABSL_FLAG(int, metrics_port, 0,
+          "balsambayd platform: port of the VM's address for GET /metrics; 0 serves none");
 ABSL_FLAG(uint64_t, seed, 0, "seed of random choices; 0 takes one from the system");
 
 namespace balsambay::app {
@@ -50,6 +52,7 @@
                                    "peer_key",
                                    "platform",
                                    "admin_token",
+                                   "metrics_port",
                                    "config_file",
                                    "log_level",
                                    "max_body_kb",
--- a/apps/balsambayd/flags.h
+++ b/apps/balsambayd/flags.h
@@ -1,11 +1,15 @@
 // Settings of the daemon from flags and environment variables.
 #pragma once
 
+#include <absl/flags/declare.h>
+
 #include <string>
 #include <vector>
 
 #include "router/settings.h"
 
+ABSL_DECLARE_FLAG(int, metrics_port);
+
 namespace balsambay::app {
 
 // Reads `--name` from the command line and BALSAMBAY_NAME from the environment; the command line
--- a/apps/balsambayd/main.cc
+++ b/apps/balsambayd/main.cc
@@ -1,4 +1,5 @@
 // balsambayd: the entry daemon. Reads settings, starts the router, handles signals.
+#include <absl/flags/flag.h>
 #include <signal.h>
 
 #include <cstdio>
@@ -49,9 +50,12 @@
 }  // namespace balsambay::app
 
 int main(int argc, char** argv) {
-  // On the platform everything else comes from the settings file.
   const std::span<char*> arguments(argv, static_cast<size_t>(argc));
-  if (argc > 1 && std::string_view(arguments[1]) == "platform") return balsambay::platform::Run();
+  if (argc > 1 && std::string_view(arguments[1]) == "platform") {
+    // Everything else comes from the settings file.
+    balsambay::app::ParseFlags(argc - 1, arguments.subspan(1).data());
+    return balsambay::platform::Run(absl::GetFlag(FLAGS_metrics_port));
+  }
   balsambay::app::ParseFlags(argc, argv);
   return balsambay::app::Run();
 }
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -45,9 +45,16 @@
     net::server_handlers metrics;
     metrics.on_request = [this](const net::exchange_ptr& exchange) { AnswerMetrics(exchange); };
     metrics.on_reject = [](net::rejection, std::vector<net::header>&) { return std::string(); };
-    BOOST_OUTCOME_TRY(metrics_server, net::ListenHttp(state_.config.listen_metrics, limits,
-                                                      state_.loop.Timers(), std::move(metrics)));
-    state_.metrics_server = std::move(metrics_server);
+    auto metrics_server = net::ListenHttp(state_.config.listen_metrics, limits,
+                                          state_.loop.Timers(), std::move(metrics));
+    if (metrics_server.has_error()) {
+      // A port that another process has taken must not keep requests from being served.
+      log::Log(
+          log::level::kError, "metrics are not served",
+          {{"address", state_.config.listen_metrics}, {"detail", metrics_server.error().detail}});
+      return Success();
+    }
+    state_.metrics_server = std::move(metrics_server).value();
     return Success();
   }
 
