Placer: large engines keep for large gaps, new lease holders act at once

Each new holder also took the stage size of a fresh plan (70,000 to 155,000 tokens). Change: a successor of another kind has at most three times the planned memory of a stage; engines that are empty when the lease is taken, and all empty ones while layers are not covered, are used at once; the stage size is that of the placement that is there; engines that hold layers move only for layers that nothing covers. Test: a large idle engine is not a small one's successor (failed before).

--- a/libs/gateway/src/placer.cc
+++ b/libs/gateway/src/placer.cc
@@ -206,11 +206,14 @@
 void PlanAll(gateway_state& state, const catalog::service& service, const engine_views& views,
              time_point now) {
   const pipeline::placement_plan plan = pipeline::PlanPlacement(*service.pipelined, views.engines);
-  state.tokens_per_stage = plan.tokens_per_stage;
+  // Repairs keep the stages of the placement that is there, whatever would be planned today.
+  const double present = pipeline::StageTokens(*service.pipelined, views.engines);
+  state.tokens_per_stage = present > 0 ? present : plan.tokens_per_stage;
   log::Log(log::level::kInfo, "placement planned",
            {{"engines", views.engines.size()},
             {"copies", plan.copies},
             {"tokens_per_stage", plan.tokens_per_stage},
+            {"present_tokens_per_stage", present},
             {"requests_per_s", plan.requests_per_s}});
   const bool all_empty = std::ranges::all_of(
       views.engines, [](const pipeline::engine& item) { return item.held.Size() == 0; });
@@ -280,21 +283,34 @@
     // A new holder first learns what the engines hold.
     if (now - state.endpoints_changed < kSettleTime || now - state.held_since < kSettleTime) return;
     state.placing = true;
+    // What is empty now need not be a newcomer, and the layers that it lost may be missing.
+    for (size_t i = 0; i < views.ids.size(); ++i) {
+      if (views.engines[i].held.Size() == 0) state.idle_since[views.ids[i]] = time_point();
+    }
     PlanAll(state, *service, views, now);
     views = PlannedViews(state, *service, now);
   }
   WatchEngines(state, views, now);
   FillVacancies(state, *service->pipelined, views, now);
   views = PlannedViews(state, *service, now);
+  // With layers that nothing covers no request can be served, so every engine is needed at once.
+  const bool covered = pipeline::LeastCoverageTokens(*service->pipelined, views.engines) > 0;
   std::vector<char> movable(views.engines.size());
   for (size_t i = 0; i < views.ids.size(); ++i) {
     movable[i] = state.orders.empty() && IsFree(state, views.ids[i]) ? 1 : 0;
     const auto idle = state.idle_since.find(views.ids[i]);
-    const bool kept = idle != state.idle_since.end() && now - idle->second < kNewcomerHold;
+    const bool kept =
+        covered && idle != state.idle_since.end() && now - idle->second < kNewcomerHold;
     if (kept && views.engines[i].held.Size() == 0) views.engines[i].usable = false;
   }
   const auto changes =
       pipeline::PlanRepair(*service->pipelined, views.engines, movable, state.tokens_per_stage);
+  const bool moves = std::ranges::any_of(changes, [&](const pipeline::placement_change& change) {
+    return views.engines[change.engine].held.Size() > 0;
+  });
+  // A move first waits for the requests that pass through, often longer than a replacement takes to
+  // come, so it must restore service that there is none of.
+  if (moves && covered) return;
   for (const pipeline::placement_change& change : changes) {
     const std::string& id = views.ids[change.engine];
     if (IsFree(state, id)) AddOrder(state, id, change.range, now);
--- a/libs/pipeline/include/pipeline/placement.h
+++ b/libs/pipeline/include/pipeline/placement.h
@@ -23,6 +23,10 @@
 // model does not fit. Cost: below 1 ms for 40 engines.
 placement_plan PlanPlacement(const model_spec& model, std::span<const engine> engines);
 
+// KV memory of a stage of the present placement, tokens: the median over the usable engines that
+// hold layers. 0 when none does.
+double StageTokens(const model_spec& model, std::span<const engine> engines);
+
 struct placement_change {
   size_t engine = 0;
   layer_range range;
--- a/libs/pipeline/src/placement.cc
+++ b/libs/pipeline/src/placement.cc
@@ -167,8 +167,14 @@
   return best;
 }
 
+// Part of the stages that may be smaller than planned, as successors of another kind are.
+constexpr double kSmallStages = 0.1;
+
 // A successor of another kind must have at least this part of the planned KV memory.
 constexpr double kSuccessorPart = 0.6;
+// An engine with more than this many times the planned KV memory could hold far more layers, which
+// the repair of coverage gives it.
+constexpr double kSuccessorExcess = 3;
 
 // A move must improve the coverage by this part of the whole shortage, since loading takes time and
 // what the engine holds is unusable meanwhile.
@@ -198,6 +204,19 @@
   return out;
 }
 
+double StageTokens(const model_spec& model, std::span<const engine> engines) {
+  std::vector<double> tokens;
+  for (const engine& item : engines) {
+    if (!item.usable || item.held.Size() == 0) continue;
+    tokens.push_back(TokensOf(model, item, item.held.Size()));
+  }
+  if (tokens.empty()) return 0;
+  const auto low = tokens.begin() +
+                   static_cast<std::ptrdiff_t>(kSmallStages * static_cast<double>(tokens.size()));
+  std::ranges::nth_element(tokens, low);
+  return *low;
+}
+
 std::optional<size_t> FindSuccessor(const model_spec& model, std::span<const engine> engines,
                                     std::span<const char> idle, const vacancy& vacancy,
                                     double tokens_per_stage) {
@@ -207,8 +226,9 @@
     if (idle[i] == 0 || !engines[i].usable || engines[i].held.Size() > 0) continue;
     if (engines[i].zone != vacancy.zone) continue;
     const double tokens = TokensOf(model, engines[i], vacancy.range.Size());
-    if (engines[i].kind != vacancy.kind && tokens < kSuccessorPart * tokens_per_stage) continue;
-    // An engine of another kind may be far too large; the closest one is taken.
+    const bool fits = tokens >= kSuccessorPart * tokens_per_stage &&
+                      tokens <= kSuccessorExcess * tokens_per_stage;
+    if (engines[i].kind != vacancy.kind && !fits) continue;
     const double excess = engines[i].kind == vacancy.kind ? 0 : 1 + tokens;
     if (best && excess >= best_excess) continue;
     best = i;
--- a/libs/pipeline/tests/placement_test.cc
+++ b/libs/pipeline/tests/placement_test.cc
@@ -89,6 +89,21 @@
   CHECK(PlanRepair(model, engines, movable, plan.tokens_per_stage).empty());
 }
 
+// Crash of a small engine while a large one is idle: the large one would carry a few layers only.
+TEST_CASE("an engine is not given far fewer layers than it can hold") {
+  const model_spec model = TestModel();
+  constexpr double kTokens = 120'000;
+  std::vector<engine> engines = {MakeEngine("large", 1, {}), MakeEngine("small", 4, {10, 14})};
+  const std::vector<char> idle = {1, 0};
+  const vacancy lost{.range = {14, 18}, .zone = "a", .kind = 4};
+  CHECK(FindSuccessor(model, engines, idle, lost, kTokens) == std::nullopt);
+  const auto changes = PlanRepair(model, engines, idle, kTokens);
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].range.Size() >= 20);
+  engines[0].kind = 4;
+  CHECK(FindSuccessor(model, engines, idle, lost, kTokens) == 0U);
+}
+
 TEST_CASE("a model that fits nowhere is not placed") {
   const model_spec model = TestModel();
   const std::vector<engine> engines = {MakeEngine("e1", 4, {}), MakeEngine("e2", 4, {})};
