Gateway: the budget of repeats holds for each service

Requests for all services counted toward one budget, so those for the booking service paid for about 50 repeats at the model service. Test: each service has a budget of its own (the one budget lets the second repeat pass).

--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -228,7 +228,7 @@
   // A pipelined request may go through a head again with other engines behind it.
   const bool sent_out = static_cast<int>(item.reached.size()) >= item.route->max_attempts;
   if (item.sends >= kMaxSends || (sent_out && !pipelined)) return false;
-  return MayRepeat(state.budget, now);
+  return MayRepeat(state.budget, item.service, now);
 }
 
 void OnFailure(gateway_state& state, const call_ptr& item, attempt_failure failure) {
@@ -281,7 +281,7 @@
   }
   if (!state.calls.contains(item->number)) return;
   if (MayTryAgain(state, *item, failure, pipelined, now)) {
-    if (failure != attempt_failure::kNotSent) CountRepeat(state.budget, now);
+    if (failure != attempt_failure::kNotSent) CountRepeat(state.budget, item->service, now);
     CountRetry(state.metrics, ToString(failure));
     return Begin(state, item);
   }
@@ -460,7 +460,7 @@
   if (item->incoming.time_left) {
     item->due = std::min(item->due, item->arrived + *item->incoming.time_left);
   }
-  CountRequest(state.budget, item->arrived);
+  CountRequest(state.budget, item->service, item->arrived);
   Register(state, item);
   Begin(state, item);
 }
--- a/libs/gateway/src/repeat_budget.cc
+++ b/libs/gateway/src/repeat_budget.cc
@@ -8,21 +8,30 @@
   while (!times.empty() && times.front() < oldest) times.pop_front();
 }
 
+repeat_budget::sends& SendsOf(repeat_budget& budget, std::string_view service) {
+  const auto found = budget.services.find(service);
+  if (found != budget.services.end()) return found->second;
+  return budget.services[std::string(service)];
+}
+
 }  // namespace
 
-void CountRequest(repeat_budget& budget, time_point now) {
-  DropOld(budget.requests, now - budget.window);
-  budget.requests.push_back(now);
+void CountRequest(repeat_budget& budget, std::string_view service, time_point now) {
+  auto& requests = SendsOf(budget, service).requests;
+  DropOld(requests, now - budget.window);
+  requests.push_back(now);
 }
 
-bool MayRepeat(repeat_budget& budget, time_point now) {
-  DropOld(budget.requests, now - budget.window);
-  DropOld(budget.repeats, now - budget.window);
-  const double allowed =
-      budget.ratio * static_cast<double>(budget.requests.size()) + budget.own_slack;
-  return static_cast<double>(budget.repeats.size()) + 1 <= allowed;
+bool MayRepeat(repeat_budget& budget, std::string_view service, time_point now) {
+  auto& [requests, repeats] = SendsOf(budget, service);
+  DropOld(requests, now - budget.window);
+  DropOld(repeats, now - budget.window);
+  const double allowed = budget.ratio * static_cast<double>(requests.size()) + budget.own_slack;
+  return static_cast<double>(repeats.size()) + 1 <= allowed;
 }
 
-void CountRepeat(repeat_budget& budget, time_point now) { budget.repeats.push_back(now); }
+void CountRepeat(repeat_budget& budget, std::string_view service, time_point now) {
+  SendsOf(budget, service).repeats.push_back(now);
+}
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/tests/event_stream_test.cc
+++ b/libs/gateway/tests/event_stream_test.cc
@@ -54,19 +54,30 @@
 
 // A brown-out: repeats stay within the share of the window, whatever fails.
 TEST_CASE("repeats stay within the budget of each window") {
-  repeat_budget budget{.window = 10s, .ratio = 0.2, .own_slack = 5, .requests = {}, .repeats = {}};
+  repeat_budget budget{.window = 10s, .ratio = 0.2, .own_slack = 5, .services = {}};
   time_point now{};
   int repeats = 0;
   for (int i = 0; i < 100; ++i) {
     now += 10ms;
-    CountRequest(budget, now);
-    if (!MayRepeat(budget, now)) continue;
-    CountRepeat(budget, now);
+    CountRequest(budget, "s", now);
+    if (!MayRepeat(budget, "s", now)) continue;
+    CountRepeat(budget, "s", now);
     ++repeats;
   }
   CHECK(repeats == 25);
   now += 11s;
-  CHECK(MayRepeat(budget, now));
+  CHECK(MayRepeat(budget, "s", now));
+}
+
+// Guards against requests for one service paying for repeats at another: the limit holds for each.
+TEST_CASE("each service has a budget of its own") {
+  repeat_budget budget{.window = 10s, .ratio = 0.2, .own_slack = 1, .services = {}};
+  const time_point now{};
+  for (int i = 0; i < 100; ++i) CountRequest(budget, "busy", now);
+  CHECK(MayRepeat(budget, "other", now));
+  CountRepeat(budget, "other", now);
+  CHECK_FALSE(MayRepeat(budget, "other", now));
+  CHECK(MayRepeat(budget, "busy", now));
 }
 
 }  // namespace
