--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -29,6 +29,17 @@
 using table_sender = std::function<void(const lease::table_call& call,
                                         std::function<void(const lease::table_outcome&)> done)>;
 
+// Shared tables that a gateway follows.
+enum class feed : uint8_t { kConfiguration, kEndpoints };
+
+// What a gateway asks of the shared store.
+struct store_hooks {
+  table_sender call;
+  // Asks a table for its changes at once, on a new connection: the call that waits for them may be
+  // lost.
+  std::function<void(feed)> check;
+};
+
 class gateway {
  public:
   virtual ~gateway() = default;
@@ -50,6 +61,10 @@
   // soon after, if the endpoints live.
   virtual void OnEndpointList(bool reachable) = 0;
 
+  // After each reply of a followed table: the version of the newest change seen, and the version up
+  // to which all changes are known.
+  virtual void OnFeedPosition(feed which, uint64_t changed, uint64_t complete) = 0;
+
   virtual void OnPeers(std::span<const peer_address> peers) = 0;
 
   // Limits from changed settings; addresses stay.
@@ -62,7 +77,7 @@
 
 // Listens and starts to serve. `loop` must outlive the gateway. Errors: kInvalidArgument,
 // kUnavailable.
-result<std::unique_ptr<gateway>> Start(const settings& settings, wire wire, table_sender table,
+result<std::unique_ptr<gateway>> Start(const settings& settings, wire wire, store_hooks store,
                                        net::loop& loop);
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/include/gateway/settings.h
+++ b/libs/gateway/include/gateway/settings.h
@@ -28,6 +28,9 @@
   double retry_slack = 0;
   // An engine cuts off work that depends on a lost engine after this time.
   duration engine_stall = std::chrono::milliseconds(3000);
+  // What is known of a shared table is checked when it has not been confirmed for this long: about
+  // half of the time that the platform allows for noticing a lost connection.
+  duration feed_age_limit = std::chrono::milliseconds(1500);
   uint64_t seed = 0;  // of random choices; 0 takes one from the system
   bool operator==(const settings&) const = default;
 };
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -1,6 +1,7 @@
 // State of one gateway, shared by its parts.
 #pragma once
 
+#include <array>
 #include <deque>
 #include <map>
 #include <memory>
@@ -13,6 +14,7 @@
 #include "base/random.h"
 #include "catalog/catalog.h"
 #include "details/event_stream.h"
+#include "details/freshness.h"
 #include "details/repeat_budget.h"
 #include "details/telemetry.h"
 #include "gateway/gateway.h"
@@ -128,17 +130,17 @@
 };
 
 struct gateway_state {
-  gateway_state(const settings& values, wire calls, table_sender sender, net::loop& main_loop)
+  gateway_state(const settings& values, wire calls, store_hooks hooks, net::loop& main_loop)
       : config(values),
         wire(std::move(calls)),
-        table(std::move(sender)),
+        store(std::move(hooks)),
         loop(main_loop),
         client(net::MakeHttpClient(main_loop.Timers())),
         rng(values.seed != 0 ? values.seed : std::random_device{}()) {}
 
   settings config;
   struct wire wire;
-  table_sender table;
+  store_hooks store;
   net::loop& loop;
   std::unique_ptr<net::http_client> client;
   std::unique_ptr<net::http_server> server;
@@ -149,6 +151,7 @@
 
   std::shared_ptr<const catalog::catalog> configuration;  // null: none yet
   bool configuration_fed = false;                         // newer versions would be known
+  std::array<freshness, 2> feeds;                         // by `feed`
   bool endpoints_known = false;
   time_point list_back_at;        // when the list could last be followed again
   std::set<std::string> missing;  // endpoints that lapsed while the list could not be followed
@@ -168,6 +171,7 @@
 
   // Placement of layers.
   lease::holder lease;
+  time_point lease_failed_at;  // when a call for the lease last had no usable reply
   std::map<std::string, placement_order> orders;  // by endpoint id
   time_point endpoints_changed;
   time_point held_since;  // when this gateway last began to place layers
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -20,9 +20,13 @@
 
 class gateway_impl final : public gateway {
  public:
-  gateway_impl(const settings& settings, wire wire, table_sender table, net::loop& loop)
-      : state_(settings, std::move(wire), std::move(table), loop) {
+  gateway_impl(const settings& settings, wire wire, store_hooks store, net::loop& loop)
+      : state_(settings, std::move(wire), std::move(store), loop) {
     ApplyBudget();
+    for (freshness& item : state_.feeds) {
+      item.limit = state_.config.feed_age_limit;
+      item.spread = UniformUnit(state_.rng);
+    }
   }
 
   result<void> Listen() {
@@ -94,6 +98,10 @@
     if (reachable) state_.list_back_at = MonotonicNow();
   }
 
+  void OnFeedPosition(feed which, uint64_t changed, uint64_t complete) override {
+    ConfirmFeed(state_, which, changed, complete);
+  }
+
   void OnPeers(std::span<const peer_address> peers) override { ReplacePeers(state_, peers); }
 
   void OnSettings(const settings& settings) override {
@@ -152,9 +160,9 @@
 
 }  // namespace
 
-result<std::unique_ptr<gateway>> Start(const settings& settings, wire wire, table_sender table,
+result<std::unique_ptr<gateway>> Start(const settings& settings, wire wire, store_hooks store,
                                        net::loop& loop) {
-  auto made = std::make_unique<gateway_impl>(settings, std::move(wire), std::move(table), loop);
+  auto made = std::make_unique<gateway_impl>(settings, std::move(wire), std::move(store), loop);
   BOOST_OUTCOME_TRYV(made->Run());
   return std::unique_ptr<gateway>(std::move(made));
 }
--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -20,6 +20,13 @@
 constexpr size_t kPeersPerBaseInterval = 8;
 // The load that a silent peer reported is dropped after this time.
 constexpr duration kPeerLifetime = 2000ms;
+// Larger ages make no difference.
+constexpr std::chrono::milliseconds kMaxFeedAge{60'000};
+// Ages of feeds are looked at this often.
+constexpr duration kFeedTick = 50ms;
+// After a failed call for the lease, a gateway does not count as one that reaches the store for
+// this long, so that another one observes the lease instead.
+constexpr duration kLeaseFailureHold = 5000ms;
 
 void AddLoads(gateway_state& state, const peer& from, int sign) {
   for (const auto& [address, part] : from.loads) {
@@ -36,7 +43,24 @@
   return {bytes.begin(), bytes.end()};
 }
 
+// Newest change and age of the confirmation, ms, for each feed.
+json EncodeFeeds(const gateway_state& state, time_point now) {
+  json out = json::array();
+  for (const freshness& item : state.feeds) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - item.confirmed_at);
+    out.push_back({item.changed, age.count()});
+  }
+  return out;
+}
+
+bool ReachesStore(const gateway_state& state, time_point now) {
+  const bool lease_works =
+      state.lease_failed_at == time_point() || now - state.lease_failed_at > kLeaseFailureHold;
+  return state.configuration_fed && lease_works;
+}
+
 std::string EncodeLoads(const gateway_state& state) {
+  const time_point now = MonotonicNow();
   json loads = json::array();
   for (const auto& [id, item] : state.endpoints) {
     if (item.own.sequences == 0) continue;
@@ -45,7 +69,8 @@
   }
   return Encode({{"v", kMessageVersion},
                  {"id", state.config.id},
-                 {"store", state.configuration_fed},
+                 {"store", ReachesStore(state, now)},
+                 {"feeds", EncodeFeeds(state, now)},
                  {"loads", loads}});
 }
 
@@ -55,6 +80,35 @@
   for (const auto& [id, other] : state.peers) AddLoads(state, other, 1);
 }
 
+void CheckFeed(gateway_state& state, size_t index, std::string_view why, time_point now) {
+  freshness& item = state.feeds[index];
+  log::Log(
+      log::level::kDebug, "feed is checked",
+      {{"feed", index},
+       {"why", why},
+       {"version", item.complete},
+       {"age_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - item.confirmed_at).count()}});
+  item.checked_at = now;
+  state.store.check(static_cast<feed>(index));
+}
+
+void ReadFeeds(gateway_state& state, const json& feeds) {
+  if (!feeds.is_array() || feeds.size() != state.feeds.size()) return;
+  const time_point now = MonotonicNow();
+  for (size_t i = 0; i < feeds.size(); ++i) {
+    const json& entry = feeds[i];
+    const bool valid = entry.is_array() && entry.size() == 2 && entry[0].is_number_unsigned() &&
+                       entry[1].is_number_unsigned();
+    if (!valid) continue;
+    const auto age = std::chrono::milliseconds(
+        std::min<uint64_t>(entry[1].get<uint64_t>(), kMaxFeedAge.count()));
+    if (OnPeerPosition(state.feeds[i], entry[0].get<uint64_t>(), age, now)) {
+      CheckFeed(state, i, "a peer knows more", now);
+    }
+  }
+}
+
 void ReadLoads(gateway_state& state, std::string_view data) {
   const json message = json::from_cbor(data, true, false);
   if (!message.is_object() || message.value("v", json()) != json(kMessageVersion)) return;
@@ -70,6 +124,7 @@
     if (item != nullptr) AskEndpoint(state, *item, kToldByPeer);
     return;
   }
+  ReadFeeds(state, message.value("feeds", json()));
   if (!loads.is_array()) return;
   peer& from = found->second;
   from.heard = MonotonicNow();
@@ -107,6 +162,18 @@
   Subscribe(state.loop.Timers(), now + pause, [&state](time_point at) { SendLoads(state, at); });
 }
 
+void FeedTick(gateway_state& state, time_point now) {
+  for (size_t i = 0; i < state.feeds.size(); ++i) {
+    if (IsCheckDue(state.feeds[i], now)) CheckFeed(state, i, "not confirmed", now);
+  }
+  Subscribe(state.loop.Timers(), now + kFeedTick, [&state](time_point at) { FeedTick(state, at); });
+}
+
+void SendToAll(gateway_state& state, const json& message) {
+  const std::string data = Encode(message);
+  for (const auto& [id, other] : state.peers) state.peer_socket->Send(other.address.address, data);
+}
+
 }  // namespace
 
 result<void> StartPeers(gateway_state& state) {
@@ -115,15 +182,23 @@
                                       [&state](std::string_view data) { ReadLoads(state, data); }));
   state.peer_socket = std::move(socket);
   SendLoads(state, MonotonicNow());
+  FeedTick(state, MonotonicNow());
   return Success();
 }
 
 void ReportDown(gateway_state& state, const endpoint& item) {
-  const std::string message =
-      Encode({{"v", kMessageVersion}, {"id", state.config.id}, {"down", item.listed.address}});
-  for (const auto& [id, other] : state.peers) {
-    state.peer_socket->Send(other.address.address, message);
-  }
+  SendToAll(state,
+            {{"v", kMessageVersion}, {"id", state.config.id}, {"down", item.listed.address}});
+}
+
+void ConfirmFeed(gateway_state& state, feed which, uint64_t changed, uint64_t complete) {
+  freshness& item = state.feeds.at(static_cast<size_t>(which));
+  const time_point now = MonotonicNow();
+  const bool was_check = item.checked_at > item.confirmed_at;
+  OnTablePosition(item, changed, complete, now);
+  if (!was_check) return;
+  SendToAll(state,
+            {{"v", kMessageVersion}, {"id", state.config.id}, {"feeds", EncodeFeeds(state, now)}});
 }
 
 void ReplacePeers(gateway_state& state, std::span<const peer_address> peers) {
--- a/libs/gateway/src/placer.cc
+++ b/libs/gateway/src/placer.cc
@@ -53,13 +53,14 @@
 void OnLeaseOutcome(gateway_state& state, uint64_t id, const lease::table_outcome& outcome) {
   if (std::holds_alternative<lease::unknown_outcome>(outcome)) {
     metrics::Increment(state.metrics.registry, state.metrics.table_failures);
+    state.lease_failed_at = MonotonicNow();
   }
   SendLeaseCalls(state, lease::OnTableReply(state.lease, id, outcome, MonotonicNow()));
 }
 
 void SendLeaseCalls(gateway_state& state, const std::vector<lease::table_call>& calls) {
   for (const lease::table_call& entry : calls) {
-    state.table(entry, [&state, id = entry.id](const lease::table_outcome& outcome) {
+    state.store.call(entry, [&state, id = entry.id](const lease::table_outcome& outcome) {
       OnLeaseOutcome(state, id, outcome);
     });
   }
--- /dev/null
+++ b/libs/gateway/tests/freshness_test.cc
@@ -0,0 +1,72 @@
+// Checks of shared tables by many gateways.
+#include "details/freshness.h"
+
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace balsambay::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr time_point kStart = time_point() + 100s;
+
+std::vector<freshness> Gateways(int count) {
+  std::vector<freshness> out(static_cast<size_t>(count));
+  for (size_t i = 0; i < out.size(); ++i) {
+    out[i].spread = static_cast<double>(i) / static_cast<double>(out.size());
+    OnTablePosition(out[i], 5, 9, kStart);
+  }
+  return out;
+}
+
+// Guards against each gateway of a large installation polling for itself.
+TEST_CASE("one check in a while serves all gateways") {
+  auto gateways = Gateways(60);
+  int checks = 0;
+  for (time_point now = kStart; now < kStart + 30s; now += 10ms) {
+    for (freshness& self : gateways) {
+      if (!IsCheckDue(self, now)) continue;
+      ++checks;
+      self.checked_at = now;
+      OnTablePosition(self, 5, 9, now);
+      for (freshness& other : gateways) {
+        if (&other != &self) CHECK_FALSE(OnPeerPosition(other, 5, 5ms, now + 5ms));
+      }
+    }
+  }
+  CHECK(checks >= 15);
+  CHECK(checks <= 40);
+}
+
+// Open calls go silent for all at once: nobody sees the change, and the next check still comes in
+// time.
+TEST_CASE("a gateway that nobody confirms checks within its limit") {
+  auto gateways = Gateways(1);
+  CHECK_FALSE(IsCheckDue(gateways[0], kStart + 1400ms));
+  CHECK(IsCheckDue(gateways[0], kStart + 2000ms));
+}
+
+// A lost reply at one gateway: the others know the change and it asks for it at once, but not again
+// and again while the store does not answer.
+TEST_CASE("a change that another gateway knows is asked for") {
+  auto gateways = Gateways(1);
+  freshness& self = gateways[0];
+  CHECK_FALSE(OnPeerPosition(self, 9, 0ms, kStart + 600ms));
+  CHECK(OnPeerPosition(self, 12, 0ms, kStart + 700ms));
+  self.checked_at = kStart + 700ms;
+  CHECK_FALSE(OnPeerPosition(self, 12, 0ms, kStart + 800ms));
+  CHECK(OnPeerPosition(self, 12, 0ms, kStart + 1300ms));
+  // The age is that of its own knowledge, which is behind.
+  CHECK(self.confirmed_at < kStart + 700ms);
+}
+
+// A gateway that has read nothing yet has nothing to check.
+TEST_CASE("nothing is checked before the first read") {
+  freshness self;
+  CHECK_FALSE(IsCheckDue(self, kStart));
+  CHECK_FALSE(OnPeerPosition(self, 12, 0ms, kStart));
+}
+
+}  // namespace
+}  // namespace balsambay::gateway
