--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -158,6 +158,7 @@
   std::map<std::string, endpoint> endpoints;  // by id
   std::unordered_map<std::string, std::string> id_by_address;
   std::map<std::string, peer> peers;                  // by id, without this gateway
+  bool peer_loads_changed = false;                    // the sums of loads are out of date
   std::map<std::string, time_point> zone_down_until;  // zones that cannot be reached
 
   std::unordered_map<uint64_t, call_ptr> calls;
--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -22,6 +22,8 @@
 constexpr duration kPeerLifetime = 2000ms;
 // Larger ages make no difference.
 constexpr std::chrono::milliseconds kMaxFeedAge{60'000};
+// Loads of other gateways are summed this often: below the interval of their messages.
+constexpr duration kSumInterval = 50ms;
 // Ages of feeds are looked at this often.
 constexpr duration kFeedTick = 50ms;
 // After a failed call for the lease, a gateway does not count as one that reaches the store for
@@ -138,17 +140,15 @@
     from.loads[entry[0].get<std::string>()] = {entry[1].get<double>(), entry[2].get<int>(),
                                                entry[3].get<int>()};
   }
-  SumLoads(state);
+  state.peer_loads_changed = true;
 }
 
 void DropSilent(gateway_state& state, time_point now) {
-  bool changed = false;
   for (auto& [id, other] : state.peers) {
     if (other.loads.empty() || now - other.heard < kPeerLifetime) continue;
     other.loads.clear();
-    changed = true;
+    state.peer_loads_changed = true;
   }
-  if (changed) SumLoads(state);
 }
 
 void SendLoads(gateway_state& state, time_point now) {
@@ -162,6 +162,13 @@
   Subscribe(state.loop.Timers(), now + pause, [&state](time_point at) { SendLoads(state, at); });
 }
 
+// With many gateways a message arrives every few ms, and each sum reads what all of them sent.
+void SumTick(gateway_state& state, time_point now) {
+  if (std::exchange(state.peer_loads_changed, false)) SumLoads(state);
+  Subscribe(state.loop.Timers(), now + kSumInterval,
+            [&state](time_point at) { SumTick(state, at); });
+}
+
 void FeedTick(gateway_state& state, time_point now) {
   for (size_t i = 0; i < state.feeds.size(); ++i) {
     if (IsCheckDue(state.feeds[i], now)) CheckFeed(state, i, "not confirmed", now);
@@ -182,6 +189,7 @@
                                       [&state](std::string_view data) { ReadLoads(state, data); }));
   state.peer_socket = std::move(socket);
   SendLoads(state, MonotonicNow());
+  SumTick(state, MonotonicNow());
   FeedTick(state, MonotonicNow());
   return Success();
 }
