--- a/libs/base/include/base/time.h
+++ b/libs/base/include/base/time.h
@@ -25,6 +25,21 @@
 // that was paused sees that its lease has lapsed.
 time_point MonotonicNow();
 
+inline double Seconds(duration value) { return std::chrono::duration<double>(value).count(); }
+
+inline double Milliseconds(duration value) {
+  return std::chrono::duration<double, std::milli>(value).count();
+}
+
+// Rounded down.
+inline int64_t WholeMilliseconds(duration value) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+}
+
+inline duration FromMilliseconds(double value) {
+  return std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(value));
+}
+
 // Milliseconds since the Unix epoch; only for logs and expiry of durable records.
 int64_t WallClockMs();
 
--- a/libs/base/tests/base_test.cc
+++ b/libs/base/tests/base_test.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "base/base64.h"
 #include "base/hash.h"
 #include "base/result.h"
 #include "base/timer_service.h"
@@ -66,5 +67,12 @@
   CHECK(ToString(failed.error().code) == "conflict");
 }
 
+// Guards against bytes that do not survive a table of texts.
+TEST_CASE("base64 keeps all bytes") {
+  CHECK(EncodeBase64("any bytes") == "YW55IGJ5dGVz");
+  rc::prop("round trip",
+           [](const std::string& bytes) { RC_ASSERT(DecodeBase64(EncodeBase64(bytes)) == bytes); });
+}
+
 }  // namespace
 }  // namespace balsambay
--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -44,23 +44,26 @@
   return item.incoming.prompt_tokens + answer;
 }
 
-std::vector<size_t> ExcludedIndexes(const call& item, const engine_views& views) {
+std::vector<size_t> IndexesOf(std::span<const pipeline::engine> engines,
+                              const std::set<std::string>& ids) {
   std::vector<size_t> out;
-  for (size_t i = 0; i < views.ids.size(); ++i) {
-    if (item.avoided.contains(views.ids[i])) out.push_back(i);
+  for (size_t i = 0; i < engines.size(); ++i) {
+    if (ids.contains(engines[i].id)) out.push_back(i);
   }
   return out;
 }
 
-std::vector<call_hop> ToHops(const pipeline::path& stages, const engine_views& views) {
+std::vector<call_hop> ToHops(const pipeline::path& stages,
+                             std::span<const pipeline::engine> engines) {
   std::vector<call_hop> out;
   std::ranges::transform(stages, std::back_inserter(out), [&](const pipeline::path_stage& stage) {
-    return call_hop{views.ids[stage.engine], views.engines[stage.engine].address, stage.range};
+    const pipeline::engine& engine = engines[stage.engine];
+    return call_hop{engine.id, engine.address, stage.range};
   });
   return out;
 }
 
-int ZoneCrossings(const pipeline::path& stages, const std::vector<pipeline::engine>& engines) {
+int ZoneCrossings(const pipeline::path& stages, std::span<const pipeline::engine> engines) {
   int crossings = 0;
   for (size_t i = 1; i < stages.size(); ++i) {
     if (engines[stages[i].engine].zone != engines[stages[i - 1].engine].zone) ++crossings;
@@ -89,34 +92,51 @@
   return out;
 }
 
-start_result ChoosePipeline(gateway_state& state, call& item, const catalog::service& service) {
+struct pipeline_choice {
+  start_result result = start_result::kNoEndpoint;
+  std::vector<call_hop> path;
+};
+
+// `reached`: endpoints that count as tried.
+pipeline_choice ChoosePipeline(gateway_state& state, const call& item,
+                               const catalog::service& service,
+                               const std::set<std::string>& reached) {
   const pipeline::model_spec& model = *service.pipelined;
-  const engine_views views = ViewEngines(state, service, MonotonicNow());
-  const std::vector<size_t> excluded = ExcludedIndexes(item, views);
-  item.committed_tokens = ExpectedTokens(item, model);
+  const std::vector<pipeline::engine> engines = ViewEngines(state, service, MonotonicNow());
+  const std::vector<size_t> excluded = IndexesOf(engines, item.avoided);
   // A request that may not be sent to further endpoints begins again where it was.
   std::vector<size_t> heads;
-  if (static_cast<int>(item.reached.size()) >= item.route->max_attempts) {
-    for (size_t i = 0; i < views.ids.size(); ++i) {
-      if (item.reached.contains(views.ids[i])) heads.push_back(i);
-    }
-    if (heads.empty()) return start_result::kNoEndpoint;
+  if (static_cast<int>(reached.size()) >= item.route->max_attempts) {
+    heads = IndexesOf(engines, reached);
+    if (heads.empty()) return {};
   }
-  pipeline::path_query query{.tokens = item.committed_tokens,
-                             .home_zone = state.config.zone,
-                             .head = {},
-                             // An answer that has begun is worth more than one that has not.
-                             .ignore_room = item.streaming,
-                             .excluded = excluded,
-                             .heads = heads};
-  pipeline::path_choice choice = pipeline::ChoosePath(model, views.engines, query);
-  if (choice.verdict == pipeline::path_verdict::kUncovered) return start_result::kNoEndpoint;
-  if (choice.verdict == pipeline::path_verdict::kNoRoom) return start_result::kNoRoom;
-  item.path = ToHops(choice.stages, views);
-  return start_result::kStarted;
+  const pipeline::path_query query{.tokens = ExpectedTokens(item, model),
+                                   .home_zone = state.config.zone,
+                                   .head = {},
+                                   // An answer that has begun is worth more than one that has not.
+                                   .ignore_room = item.streaming,
+                                   .excluded = excluded,
+                                   .heads = heads};
+  const pipeline::path_choice choice = pipeline::ChoosePath(model, engines, query);
+  switch (choice.verdict) {
+    case pipeline::path_verdict::kUncovered:
+      return {};
+    case pipeline::path_verdict::kNoRoom:
+      return {start_result::kNoRoom, {}};
+    case pipeline::path_verdict::kFound:
+      return {start_result::kStarted, ToHops(choice.stages, engines)};
+  }
+  return {};
+}
+
+start_result TakePipeline(gateway_state& state, call& item, const catalog::service& service) {
+  item.committed_tokens = ExpectedTokens(item, *service.pipelined);
+  pipeline_choice choice = ChoosePipeline(state, item, service, item.reached);
+  if (choice.result == start_result::kStarted) item.path = std::move(choice.path);
+  return choice.result;
 }
 
-start_result ChoosePlain(gateway_state& state, call& item) {
+start_result TakePlain(gateway_state& state, call& item) {
   const time_point now = MonotonicNow();
   const endpoint* best = nullptr;
   double best_cost = 0;
@@ -265,7 +285,7 @@
   const catalog::service* service = ServiceOf(*item);
   if (service == nullptr) return start_result::kNoEndpoint;
   const start_result chosen =
-      service->pipelined ? ChoosePipeline(state, *item, *service) : ChoosePlain(state, *item);
+      service->pipelined ? TakePipeline(state, *item, *service) : TakePlain(state, *item);
   if (chosen != start_result::kStarted) return chosen;
   const time_point now = MonotonicNow();
   const endpoint& target = *FindEndpoint(state, item->path.front().endpoint_id);
@@ -292,9 +312,9 @@
 bool MayStartElsewhere(gateway_state& state, const call& item) {
   const catalog::service* service = ServiceOf(item);
   if (service == nullptr || !service->pipelined) return false;
-  call next = item;
-  next.reached.insert(item.path.front().endpoint_id);
-  return ChoosePipeline(state, next, *service) == start_result::kStarted;
+  std::set<std::string> reached = item.reached;
+  reached.insert(item.path.front().endpoint_id);
+  return ChoosePipeline(state, item, *service, reached).result == start_result::kStarted;
 }
 
 void CloseAttempt(gateway_state& state, call& item) {
@@ -311,26 +331,27 @@
   const catalog::service* service = ServiceOf(*item);
   if (service == nullptr || !service->pipelined) return false;
   if (item->rerouting) return true;
-  const engine_views views = ViewEngines(state, *service, MonotonicNow());
-  const std::vector<size_t> excluded = ExcludedIndexes(*item, views);
-  const auto head = std::ranges::find(views.ids, item->path.front().endpoint_id);
-  if (head == views.ids.end()) return false;
+  const std::vector<pipeline::engine> engines = ViewEngines(state, *service, MonotonicNow());
+  const std::vector<size_t> excluded = IndexesOf(engines, item->avoided);
+  const auto head =
+      std::ranges::find(engines, item->path.front().endpoint_id, &pipeline::engine::id);
+  if (head == engines.end()) return false;
   pipeline::path_query query{
       .tokens = item->committed_tokens,
       .home_zone = state.config.zone,
-      .head = pipeline::path_stage{static_cast<size_t>(head - views.ids.begin()),
+      .head = pipeline::path_stage{static_cast<size_t>(head - engines.begin()),
                                    item->path.front().range},
       .ignore_room = false,
       .excluded = excluded};
-  pipeline::path_choice choice = pipeline::ChoosePath(*service->pipelined, views.engines, query);
+  pipeline::path_choice choice = pipeline::ChoosePath(*service->pipelined, engines, query);
   if (choice.verdict == pipeline::path_verdict::kNoRoom) {
     query.ignore_room = true;
-    choice = pipeline::ChoosePath(*service->pipelined, views.engines, query);
+    choice = pipeline::ChoosePath(*service->pipelined, engines, query);
   }
   if (choice.verdict != pipeline::path_verdict::kFound) return false;
-  const bool crosses = ZoneCrossings(choice.stages, views.engines) > CrossingsOf(state, *item);
+  const bool crosses = ZoneCrossings(choice.stages, engines) > CrossingsOf(state, *item);
   if (crosses && !allow_crossings) return false;
-  std::vector<call_hop> path = ToHops(choice.stages, views);
+  std::vector<call_hop> path = ToHops(choice.stages, engines);
   net::client_request order =
       state.wire.write_reroute(item->path.front().address, item->incoming.id, WireHops(path));
   order.header_timeout = kRerouteTimeout;
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -71,7 +71,7 @@
 
 std::string RetryAfterText(duration value) {
   std::array<char, 32> text{};
-  std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(value).count());
+  std::snprintf(text.data(), text.size(), "%.2f", Seconds(value));
   return text.data();
 }
 
@@ -90,10 +90,6 @@
   Answer(state, exchange, why.status, std::move(headers), std::string(why.reason) + "\n");
 }
 
-int64_t Ms(duration value) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-}
-
 uint64_t VersionInForce(const gateway_state& state) {
   return state.configuration ? state.configuration->content.version : 0;
 }
@@ -151,7 +147,7 @@
             {"attempts", item->attempt},
             {"may_have_run", item->may_have_run},
             {"tokens", item->committed_tokens},
-            {"age_ms", Ms(MonotonicNow() - item->arrived)},
+            {"age_ms", WholeMilliseconds(MonotonicNow() - item->arrived)},
             {"open_requests", state.calls.size()}});
   SendRefusal(state, item->exchange, why);
   Retire(state, item);
@@ -177,8 +173,8 @@
   log::Log(log::level::kInfo, "answer late",
            {{"request", item.incoming.id},
             {"service", item.service},
-            {"first_ms", Ms(first)},
-            {"gap_ms", Ms(item.longest_gap)},
+            {"first_ms", WholeMilliseconds(first)},
+            {"gap_ms", WholeMilliseconds(item.longest_gap)},
             {"attempt", item.attempt},
             {"endpoint", item.path.front().endpoint_id},
             {"hops", item.path.size()}});
@@ -190,7 +186,7 @@
   if (target != nullptr) RecordOutcome(*target, item->head.status >= 500, now);
   metrics::Increment(state.metrics.registry, state.metrics.completed);
   metrics::Observe(state.metrics.registry, state.metrics.duration_seconds,
-                   std::chrono::duration<double>(now - item->arrived).count());
+                   Seconds(now - item->arrived));
   LogIfLate(*item, now);
   if (item->streaming) {
     item->exchange->End();
@@ -209,7 +205,7 @@
     item->streaming = true;
     item->first_output = now - item->arrived;
     metrics::Observe(state.metrics.registry, state.metrics.first_output_seconds,
-                     std::chrono::duration<double>(item->first_output).count());
+                     Seconds(item->first_output));
     std::vector<net::header> headers = state.wire.reply_headers(item->head);
     if (state.unready) headers.push_back({"Connection", "close"});
     item->exchange->BeginStream(item->head.status, headers);
@@ -322,14 +318,12 @@
 }
 
 // Takes a request off an engine of its path. `last_chance`: also by ways that delay it.
-bool MoveOff(gateway_state& state, const call_ptr& item, const std::string& endpoint_id,
+void MoveOff(gateway_state& state, const call_ptr& item, const std::string& endpoint_id,
              bool last_chance, attempt_failure why) {
-  if (item->path.front().endpoint_id == endpoint_id) {
-    return last_chance && Restart(state, item, why);
-  }
-  if (Reroute(state, item, false, kEvents)) return true;
-  if (!last_chance) return false;
-  return Restart(state, item, why) || Reroute(state, item, true, kEvents);
+  const bool is_head = item->path.front().endpoint_id == endpoint_id;
+  if (!is_head && Reroute(state, item, false, kEvents)) return;
+  if (!last_chance || Restart(state, item, why) || is_head) return;
+  Reroute(state, item, true, kEvents);
 }
 
 void WatchTry(gateway_state& state, const call_ptr& item) {
--- a/libs/gateway/src/details/fleet.h
+++ b/libs/gateway/src/details/fleet.h
@@ -15,14 +15,9 @@
 // Whether new work may be sent there.
 bool IsUsable(const gateway_state& state, const endpoint& item, time_point now);
 
-// Engines of a pipelined service for the choice of a path. `ids[i]` is the id of `engines[i]`.
-struct engine_views {
-  std::vector<pipeline::engine> engines;
-  std::vector<std::string> ids;
-};
-
-engine_views ViewEngines(const gateway_state& state, const catalog::service& service,
-                         time_point now);
+// Engines of a pipelined service for the choice of a path.
+std::vector<pipeline::engine> ViewEngines(const gateway_state& state,
+                                          const catalog::service& service, time_point now);
 
 void ReplaceEndpoints(gateway_state& state, std::span<const listed_endpoint> listed);
 
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -77,14 +77,14 @@
   return zone == state.zone_down_until.end() || zone->second <= now;
 }
 
-engine_views ViewEngines(const gateway_state& state, const catalog::service& service,
-                         time_point now) {
-  engine_views out;
+std::vector<pipeline::engine> ViewEngines(const gateway_state& state,
+                                          const catalog::service& service, time_point now) {
+  std::vector<pipeline::engine> out;
   for (const auto& [id, item] : state.endpoints) {
     if (item.listed.service != service.name) continue;
     const size_t kind = KindIndex(*service.pipelined, item.listed.accelerator);
     if (kind == service.pipelined->kinds.size()) continue;
-    out.engines.push_back(
+    out.push_back(
         {.id = id,
          .address = item.listed.address,
          .zone = item.listed.zone,
@@ -95,7 +95,6 @@
          .committed = item.own.committed + item.peers.committed,
          .sequences = static_cast<double>(item.own.sequences + item.peers.sequences),
          .head_requests = static_cast<double>(item.own.head_requests + item.peers.head_requests)});
-    out.ids.push_back(id);
   }
   return out;
 }
@@ -159,7 +158,7 @@
 }
 
 double FailureRate(const endpoint& item, time_point now) {
-  const double seconds = std::chrono::duration<double>(now - item.failure_at).count();
+  const double seconds = Seconds(now - item.failure_at);
   return item.failure_rate * std::exp2(-seconds / kFailureHalfLifeS);
 }
 
--- a/libs/gateway/src/monitor.cc
+++ b/libs/gateway/src/monitor.cc
@@ -46,7 +46,7 @@
   return service != nullptr && service->pipelined.has_value();
 }
 
-void MoveStalled(gateway_state& state, const engine_report& report) {
+void AskStalled(gateway_state& state, const engine_report& report) {
   std::set<std::string> addresses;
   std::ranges::transform(report.stalled, std::inserter(addresses, addresses.end()),
                          &stalled_request::address);
@@ -60,7 +60,7 @@
 void Ask(gateway_state& state, endpoint& item, std::string_view why, duration timeout);
 
 void LearnReportTime(gateway_state& state, duration taken) {
-  const double ms = std::chrono::duration<double, std::milli>(taken).count();
+  const double ms = Milliseconds(taken);
   state.report_deviation_ms +=
       kDeviationWeight * (std::abs(ms - state.report_ms) - state.report_deviation_ms);
   state.report_ms += kMeanWeight * (ms - state.report_ms);
@@ -68,9 +68,7 @@
 
 duration CheckTimeout(const gateway_state& state) {
   const double ms = state.report_ms + kDeviations * state.report_deviation_ms;
-  const auto expected =
-      std::chrono::duration_cast<duration>(std::chrono::duration<double, std::milli>(ms));
-  return std::clamp<duration>(expected, kCheckTimeout, kReportTimeout);
+  return std::clamp<duration>(FromMilliseconds(ms), kCheckTimeout, kReportTimeout);
 }
 
 void OnNoReport(gateway_state& state, endpoint& item, bool refused, std::string_view why) {
@@ -106,7 +104,7 @@
     return;
   }
   ApplyReport(state, *item, report.value());
-  MoveStalled(state, report.value());
+  AskStalled(state, report.value());
 }
 
 void Ask(gateway_state& state, endpoint& item, std::string_view why, duration timeout) {
@@ -181,10 +179,8 @@
     const bool known = until > now;
     until = now + kZoneDown;
     if (known) continue;
-    log::Log(
-        log::level::kWarning, "zone cannot be reached",
-        {{"zone", zone},
-         {"silent_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - last).count()}});
+    log::Log(log::level::kWarning, "zone cannot be reached",
+             {{"zone", zone}, {"silent_ms", WholeMilliseconds(now - last)}});
     for (auto& [id, item] : state.endpoints) {
       if (item.listed.zone == zone && IsEngine(state, item)) MarkDown(state, item, "zone cut off");
     }
--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -22,10 +22,9 @@
 constexpr duration kPeerLifetime = 2000ms;
 // Larger ages make no difference.
 constexpr std::chrono::milliseconds kMaxFeedAge{60'000};
-// Loads of other gateways are summed this often: below the interval of their messages.
-constexpr duration kSumInterval = 50ms;
-// Ages of feeds are looked at this often.
-constexpr duration kFeedTick = 50ms;
+// Loads of other gateways are summed and ages of feeds looked at this often: below the interval of
+// the messages.
+constexpr duration kTick = 50ms;
 // After a failed call for the lease, a gateway does not count as one that reaches the store for
 // this long, so that another one observes the lease instead.
 constexpr duration kLeaseFailureHold = 5000ms;
@@ -40,17 +39,17 @@
   }
 }
 
-std::string Encode(const json& message) {
+void SendToAll(gateway_state& state, const json& message) {
   const std::vector<uint8_t> bytes = json::to_cbor(message);
-  return {bytes.begin(), bytes.end()};
+  const std::string data(bytes.begin(), bytes.end());
+  for (const auto& [id, other] : state.peers) state.peer_socket->Send(other.address.address, data);
 }
 
 // Newest change and age of the confirmation, ms, for each feed.
-json EncodeFeeds(const gateway_state& state, time_point now) {
+json DescribeFeeds(const gateway_state& state, time_point now) {
   json out = json::array();
   for (const freshness& item : state.feeds) {
-    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - item.confirmed_at);
-    out.push_back({item.changed, age.count()});
+    out.push_back({item.changed, WholeMilliseconds(now - item.confirmed_at)});
   }
   return out;
 }
@@ -61,7 +60,7 @@
   return state.configuration_fed && lease_works;
 }
 
-std::string EncodeLoads(const gateway_state& state) {
+json DescribeLoads(const gateway_state& state) {
   const time_point now = MonotonicNow();
   json loads = json::array();
   for (const auto& [id, item] : state.endpoints) {
@@ -69,11 +68,11 @@
     loads.push_back({item.listed.address, static_cast<int64_t>(item.own.committed),
                      item.own.sequences, item.own.head_requests});
   }
-  return Encode({{"v", kMessageVersion},
-                 {"id", state.config.id},
-                 {"store", ReachesStore(state, now)},
-                 {"feeds", EncodeFeeds(state, now)},
-                 {"loads", loads}});
+  return {{"v", kMessageVersion},
+          {"id", state.config.id},
+          {"store", ReachesStore(state, now)},
+          {"feeds", DescribeFeeds(state, now)},
+          {"loads", loads}};
 }
 
 // Sums are made anew, because endpoints come and go between two messages.
@@ -84,13 +83,11 @@
 
 void CheckFeed(gateway_state& state, size_t index, std::string_view why, time_point now) {
   freshness& item = state.feeds[index];
-  log::Log(
-      log::level::kDebug, "feed is checked",
-      {{"feed", index},
-       {"why", why},
-       {"version", item.complete},
-       {"age_ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - item.confirmed_at).count()}});
+  log::Log(log::level::kDebug, "feed is checked",
+           {{"feed", index},
+            {"why", why},
+            {"version", item.complete},
+            {"age_ms", WholeMilliseconds(now - item.confirmed_at)}});
   item.checked_at = now;
   state.store.check(static_cast<feed>(index));
 }
@@ -152,10 +149,7 @@
 }
 
 void SendLoads(gateway_state& state, time_point now) {
-  const std::string message = EncodeLoads(state);
-  for (const auto& [id, other] : state.peers) {
-    state.peer_socket->Send(other.address.address, message);
-  }
+  SendToAll(state, DescribeLoads(state));
   DropSilent(state, now);
   const auto factor = 1 + state.peers.size() / kPeersPerBaseInterval;
   const duration pause = Jitter(state.rng, kBaseInterval * factor, 0.1);
@@ -163,22 +157,12 @@
 }
 
 // With many gateways a message arrives every few ms, and each sum reads what all of them sent.
-void SumTick(gateway_state& state, time_point now) {
+void Tick(gateway_state& state, time_point now) {
   if (std::exchange(state.peer_loads_changed, false)) SumLoads(state);
-  Subscribe(state.loop.Timers(), now + kSumInterval,
-            [&state](time_point at) { SumTick(state, at); });
-}
-
-void FeedTick(gateway_state& state, time_point now) {
   for (size_t i = 0; i < state.feeds.size(); ++i) {
     if (IsCheckDue(state.feeds[i], now)) CheckFeed(state, i, "not confirmed", now);
   }
-  Subscribe(state.loop.Timers(), now + kFeedTick, [&state](time_point at) { FeedTick(state, at); });
-}
-
-void SendToAll(gateway_state& state, const json& message) {
-  const std::string data = Encode(message);
-  for (const auto& [id, other] : state.peers) state.peer_socket->Send(other.address.address, data);
+  Subscribe(state.loop.Timers(), now + kTick, [&state](time_point at) { Tick(state, at); });
 }
 
 }  // namespace
@@ -189,8 +173,7 @@
                                       [&state](std::string_view data) { ReadLoads(state, data); }));
   state.peer_socket = std::move(socket);
   SendLoads(state, MonotonicNow());
-  SumTick(state, MonotonicNow());
-  FeedTick(state, MonotonicNow());
+  Tick(state, MonotonicNow());
   return Success();
 }
 
@@ -205,8 +188,9 @@
   const bool was_check = item.checked_at > item.confirmed_at;
   OnTablePosition(item, changed, complete, now);
   if (!was_check) return;
-  SendToAll(state,
-            {{"v", kMessageVersion}, {"id", state.config.id}, {"feeds", EncodeFeeds(state, now)}});
+  SendToAll(
+      state,
+      {{"v", kMessageVersion}, {"id", state.config.id}, {"feeds", DescribeFeeds(state, now)}});
 }
 
 void ReplacePeers(gateway_state& state, std::span<const peer_address> peers) {
--- a/libs/gateway/src/placer.cc
+++ b/libs/gateway/src/placer.cc
@@ -180,8 +180,6 @@
   placement_order order;
   order.range = range;
   order.incarnation = item.listed.incarnation;
-  // An engine that holds nothing and is not busy has accepted no order since its start, as far as
-  // the list tells; a wrong guess is refused and the report read then.
   order.started = now;
   order.next_step = now;
   log::Log(log::level::kInfo, "layers planned",
@@ -194,49 +192,48 @@
 }
 
 // Engines as they will be when the orders under way are done.
-engine_views PlannedViews(const gateway_state& state, const catalog::service& service,
-                          time_point now) {
-  engine_views views = ViewEngines(state, service, now);
-  for (size_t i = 0; i < views.ids.size(); ++i) {
-    const auto order = state.orders.find(views.ids[i]);
-    if (order != state.orders.end()) views.engines[i].held = order->second.range;
+std::vector<pipeline::engine> PlannedEngines(const gateway_state& state,
+                                             const catalog::service& service, time_point now) {
+  std::vector<pipeline::engine> engines = ViewEngines(state, service, now);
+  for (pipeline::engine& item : engines) {
+    const auto order = state.orders.find(item.id);
+    if (order != state.orders.end()) item.held = order->second.range;
   }
-  return views;
+  return engines;
 }
 
-void PlanAll(gateway_state& state, const catalog::service& service, const engine_views& views,
-             time_point now) {
-  const pipeline::placement_plan plan = pipeline::PlanPlacement(*service.pipelined, views.engines);
+void PlanAll(gateway_state& state, const catalog::service& service,
+             std::span<const pipeline::engine> engines, time_point now) {
+  const pipeline::placement_plan plan = pipeline::PlanPlacement(*service.pipelined, engines);
   // Repairs keep the stages of the placement that is there, whatever would be planned today.
-  const double present = pipeline::StageTokens(*service.pipelined, views.engines);
+  const double present = pipeline::StageTokens(*service.pipelined, engines);
   state.tokens_per_stage = present > 0 ? present : plan.tokens_per_stage;
   log::Log(log::level::kInfo, "placement planned",
-           {{"engines", views.engines.size()},
+           {{"engines", engines.size()},
             {"copies", plan.copies},
             {"tokens_per_stage", plan.tokens_per_stage},
             {"present_tokens_per_stage", present},
             {"requests_per_s", plan.requests_per_s}});
   const bool all_empty = std::ranges::all_of(
-      views.engines, [](const pipeline::engine& item) { return item.held.Size() == 0; });
+      engines, [](const pipeline::engine& item) { return item.held.Size() == 0; });
   if (!all_empty) return;
   for (size_t i = 0; i < plan.ranges.size(); ++i) {
-    if (plan.ranges[i].Size() > 0) AddOrder(state, views.ids[i], plan.ranges[i], now);
+    if (plan.ranges[i].Size() > 0) AddOrder(state, engines[i].id, plan.ranges[i], now);
   }
 }
 
 // Notes which engines hold what, and which of them went out of use.
-void WatchEngines(gateway_state& state, const engine_views& views, time_point now) {
+void WatchEngines(gateway_state& state, std::span<const pipeline::engine> engines, time_point now) {
   std::set<std::string> in_use;
-  for (size_t i = 0; i < views.ids.size(); ++i) {
-    const pipeline::engine& item = views.engines[i];
+  for (const pipeline::engine& item : engines) {
     if (!item.usable) continue;
     if (item.held.Size() == 0) {
-      state.idle_since.try_emplace(views.ids[i], now);
+      state.idle_since.try_emplace(item.id, now);
       continue;
     }
-    state.idle_since.erase(views.ids[i]);
-    in_use.insert(views.ids[i]);
-    state.placed[views.ids[i]] = {{item.held, item.zone, item.kind}, {}};
+    state.idle_since.erase(item.id);
+    in_use.insert(item.id);
+    state.placed[item.id] = {{item.held, item.zone, item.kind}, {}};
   }
   for (auto& [id, entry] : state.placed) {
     if (!in_use.contains(id) && entry.lost_at == time_point()) entry.lost_at = now;
@@ -246,7 +243,7 @@
     return lost_at != time_point() && now - lost_at > kVacancyLifetime;
   });
   std::erase_if(state.idle_since, [&](const auto& entry) {
-    return std::ranges::find(views.ids, entry.first) == views.ids.end();
+    return std::ranges::find(engines, entry.first, &pipeline::engine::id) == engines.end();
   });
 }
 
@@ -257,19 +254,19 @@
 
 // Gives the layers of engines that went out of use to idle engines of their zones.
 void FillVacancies(gateway_state& state, const pipeline::model_spec& model,
-                   const engine_views& views, time_point now) {
-  std::vector<char> idle(views.ids.size());
-  std::ranges::transform(views.ids, idle.begin(), [&](const std::string& id) -> char {
-    return state.idle_since.contains(id) && IsFree(state, id) ? 1 : 0;
+                   std::span<const pipeline::engine> engines, time_point now) {
+  std::vector<char> idle(engines.size());
+  std::ranges::transform(engines, idle.begin(), [&](const pipeline::engine& item) -> char {
+    return state.idle_since.contains(item.id) && IsFree(state, item.id) ? 1 : 0;
   });
   std::vector<std::string> filled;
   for (const auto& [id, entry] : state.placed) {
     if (entry.lost_at == time_point()) continue;
     const auto successor =
-        pipeline::FindSuccessor(model, views.engines, idle, entry.held, state.tokens_per_stage);
+        pipeline::FindSuccessor(model, engines, idle, entry.held, state.tokens_per_stage);
     if (!successor) continue;
     idle[*successor] = 0;
-    AddOrder(state, views.ids[*successor], entry.held.range, now);
+    AddOrder(state, engines[*successor].id, entry.held.range, now);
     filled.push_back(id);
   }
   std::ranges::for_each(filled, [&](const std::string& id) { state.placed.erase(id); });
@@ -278,42 +275,40 @@
 void Plan(gateway_state& state, time_point now) {
   const catalog::service* service = PipelinedService(state);
   if (service == nullptr || !state.endpoints_known) return;
-  engine_views views = PlannedViews(state, *service, now);
-  if (views.engines.empty()) return;
+  std::vector<pipeline::engine> engines = PlannedEngines(state, *service, now);
+  if (engines.empty()) return;
   if (!state.placing) {
     // A new holder first learns what the engines hold.
     if (now - state.endpoints_changed < kSettleTime || now - state.held_since < kSettleTime) return;
     state.placing = true;
     // What is empty now need not be a newcomer, and the layers that it lost may be missing.
-    for (size_t i = 0; i < views.ids.size(); ++i) {
-      if (views.engines[i].held.Size() == 0) state.idle_since[views.ids[i]] = time_point();
+    for (const pipeline::engine& item : engines) {
+      if (item.held.Size() == 0) state.idle_since[item.id] = time_point();
     }
-    PlanAll(state, *service, views, now);
-    views = PlannedViews(state, *service, now);
+    PlanAll(state, *service, engines, now);
+    engines = PlannedEngines(state, *service, now);
   }
-  WatchEngines(state, views, now);
-  FillVacancies(state, *service->pipelined, views, now);
-  views = PlannedViews(state, *service, now);
+  WatchEngines(state, engines, now);
+  FillVacancies(state, *service->pipelined, engines, now);
+  engines = PlannedEngines(state, *service, now);
   // With layers that nothing covers no request can be served, so every engine is needed at once.
-  const bool covered = pipeline::LeastCoverageTokens(*service->pipelined, views.engines) > 0;
-  std::vector<char> movable(views.engines.size());
-  for (size_t i = 0; i < views.ids.size(); ++i) {
-    movable[i] = state.orders.empty() && IsFree(state, views.ids[i]) ? 1 : 0;
-    const auto idle = state.idle_since.find(views.ids[i]);
+  const bool covered = pipeline::LeastCoverageTokens(*service->pipelined, engines) > 0;
+  // A move first waits for the requests that pass through, often longer than a replacement takes to
+  // come, so it must restore service that there is none of.
+  const bool may_move = !covered && state.orders.empty();
+  std::vector<char> movable(engines.size());
+  for (size_t i = 0; i < engines.size(); ++i) {
+    pipeline::engine& item = engines[i];
+    movable[i] = may_move && IsFree(state, item.id) ? 1 : 0;
+    const auto idle = state.idle_since.find(item.id);
     const bool kept =
         covered && idle != state.idle_since.end() && now - idle->second < kNewcomerHold;
-    if (kept && views.engines[i].held.Size() == 0) views.engines[i].usable = false;
+    if (kept && item.held.Size() == 0) item.usable = false;
   }
   const auto changes =
-      pipeline::PlanRepair(*service->pipelined, views.engines, movable, state.tokens_per_stage);
-  const bool moves = std::ranges::any_of(changes, [&](const pipeline::placement_change& change) {
-    return views.engines[change.engine].held.Size() > 0;
-  });
-  // A move first waits for the requests that pass through, often longer than a replacement takes to
-  // come, so it must restore service that there is none of.
-  if (moves && covered) return;
+      pipeline::PlanRepair(*service->pipelined, engines, movable, state.tokens_per_stage);
   for (const pipeline::placement_change& change : changes) {
-    const std::string& id = views.ids[change.engine];
+    const std::string& id = engines[change.engine].id;
     if (IsFree(state, id)) AddOrder(state, id, change.range, now);
   }
 }
--- a/libs/pipeline/include/pipeline/model.h
+++ b/libs/pipeline/include/pipeline/model.h
@@ -42,6 +42,9 @@
   std::vector<accelerator_kind> kinds;
 };
 
+// A token that arrives at an engine waits for the pass under way: half a pass on the mean.
+inline constexpr double kPassWaitFactor = 1.5;
+
 // KV memory of one token in one layer, MB.
 double KvMbPerTokenLayer(const model_spec& model);
 
--- a/libs/pipeline/include/pipeline/placement.h
+++ b/libs/pipeline/include/pipeline/placement.h
@@ -23,8 +23,8 @@
 // model does not fit. Cost: below 1 ms for 40 engines.
 placement_plan PlanPlacement(const model_spec& model, std::span<const engine> engines);
 
-// KV memory of a stage of the present placement, tokens: the median over the usable engines that
-// hold layers. 0 when none does.
+// KV memory that the stages of the present placement were sized for, tokens: nearly all usable
+// engines with layers have at least as much. 0 when none holds layers.
 double StageTokens(const model_spec& model, std::span<const engine> engines);
 
 struct placement_change {
--- a/libs/pipeline/src/model.cc
+++ b/libs/pipeline/src/model.cc
@@ -9,8 +9,6 @@
 
 // Part of the KV memory that is planned for; the rest absorbs answers longer than usual.
 constexpr double kPlannedKvPart = 0.85;
-// A token that arrives at an engine waits for the pass under way: half a pass on the mean.
-constexpr double kPassWaitFactor = 1.5;
 
 }  // namespace
 
--- a/libs/pipeline/src/path.cc
+++ b/libs/pipeline/src/path.cc
@@ -19,7 +19,6 @@
 // Added for an engine at full memory, ms; falls with the sixth power of the used part. Of the order
 // of a whole path's time between tokens, so that a full engine costs as much as a detour.
 constexpr double kPressureMs = 25;
-constexpr double kPassWaitFactor = 1.5;
 constexpr size_t kMaxStages = 32;
 
 // State of the search: a layer boundary and the zone of the engine that ran the layers before it.
--- a/libs/router/src/details/telemetry.h
+++ b/libs/router/src/details/telemetry.h
@@ -34,6 +34,4 @@
 void CountRefusal(telemetry& out, std::string_view reason);
 void CountRetry(telemetry& out, std::string_view reason);
 
-inline double Seconds(duration value) { return std::chrono::duration<double>(value).count(); }
-
 }  // namespace balsambay::router
--- a/libs/router/src/stored_result.cc
+++ b/libs/router/src/stored_result.cc
@@ -1,11 +1,10 @@
 // Stored results as CBOR in base64.
 #include "details/stored_result.h"
 
-#include <glib.h>
-
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "base/base64.h"
 #include "details/replies.h"
 
 namespace balsambay::router {
@@ -16,19 +15,10 @@
 // Rows of the table are text, and a service's reply may hold any bytes.
 std::string Encode(const json& value) {
   const std::vector<uint8_t> bytes = json::to_cbor(value);
-  gchar* text = g_base64_encode(bytes.data(), bytes.size());
-  std::string out(text);
-  g_free(text);
-  return out;
+  return EncodeBase64({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
 }
 
-json Decode(std::string_view stored) {
-  gsize size = 0;
-  guchar* bytes = g_base64_decode(std::string(stored).c_str(), &size);
-  json out = json::from_cbor(std::vector<uint8_t>(bytes, bytes + size), true, false);
-  g_free(bytes);
-  return out;
-}
+json Decode(std::string_view stored) { return json::from_cbor(DecodeBase64(stored), true, false); }
 
 void RespondStoredService(request& item, const json& value) {
   const std::array<net::header, 3> headers = {
