Path choice: one relaxation for all zones, cost linear in the layers

Cause: each choice tried every engine once for every zone in which a path can stand at a boundary, and worked out the whole cost of a stage, a sixth power included, each time. A crossing costs the same between any two zones, so only the cheapest zone counts as its origin; time and memory of a stage are linear in its layers. Ruled out: the copies of the views (below a tenth of the time).

Also new: a penalty for crossings that the caller sets, and a spread of costs by seed, both unused so far.

--- a/libs/pipeline/include/pipeline/path.h
+++ b/libs/pipeline/include/pipeline/path.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string>
@@ -45,6 +46,12 @@
   std::span<const size_t> excluded = {};
   // When not empty, the path begins at one of these.
   std::span<const size_t> heads = {};
+  // Added to the cost of a hop to another zone, ms: the wait for the shared pipe.
+  double crossing_ms = 0;
+  // Costs of engines are raised by up to this part, differently for each `seed`: daemons that
+  // decide by the same old figures then choose different ones among nearly equal paths.
+  double spread = 0;
+  uint64_t seed = 0;
 };
 
 enum class path_verdict : uint8_t {
@@ -60,7 +67,7 @@
 };
 
 // The path with the least estimated time between tokens, with a penalty for engines that fill up.
-// Cost: O(boundaries x engines x zones); about 20 us for 40 engines.
+// Cost: O(boundaries x engines that cover one); see benchmarks/path_choice.cc.
 path_choice ChoosePath(const model_spec& model, std::span<const engine> engines,
                        const path_query& query);
 
--- a/libs/pipeline/src/path.cc
+++ b/libs/pipeline/src/path.cc
@@ -21,7 +21,8 @@
 constexpr double kPressureMs = 25;
 constexpr size_t kMaxStages = 32;
 
-// State of the search: a layer boundary and the zone of the engine that ran the layers before it.
+// Best way to a layer boundary that ends in a given zone: the zone of the engine that ran the
+// layers before it.
 struct node {
   double cost = kInfinite;
   double token_ms = 0;
@@ -30,6 +31,18 @@
   size_t from_zone = 0;
 };
 
+// What an engine costs, for any part of its layers: both figures are linear in their number.
+struct stage_rate {
+  size_t engine = 0;
+  size_t zone = 0;
+  layer_range held;
+  double ms_per_layer = 0;
+  double used = 0;            // part of the memory that other requests take
+  double used_per_layer = 0;  // that this request adds
+  double weight = 1;          // of the cost, for spreading
+  bool may_be_head = false;
+};
+
 struct search {
   const model_spec& model;
   std::span<const engine> engines;
@@ -37,6 +50,7 @@
   std::vector<int> boundaries;
   std::vector<std::string_view> zones;  // the first one is the caller's
   std::vector<size_t> zone_of;          // by engine
+  std::vector<stage_rate> rates;        // of the engines that may be used, by first layer
   std::vector<node> nodes;              // [boundary][zone]
 
   node& At(size_t boundary, size_t zone) { return nodes[boundary * zones.size() + zone]; }
@@ -49,45 +63,43 @@
 }
 
 bool MayBeHead(const search& state, size_t index) {
+  const engine& item = state.engines[index];
+  if (!state.query.ignore_room && item.head_requests + 1 > state.model.slots) return false;
   return state.query.heads.empty() ||
          std::ranges::find(state.query.heads, index) != state.query.heads.end();
 }
 
-struct stage_cost {
-  double token_ms = 0;
-  double total = kInfinite;
-};
+// In [0, 1), the same for the same seed and engine.
+double UnitOf(uint64_t seed, size_t index) {
+  uint64_t x = seed + (index + 1) * 0x9e3779b97f4a7c15ULL;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return static_cast<double>((x ^ (x >> 31)) >> 11) * 0x1.0p-53;
+}
 
-stage_cost Cost(const search& state, size_t index, layer_range range, bool is_head) {
+stage_rate RateOf(const search& state, size_t index) {
   const engine& item = state.engines[index];
   const accelerator_kind& kind = state.model.kinds[item.kind];
-  const double room = KvTokenLayers(state.model, kind, item.held.Size());
-  const double used = (item.committed + state.query.tokens * range.Size()) / std::max(room, 1.0);
-  if (!state.query.ignore_room) {
-    if (used > 1) return {};
-    if (is_head && item.head_requests + 1 > state.model.slots) return {};
-  }
+  const double room = std::max(KvTokenLayers(state.model, kind, item.held.Size()), 1.0);
   const double context =
       item.sequences * (state.model.usual_prompt_tokens + state.model.usual_answer_tokens / 2);
-  stage_cost out;
-  out.token_ms = kPassWaitFactor * item.slowdown *
-                     StepMs(state.model, kind, range.Size(), item.sequences + 1, context) +
-                 kHopMs;
-  out.total = out.token_ms + kPressureMs * std::pow(std::min(used, 2.0), 6);
+  stage_rate out;
+  out.engine = index;
+  out.zone = state.zone_of[index];
+  out.held = {std::max(0, item.held.begin), std::min(state.model.layers, item.held.end)};
+  out.ms_per_layer =
+      kPassWaitFactor * item.slowdown * StepMs(state.model, kind, 1, item.sequences + 1, context);
+  out.used = item.committed / room;
+  out.used_per_layer = state.query.tokens / room;
+  out.weight = 1 + state.query.spread * UnitOf(state.query.seed, index);
+  out.may_be_head = MayBeHead(state, index);
   return out;
 }
 
-void Relax(search& state, size_t boundary, size_t zone, size_t index, size_t next, double base_cost,
-           double base_ms) {
-  const layer_range range{state.boundaries[boundary], state.boundaries[next]};
-  const stage_cost cost = Cost(state, index, range, boundary == 0);
-  if (cost.total == kInfinite) return;
-  const size_t to_zone = state.zone_of[index];
-  const double crossing = to_zone == zone ? 0 : state.model.zone_delay_ms + kCrossZonePenaltyMs;
-  node& target = state.At(next, to_zone);
-  if (base_cost + cost.total + crossing >= target.cost) return;
-  target = {base_cost + cost.total + crossing, base_ms + cost.token_ms + crossing, index, boundary,
-            zone};
+// Cost of the detour that a full engine is worth, ms.
+double Pressure(double used) {
+  const double square = std::min(used, 2.0) * std::min(used, 2.0);
+  return kPressureMs * square * square * square;
 }
 
 void Prepare(search& state) {
@@ -99,33 +111,55 @@
     if (zone == state.zones.end()) zone = state.zones.insert(zone, item.zone);
     state.zone_of.push_back(static_cast<size_t>(zone - state.zones.begin()));
     if (!IsAllowed(state, i)) continue;
+    const bool is_head = state.query.head && state.query.head->engine == i;
+    if (!is_head) state.rates.push_back(RateOf(state, i));
     cuts.insert({std::max(0, item.held.begin), std::min(state.model.layers, item.held.end)});
   }
   if (state.query.head) cuts.insert(state.query.head->range.end);
   state.boundaries.assign(cuts.begin(), cuts.end());
   state.nodes.resize(state.boundaries.size() * state.zones.size());
+  std::ranges::stable_sort(state.rates, {}, [](const stage_rate& rate) { return rate.held.begin; });
 }
 
-void Search(search& state) {
-  std::vector<size_t> allowed;
-  for (size_t i = 0; i < state.engines.size(); ++i) {
-    if (IsAllowed(state, i)) allowed.push_back(i);
+// All parts of the engine's layers that begin at `boundary`.
+void RelaxStage(search& state, size_t boundary, const stage_rate& rate, const node& from,
+                size_t from_zone, double crossing) {
+  const int first = state.boundaries[boundary];
+  for (size_t next = boundary + 1;
+       next < state.boundaries.size() && state.boundaries[next] <= rate.held.end; ++next) {
+    const int layers = state.boundaries[next] - first;
+    const double used = rate.used + rate.used_per_layer * layers;
+    // More layers only need more memory.
+    if (used > 1 && !state.query.ignore_room) return;
+    const double token_ms = rate.ms_per_layer * layers + kHopMs;
+    const double cost = from.cost + crossing + rate.weight * (token_ms + Pressure(used));
+    node& target = state.At(next, rate.zone);
+    if (cost >= target.cost) continue;
+    target = {cost, from.token_ms + token_ms + crossing, rate.engine, boundary, from_zone};
   }
+}
+
+void Search(search& state) {
   for (size_t boundary = 0; boundary + 1 < state.boundaries.size(); ++boundary) {
     const int layer = state.boundaries[boundary];
-    for (size_t zone = 0; zone < state.zones.size(); ++zone) {
-      const node current = state.At(boundary, zone);
-      if (current.cost == kInfinite) continue;
-      for (const size_t index : allowed) {
-        const layer_range held = state.engines[index].held;
-        const bool is_head = state.query.head && state.query.head->engine == index;
-        if (is_head || layer < held.begin || layer >= held.end) continue;
-        if (boundary == 0 && !MayBeHead(state, index)) continue;
-        for (size_t next = boundary + 1;
-             next < state.boundaries.size() && state.boundaries[next] <= held.end; ++next) {
-          Relax(state, boundary, zone, index, next, current.cost, current.token_ms);
-        }
-      }
+    // On the way to the head no activations move.
+    const double pipe_ms = boundary == 0 ? 0 : state.query.crossing_ms;
+    const double crossing = state.model.zone_delay_ms + kCrossZonePenaltyMs + pipe_ms;
+    // A crossing costs the same between any two zones, so only the best zone counts as its origin.
+    size_t cheapest = 0;
+    for (size_t zone = 1; zone < state.zones.size(); ++zone) {
+      if (state.At(boundary, zone).cost < state.At(boundary, cheapest).cost) cheapest = zone;
+    }
+    if (state.At(boundary, cheapest).cost == kInfinite) continue;
+    const std::vector<node> from(
+        state.nodes.begin() + static_cast<std::ptrdiff_t>(boundary * state.zones.size()),
+        state.nodes.begin() + static_cast<std::ptrdiff_t>((boundary + 1) * state.zones.size()));
+    for (const stage_rate& rate : state.rates) {
+      if (rate.held.begin > layer) break;
+      if (rate.held.end <= layer || (boundary == 0 && !rate.may_be_head)) continue;
+      const bool crosses = from[cheapest].cost + crossing < from[rate.zone].cost;
+      const size_t zone = crosses ? cheapest : rate.zone;
+      RelaxStage(state, boundary, rate, from[zone], zone, crosses ? crossing : 0);
     }
   }
 }
@@ -158,7 +192,7 @@
 
 path_choice ChooseOnce(const model_spec& model, std::span<const engine> engines,
                        const path_query& query) {
-  search state{model, engines, query, {}, {}, {}, {}};
+  search state{model, engines, query, {}, {}, {}, {}, {}};
   Prepare(state);
   Start(state);
   Search(state);
