Endpoints that say they leave or want a pause; answers without end

An answer of any kind may say that its endpoint leaves (final in that incarnation, whatever the list says then or after the entry has been away), and a refusal how long the endpoint wants nothing from this gateway. Neither was read: requests went on to such endpoints. If all endpoints of a service have asked for a pause, callers are refused at once with the time at which the first pause ends.

Replies that are collected whole had a time limit for their headers only, so a report or an order's reply without end was read for ever, its bytes dropped, and the engine never counted as silent; a stream without the end of an event grew in memory until its route's time limit. Both are bounded now, in bytes and time.

--- a/libs/gateway/include/gateway/wire.h
+++ b/libs/gateway/include/gateway/wire.h
@@ -56,6 +56,8 @@
   std::string fault_address;  // the engine of the path that caused a refusal; empty: not named
   bool authentic = false;     // carries the endpoint's signature
   bool encoded = false;       // the body is not as the endpoint made it
+  bool leaving = false;       // the endpoint is about to leave and takes nothing new
+  duration refuses_for{0};    // a refusal: it wants nothing from this gateway for so long
 };
 
 // A request that stopped because of an engine on its path.
--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -23,6 +23,8 @@
 constexpr int kMaxReroutes = 2;
 // A reply larger than this is not collected in memory.
 constexpr size_t kMaxReplyBytes = size_t{16} << 20;
+// Bytes without an end of an event beyond this are no event stream; events hold a few tokens.
+constexpr size_t kMaxEventBytes = size_t{256} << 10;
 // An endpoint that failed all its recent requests counts as this many requests longer.
 constexpr double kFailurePenalty = 20;
 // Preference for the own zone, in requests.
@@ -164,11 +166,14 @@
 
 bool IsStreamAnswer(const call& item) { return item.route->streamed && item.head.status == 200; }
 
+bool IsForeign(const call& item) {
+  return !item.facts.request_id.empty() && item.facts.request_id != item.incoming.id;
+}
+
 // Whether the reply belongs to the request and is as the endpoint made it.
 bool IsOwnReply(const call& item) {
-  const bool foreign = !item.facts.request_id.empty() && item.facts.request_id != item.incoming.id;
   const bool success = item.head.status >= 200 && item.head.status < 300;
-  return !foreign && !item.facts.encoded && (!success || item.facts.authentic);
+  return !IsForeign(item) && !item.facts.encoded && (!success || item.facts.authentic);
 }
 
 void Fail(gateway_state& state, const call_ptr& item, attempt_failure failure,
@@ -178,9 +183,16 @@
 
 void OnHead(gateway_state& state, const call_ptr& item, const net::reply_head& head,
             const attempt_events& events) {
+  const uint32_t attempt = item->attempt;
   item->head = head;
   item->facts = state.wire.read_reply(head);
   item->last_progress = MonotonicNow();
+  // A reply of another request or endpoint says nothing about this one.
+  endpoint* target = IsForeign(*item) || head.status == 421
+                         ? nullptr
+                         : FindEndpoint(state, item->path.front().endpoint_id);
+  if (target != nullptr) ApplyFacts(state, *target, item->facts);
+  if (!IsOpen(item, attempt)) return;
   if (item->facts.not_executed) return Fail(state, item, attempt_failure::kNotExecuted, events);
   if (!IsOwnReply(*item)) return Fail(state, item, attempt_failure::kBroken, events);
 }
@@ -195,6 +207,9 @@
     return;
   }
   const std::string whole = TakeWholeEvents(item->events, data);
+  if (item->events.partial.size() > kMaxEventBytes) {
+    return Fail(state, item, attempt_failure::kBroken, events);
+  }
   if (whole.empty()) return;
   item->last_progress = MonotonicNow();
   item->progressed = true;
@@ -364,6 +379,9 @@
                const call_ptr held = weak.lock();
                if (!IsOpen(held, attempt)) return;
                held->rerouting = false;
+               if (endpoint* engine = FindEndpoint(state, path.front().endpoint_id)) {
+                 ApplyFacts(state, *engine, state.wire.read_reply(reply.head));
+               }
                const bool done = reply.end.failure == net::call_failure::kNone &&
                                  (reply.status == 200 || reply.status == 202);
                log::Log(log::level::kInfo, "request rerouted",
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -24,6 +24,8 @@
 constexpr duration kRoomRetrySpread = 1400ms;
 // An endpoint that is missing is back or replaced after about this time.
 constexpr duration kEndpointRetryAfter = 1000ms;
+// Spread of callers over the time after an endpoint's own pause.
+constexpr duration kRefusalRetrySpread = 200ms;
 constexpr duration kStartRetryAfter = 500ms;
 // An idempotent plain call is tried elsewhere when the endpoint has not answered by then; multiples
 // of the route's latency goal.
@@ -251,7 +253,7 @@
   const bool target_lost = target == nullptr || target->down || failure == attempt_failure::kBroken;
   if (reached && !(pipelined && target_lost)) item->reached.insert(target_id);
   if (fault != nullptr && failure == attempt_failure::kNotExecuted && pipelined) {
-    fault->refused_until = now + kRefusalHold;
+    fault->refused_until = std::max(fault->refused_until, now + kRefusalHold);
   }
   if (failure == attempt_failure::kBroken || failure == attempt_failure::kStalled ||
       failure == attempt_failure::kFailed || failure == attempt_failure::kMoved) {
@@ -358,6 +360,17 @@
   return true;
 }
 
+// When all endpoints have asked not to be called for a while, callers come back after the first of
+// these pauses, spread a little so that they do not all come at once.
+duration EndpointRetryAfter(gateway_state& state, const call& item) {
+  const time_point now = MonotonicNow();
+  const auto next = NextRoom(state, item.service, now);
+  if (!next) return kEndpointRetryAfter;
+  const auto spread = static_cast<duration::rep>(
+      UniformUnit(state.rng) * static_cast<double>(duration(kRefusalRetrySpread).count()));
+  return *next - now + duration(spread);
+}
+
 void Begin(gateway_state& state, const call_ptr& item) {
   switch (StartAttempt(state, item, kEvents)) {
     case start_result::kStarted:
@@ -367,7 +380,7 @@
       return GiveUp(state, item, {503, "no_room", SpreadRetry(state)});
     case start_result::kNoEndpoint:
       if (WaitForEndpoint(state, item)) return;
-      return GiveUp(state, item, {503, "no_endpoint", kEndpointRetryAfter});
+      return GiveUp(state, item, {503, "no_endpoint", EndpointRetryAfter(state, *item)});
   }
 }
 
--- a/libs/gateway/src/details/fleet.h
+++ b/libs/gateway/src/details/fleet.h
@@ -24,6 +24,18 @@
 // Takes an endpoint out of use until it reports again. Requests on it move elsewhere.
 void MarkDown(gateway_state& state, endpoint& item, std::string_view reason);
 
+// The endpoint itself says that it is about to leave. Final within its incarnation, whatever the
+// list says.
+void NoteLeaving(gateway_state& state, endpoint& item);
+
+// What a reply of the endpoint says about the endpoint itself, whatever was asked.
+void ApplyFacts(gateway_state& state, endpoint& item, const reply_facts& facts);
+
+// When the first usable endpoint of the service takes work again after its refusals; nullopt when
+// none has refused.
+std::optional<time_point> NextRoom(const gateway_state& state, std::string_view service,
+                                   time_point now);
+
 void ApplyReport(gateway_state& state, endpoint& item, const engine_report& report);
 
 // Outcome of a request on the endpoint.
--- a/libs/gateway/src/details/monitor.h
+++ b/libs/gateway/src/details/monitor.h
@@ -7,6 +7,10 @@
 
 namespace balsambay::gateway {
 
+// Reports and replies to orders are short and come at once.
+inline constexpr net::fetch_limits kShortReply{.body_bytes = size_t{1} << 20,
+                                               .body_time = std::chrono::milliseconds(400)};
+
 // Why an engine is asked.
 inline constexpr std::string_view kNoProgress = "no progress";
 inline constexpr std::string_view kToldByPeer = "told by a peer";
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -122,6 +122,12 @@
   time_point lost_at;  // min(): in use
 };
 
+// An endpoint that was leaving when its entry went.
+struct departed_endpoint {
+  uint64_t incarnation = 0;
+  time_point left_at;
+};
+
 struct peer {
   peer_address address;
   time_point heard;                   // min(): never
@@ -155,7 +161,8 @@
   bool endpoints_known = false;
   time_point list_back_at;        // when the list could last be followed again
   std::set<std::string> missing;  // endpoints that lapsed while the list could not be followed
-  std::map<std::string, endpoint> endpoints;  // by id
+  std::map<std::string, departed_endpoint> departed;  // by id, for a limited time
+  std::map<std::string, endpoint> endpoints;          // by id
   std::unordered_map<std::string, std::string> id_by_address;
   std::map<std::string, peer> peers;                  // by id, without this gateway
   bool peer_loads_changed = false;                    // the sums of loads are out of date
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -17,6 +17,8 @@
 // Entries that lapsed while the list could not be followed are back within this time, if their
 // endpoints live.
 constexpr duration kLapsedLifetime = 2200ms;
+// Stale entries of endpoints that left are expected for at most this long.
+constexpr duration kDepartedLifetime = std::chrono::minutes(10);
 constexpr double kFailureWeight = 0.2;     // of the newest request in the moving mean
 constexpr double kFailureHalfLifeS = 3.0;  // without requests, an endpoint is tried again soon
 
@@ -41,6 +43,7 @@
     item.busy = false;
     item.down = false;
     item.failure_rate = 0;
+    item.refused_until = {};
   }
   if (now_leaving) {
     log::Log(log::level::kInfo, "endpoint is leaving", {{"endpoint", listed.id}});
@@ -50,6 +53,9 @@
 
 void Remove(gateway_state& state, const std::string& id) {
   const auto found = state.endpoints.find(id);
+  if (found->second.listed.leaving) {
+    state.departed[id] = {found->second.listed.incarnation, MonotonicNow()};
+  }
   log::Log(log::level::kInfo, "endpoint left the list", {{"endpoint", id}});
   const auto by_address = state.id_by_address.find(found->second.listed.address);
   if (by_address != state.id_by_address.end() && by_address->second == id) {
@@ -59,6 +65,20 @@
   MoveCallsOff(state, id, false);
 }
 
+// An entry that comes back after its endpoint left does not bring the endpoint back.
+void Introduce(gateway_state& state, endpoint& item, const listed_endpoint& listed) {
+  const auto departed = state.departed.find(listed.id);
+  const bool left =
+      departed != state.departed.end() && departed->second.incarnation == listed.incarnation;
+  item.listed.incarnation = left ? listed.incarnation : listed.incarnation + 1;
+  item.listed.leaving = left;
+}
+
+void ForgetDeparted(gateway_state& state, time_point now) {
+  std::erase_if(state.departed,
+                [&](const auto& entry) { return now - entry.second.left_at > kDepartedLifetime; });
+}
+
 }  // namespace
 
 endpoint* FindEndpoint(gateway_state& state, std::string_view id) {
@@ -101,6 +121,7 @@
 
 void ReplaceEndpoints(gateway_state& state, std::span<const listed_endpoint> listed) {
   state.endpoints_known = true;
+  ForgetDeparted(state, MonotonicNow());
   std::vector<std::string> gone;
   for (const auto& [id, item] : state.endpoints) {
     if (std::ranges::find(listed, id, &listed_endpoint::id) == listed.end()) gone.push_back(id);
@@ -108,7 +129,7 @@
   for (const listed_endpoint& entry : listed) {
     state.missing.erase(entry.id);
     const auto [found, added] = state.endpoints.try_emplace(entry.id);
-    if (added) found->second.listed.incarnation = entry.incarnation + 1;
+    if (added) Introduce(state, found->second, entry);
     if (added || found->second.listed != entry) {
       state.endpoints_changed = MonotonicNow();
       Update(state, found->second, entry);
@@ -140,6 +161,34 @@
   MoveCallsOff(state, item.listed.id, true);
 }
 
+void NoteLeaving(gateway_state& state, endpoint& item) {
+  if (item.listed.leaving) return;
+  item.listed.leaving = true;
+  state.endpoints_changed = MonotonicNow();
+  log::Log(log::level::kInfo, "endpoint says that it is leaving",
+           {{"endpoint", item.listed.id}, {"address", item.listed.address}});
+  MoveCallsOff(state, item.listed.id, false);
+}
+
+void ApplyFacts(gateway_state& state, endpoint& item, const reply_facts& facts) {
+  if (facts.leaving) NoteLeaving(state, item);
+  if (facts.refuses_for <= duration::zero()) return;
+  item.refused_until = std::max(item.refused_until, MonotonicNow() + facts.refuses_for);
+  log::Log(log::level::kInfo, "endpoint wants nothing for a while",
+           {{"endpoint", item.listed.id}, {"ms", WholeMilliseconds(facts.refuses_for)}});
+}
+
+std::optional<time_point> NextRoom(const gateway_state& state, std::string_view service,
+                                   time_point now) {
+  std::optional<time_point> next;
+  for (const auto& [id, item] : state.endpoints) {
+    const bool waits = item.listed.service == service && now < item.refused_until;
+    if (!waits || !IsUsable(state, item, item.refused_until)) continue;
+    next = std::min(next.value_or(item.refused_until), item.refused_until);
+  }
+  return next;
+}
+
 void ApplyReport(gateway_state& state, endpoint& item, const engine_report& report) {
   if (report.incarnation != 0 && report.incarnation < item.listed.incarnation) return;
   if (item.down) {
--- a/libs/gateway/src/monitor.cc
+++ b/libs/gateway/src/monitor.cc
@@ -88,6 +88,7 @@
   endpoint* item = FindEndpoint(state, id);
   if (item == nullptr || item->listed.address != address) return;
   item->probing = false;
+  ApplyFacts(state, *item, state.wire.read_reply(reply.head));
   if (reply.end.failure != net::call_failure::kNone || reply.status != 200) {
     const time_point now = MonotonicNow();
     if (now > due + kHeldUp || now - state.held_up_at < kReportTimeout) {
@@ -112,11 +113,13 @@
   net::client_request request = state.wire.write_report_request(item.listed.address);
   request.header_timeout = timeout;
   request.fresh_connection = true;
-  net::Fetch(*state.client, std::move(request),
-             [&state, id = item.listed.id, address = item.listed.address, reason = std::string(why),
-              asked = MonotonicNow(), timeout](const net::whole_reply& reply) {
-               OnReport(state, id, address, reply, reason, asked, asked + timeout);
-             });
+  net::Fetch(
+      *state.client, std::move(request),
+      [&state, id = item.listed.id, address = item.listed.address, reason = std::string(why),
+       asked = MonotonicNow(), timeout](const net::whole_reply& reply) {
+        OnReport(state, id, address, reply, reason, asked, asked + timeout);
+      },
+      kShortReply);
 }
 
 // Whether this gateway is the one that asks the engine in regular rounds: the highest hash among
--- a/libs/gateway/src/placer.cc
+++ b/libs/gateway/src/placer.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "details/fleet.h"
+#include "details/monitor.h"
 #include "log/log.h"
 #include "pipeline/placement.h"
 
@@ -69,6 +70,9 @@
 bool MayAct(const gateway_state& state) { return lease::MayAct(state.lease, MonotonicNow()); }
 
 void OnOrderReply(gateway_state& state, const std::string& id, const net::whole_reply& reply) {
+  if (endpoint* item = FindEndpoint(state, id)) {
+    ApplyFacts(state, *item, state.wire.read_reply(reply.head));
+  }
   const auto found = state.orders.find(id);
   if (found == state.orders.end()) return;
   placement_order& order = found->second;
@@ -101,16 +105,19 @@
   request.fresh_connection = true;
   order.in_call = true;
   metrics::Increment(state.metrics.registry, state.metrics.orders);
-  net::Fetch(*state.client, std::move(request),
-             [&state, id = item.listed.id](const net::whole_reply& reply) {
-               OnOrderReply(state, id, reply);
-             });
+  net::Fetch(
+      *state.client, std::move(request),
+      [&state, id = item.listed.id](const net::whole_reply& reply) {
+        OnOrderReply(state, id, reply);
+      },
+      kShortReply);
 }
 
 void OnOrderReport(gateway_state& state, const std::string& id, const net::whole_reply& reply) {
   const auto found = state.orders.find(id);
   endpoint* item = FindEndpoint(state, id);
   if (found == state.orders.end() || item == nullptr) return;
+  ApplyFacts(state, *item, state.wire.read_reply(reply.head));
   placement_order& order = found->second;
   const time_point now = MonotonicNow();
   order.in_call = false;
@@ -159,8 +166,10 @@
   request.header_timeout = kOrderTimeout;
   request.fresh_connection = true;
   order.in_call = true;
-  net::Fetch(*state.client, std::move(request),
-             [&state, id](const net::whole_reply& reply) { OnOrderReport(state, id, reply); });
+  net::Fetch(
+      *state.client, std::move(request),
+      [&state, id](const net::whole_reply& reply) { OnOrderReport(state, id, reply); },
+      kShortReply);
 }
 
 void StepOrders(gateway_state& state, time_point now) {
--- a/libs/net/include/net/http_client.h
+++ b/libs/net/include/net/http_client.h
@@ -64,6 +64,8 @@
  public:
   virtual ~http_client() = default;
   virtual std::shared_ptr<client_call> Send(client_request request, client_callbacks callbacks) = 0;
+  // Of the loop that the calls run on.
+  virtual timer_service& Timers() = 0;
 };
 
 std::unique_ptr<http_client> MakeHttpClient(timer_service& timers);
@@ -71,12 +73,19 @@
 struct whole_reply {
   call_end end;
   int status = 0;
+  reply_head head;
   std::string body;
 };
 
-// Sends a request and collects the whole reply, at most `max_body_bytes`.
+// Limits of a reply that is collected whole. One that breaks a limit ends as kBroken.
+struct fetch_limits {
+  size_t body_bytes = size_t{64} << 20;
+  duration body_time = std::chrono::seconds(10);  // from the headers to the end of the body
+};
+
+// Sends a request and collects the whole reply.
 std::shared_ptr<client_call> Fetch(http_client& client, client_request request,
                                    std::function<void(const whole_reply&)> done,
-                                   size_t max_body_bytes = 64 << 20);
+                                   const fetch_limits& limits = {});
 
 }  // namespace balsambay::net
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -231,6 +231,8 @@
     g_object_unref(session_);
   }
 
+  timer_service& Timers() override { return timers_; }
+
   std::shared_ptr<client_call> Send(client_request request, client_callbacks callbacks) override {
     if (request.fresh_connection) {
       if (direct_.size() >= prune_at_) PruneDirect();
@@ -257,6 +259,47 @@
   size_t prune_at_ = kPruneAt;
 };
 
+// A reply that is collected whole. Owned by the callbacks of its call.
+struct fetch : std::enable_shared_from_this<fetch> {
+  fetch(timer_service& service, const fetch_limits& bounds,
+        std::function<void(const whole_reply&)> when_done)
+      : timers(service), limits(bounds), done(std::move(when_done)) {}
+  ~fetch() { Cancel(timers, body_timer); }
+
+  void OnHeaders(const reply_head& head) {
+    reply.status = head.status;
+    reply.head = head;
+    body_timer =
+        Subscribe(timers, MonotonicNow() + limits.body_time, [weak = weak_from_this()](time_point) {
+          if (const auto self = weak.lock()) self->Break("reply takes too long");
+        });
+  }
+
+  void OnData(std::string_view data) {
+    if (reply.body.size() + data.size() > limits.body_bytes) return Break("reply is too large");
+    reply.body += data;
+  }
+
+  void OnEnd(const call_end& end) {
+    Cancel(timers, body_timer);
+    reply.end = end;
+    done(reply);
+  }
+
+  void Break(std::string detail) {
+    const auto keep = shared_from_this();
+    if (const auto open = call.lock()) open->Cancel();
+    OnEnd({call_failure::kBroken, std::move(detail)});
+  }
+
+  timer_service& timers;
+  fetch_limits limits;
+  std::function<void(const whole_reply&)> done;
+  std::weak_ptr<client_call> call;
+  whole_reply reply;
+  timer_id body_timer = 0;
+};
+
 }  // namespace
 
 std::string_view reply_head::Get(std::string_view name) const {
@@ -271,18 +314,15 @@
 
 std::shared_ptr<client_call> Fetch(http_client& client, client_request request,
                                    std::function<void(const whole_reply&)> done,
-                                   size_t max_body_bytes) {
-  auto reply = std::make_shared<whole_reply>();
+                                   const fetch_limits& limits) {
+  auto fetched = std::make_shared<fetch>(client.Timers(), limits, std::move(done));
   client_callbacks callbacks;
-  callbacks.on_headers = [reply](const reply_head& head) { reply->status = head.status; };
-  callbacks.on_data = [reply, max_body_bytes](std::string_view data) {
-    if (reply->body.size() + data.size() <= max_body_bytes) reply->body += data;
-  };
-  callbacks.on_end = [reply, done = std::move(done)](const call_end& end) {
-    reply->end = end;
-    done(*reply);
-  };
-  return client.Send(std::move(request), std::move(callbacks));
+  callbacks.on_headers = [fetched](const reply_head& head) { fetched->OnHeaders(head); };
+  callbacks.on_data = [fetched](std::string_view data) { fetched->OnData(data); };
+  callbacks.on_end = [fetched](const call_end& end) { fetched->OnEnd(end); };
+  const auto call = client.Send(std::move(request), std::move(callbacks));
+  fetched->call = call;
+  return call;
 }
 
 }  // namespace balsambay::net
--- a/libs/net/tests/net_test.cc
+++ b/libs/net/tests/net_test.cc
@@ -169,5 +169,111 @@
   CHECK_FALSE(called);
 }
 
+// A peer that writes `head` and then `piece` again and again until the connection is closed.
+struct endless_peer {
+  int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  int connection = -1;
+  std::string head;
+  std::string piece;
+  size_t written = 0;
+
+  endless_peer(std::string first, std::string repeated)
+      : head(std::move(first)), piece(std::move(repeated)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    REQUIRE(listen(listener, 4) == 0);
+  }
+  ~endless_peer() {
+    close(listener);
+    if (connection >= 0) close(connection);
+  }
+
+  std::string Url() const {
+    sockaddr_in address{};
+    socklen_t size = sizeof address;
+    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+    return "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port)) + "/";
+  }
+
+  void Pump() {
+    if (connection < 0) {
+      connection = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+      if (connection < 0) return;
+      if (send(connection, head.data(), head.size(), MSG_NOSIGNAL) < 0) return;
+    }
+    for (int i = 0; i < 64; ++i) {
+      const ssize_t size = send(connection, piece.data(), piece.size(), MSG_NOSIGNAL);
+      if (size <= 0) return;
+      written += static_cast<size_t>(size);
+    }
+  }
+};
+
+// A server in trouble sends bytes without end; memory and time stay bounded, and the call is known
+// to have failed after it was sent.
+TEST_CASE("answers without end are broken off") {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string large(4096, 'x');
+  const auto [name, head, piece] = GENERATE_COPY(table<std::string, std::string, std::string>(
+      {{"head", ok, "X-A: " + large + "\r\n"},
+       {"one header", ok + "X-A: ", large},
+       {"status line", "HTTP/1.1 200 ", large},
+       {"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+       {"body without length", ok + "Connection: close\r\n\r\n", large},
+       {"chunks", ok + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + large + "\r\n"},
+       {"chunk header", ok + "Transfer-Encoding: chunked\r\n\r\n1;", large},
+       {"trailer", ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: " + large + "\r\n"},
+       {"garbage", "", "no answer at all\r\n"}}));
+  CAPTURE(name);
+  fixture f([](const exchange_ptr&) {});
+  endless_peer peer(head, piece);
+  whole_reply out;
+  bool done = false;
+  const time_point begin = MonotonicNow();
+  Fetch(*f.client,
+        {.url = peer.Url(),
+         .headers = {},
+         .body = "x",
+         .header_timeout = 300ms,
+         .fresh_connection = true},
+        [&](const whole_reply& reply) {
+          out = reply;
+          done = true;
+        },
+        {.body_bytes = 1 << 20, .body_time = 300ms});
+  f.RunUntil([&] {
+    peer.Pump();
+    return done;
+  });
+  REQUIRE(done);
+  CHECK(out.end.failure != call_failure::kNone);
+  CHECK(out.end.failure != call_failure::kConnect);
+  CHECK(out.body.size() <= 1 << 20);
+  CHECK(MonotonicNow() - begin < 1500ms);
+}
+
+// The same on kept connections.
+TEST_CASE("a body without end on a kept connection is broken off") {
+  fixture f([](const exchange_ptr&) {});
+  endless_peer peer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                    "1000\r\n" + std::string(4096, 'x') + "\r\n");
+  bool done = false;
+  call_end end;
+  Fetch(*f.client, {.method = "GET", .url = peer.Url(), .headers = {}, .body = ""},
+        [&](const whole_reply& reply) {
+          end = reply.end;
+          done = true;
+        },
+        {.body_bytes = 1 << 20, .body_time = 300ms});
+  f.RunUntil([&] {
+    peer.Pump();
+    return done;
+  });
+  REQUIRE(done);
+  CHECK(end.failure == call_failure::kBroken);
+}
+
 }  // namespace
 }  // namespace balsambay::net
