--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -23,11 +23,6 @@
 constexpr int kMaxReroutes = 2;
 // A reply larger than this is not collected in memory.
 constexpr size_t kMaxReplyBytes = size_t{16} << 20;
-// Part by which the costs of engines are spread when loads are known from reports: many gateways
-// then decide by the same figures, some seconds old.
-constexpr double kStaleSpread = 0.3;
-// Part of an engine's memory that is then filled.
-constexpr double kStaleRoomPart = 0.9;
 // Bytes without an end of an event beyond this are no event stream; events hold a few tokens.
 constexpr size_t kMaxEventBytes = size_t{256} << 10;
 // An endpoint that failed all its recent requests counts as this many requests longer.
@@ -124,8 +119,7 @@
                                    .ignore_room = item.streaming,
                                    .excluded = excluded,
                                    .heads = heads,
-                                   .room_part = state.topology.exact ? 1 : kStaleRoomPart,
-                                   .spread = state.topology.exact ? 0 : kStaleSpread,
+                                   .old_figures = !state.topology.exact,
                                    .seed = state.rng()};
   const pipeline::path_choice choice = pipeline::ChoosePath(model, engines, query);
   switch (choice.verdict) {
--- a/libs/pipeline/benchmarks/path_choice.cc
+++ b/libs/pipeline/benchmarks/path_choice.cc
@@ -87,7 +87,7 @@
                           {.tokens = 940,
                            .home_zone = "zone-1",
                            .head = {},
-                           .spread = 0.3,
+                           .old_figures = true,
                            .seed = static_cast<uint64_t>(i)});
     }));
     stages += choice.stages.size();
--- a/libs/pipeline/include/pipeline/path.h
+++ b/libs/pipeline/include/pipeline/path.h
@@ -51,12 +51,10 @@
   std::span<const size_t> heads = {};
   // Added to the cost of a hop to another zone, ms: the wait for the shared pipe.
   double crossing_ms = 0;
-  // Part of an engine's memory that may be filled; the rest is for what the figures do not show
-  // yet.
-  double room_part = 1;
-  // Costs of engines are raised by up to this part, differently for each `seed`: daemons that
-  // decide by the same old figures then choose different ones among nearly equal paths.
-  double spread = 0;
+  // The loads given are some seconds old, and many daemons decide by them: costs are spread a
+  // little, differently for each `seed`, and engines are filled evenly rather than the fastest ones
+  // first.
+  bool old_figures = false;
   uint64_t seed = 0;
 };
 
--- a/libs/pipeline/src/path.cc
+++ b/libs/pipeline/src/path.cc
@@ -16,9 +16,13 @@
 // Added to the delay of a hop to another zone: activations share the pipe with other requests, and
 // a path inside one zone survives a partition.
 constexpr double kCrossZonePenaltyMs = 8;
-// Added for an engine at full memory, ms; falls with the sixth power of the used part. Of the order
+// Added for an engine at full memory, ms; falls with the sixth power of the used part, or with the
+// third when the part is known from old figures. Of the order
 // of a whole path's time between tokens, so that a full engine costs as much as a detour.
 constexpr double kPressureMs = 25;
+// Mean part by which costs are raised at random when they come from old figures: with exponential
+// factors of this size equal engines get equal shares.
+constexpr double kSpread = 1;
 constexpr size_t kMaxStages = 32;
 
 // Best way to a layer boundary that ends in a given zone: the zone of the engine that ran the
@@ -94,15 +98,16 @@
   out.known = item.committed / room;
   out.assumed = item.assumed_committed / room;
   out.used_per_layer = state.query.tokens / room;
-  out.weight = 1 + state.query.spread * UnitOf(state.query.seed, index);
+  if (state.query.old_figures) out.weight = 1 - kSpread * std::log(1 - UnitOf(state.query.seed, index));
   out.may_be_head = MayBeHead(state, index);
   return out;
 }
 
 // Cost of the detour that a full engine is worth, ms.
-double Pressure(double used) {
-  const double square = std::min(used, 2.0) * std::min(used, 2.0);
-  return kPressureMs * square * square * square;
+double Pressure(double used, bool old_figures) {
+  const double part = std::min(used, 2.0);
+  const double cube = part * part * part;
+  return kPressureMs * (old_figures ? cube : cube * cube);
 }
 
 void Prepare(search& state) {
@@ -133,10 +138,11 @@
     const int layers = state.boundaries[next] - first;
     const double used = rate.known + rate.used_per_layer * layers;
     // More layers only need more memory.
-    if (used > state.query.room_part && !state.query.ignore_room) return;
+    if (used > 1 && !state.query.ignore_room) return;
     const double token_ms = rate.ms_per_layer * layers + kHopMs;
     const double cost =
-        from.cost + crossing + rate.weight * (token_ms + Pressure(used + rate.assumed));
+        from.cost + crossing +
+        rate.weight * (token_ms + Pressure(used + rate.assumed, state.query.old_figures));
     node& target = state.At(next, rate.zone);
     if (cost >= target.cost) continue;
     target = {cost, from.token_ms + token_ms + crossing, rate.engine, boundary, from_zone};
--- a/libs/pipeline/tests/stale_views_test.cc
+++ b/libs/pipeline/tests/stale_views_test.cc
@@ -66,13 +66,9 @@
         view[i].assumed_sequences = own[i] * (kDaemons - 1);
         view[i].assumed_committed = own[i] * (kDaemons - 1) * kTokens * model.layers;
       }
-      const auto choice = ChoosePath(model, view,
-                                     {.tokens = kTokens,
-                                      .home_zone = "a",
-                                      .head = {},
-                                      .room_part = 0.9,
-                                      .spread = 0.3,
-                                      .seed = rng()});
+      const auto choice = ChoosePath(
+          model, view,
+          {.tokens = kTokens, .home_zone = "a", .head = {}, .old_figures = true, .seed = rng()});
       REQUIRE(choice.verdict == path_verdict::kFound);
       const size_t copy = choice.stages.front().engine;
       own[copy] += 1;
