Two gateways of each cell follow the store and pass changes on; engines that cut answers count as tried

Now two of a cell follow the tables, the holder of the lease besides, and send small changes on in two steps; what is lost or too large is asked for, after a pause and more and more rarely while the store does not answer. All gateways follow during their first 4 s, when lists grow.

--- a/libs/exchange/include/exchange/message.h
+++ b/libs/exchange/include/exchange/message.h
@@ -63,6 +63,23 @@
   bool operator==(const store_contact&) const = default;
 };
 
+struct shared_row {
+  std::string key;
+  uint64_t version = 0;
+  std::optional<std::string> value;  // nullopt: deleted
+  bool operator==(const shared_row&) const = default;
+};
+
+// Changes of a shared table that the sender has read.
+struct table_rows {
+  int table = 0;
+  uint64_t since = 0;
+  uint64_t until = 0;
+  std::vector<shared_row> rows{};
+  std::vector<uint32_t> pass_to{};  // gateways to which the receiver sends them on
+  bool operator==(const table_rows&) const = default;
+};
+
 struct message {
   uint32_t from = 0;
   bool is_state = false;  // sent in turn; the others are sent when there is something new
@@ -72,6 +89,7 @@
   std::vector<engine_record> engines;
   std::vector<store_contact> contacts;
   std::vector<endpoint_news> news;
+  std::optional<table_rows> rows;
   bool operator==(const message&) const = default;
 };
 
--- a/libs/exchange/include/exchange/topology.h
+++ b/libs/exchange/include/exchange/topology.h
@@ -48,6 +48,10 @@
 // news by them sends them on in the same way, once.
 receivers NewsReceivers(const topology& topology, random_generator& rng);
 
+// Receivers of something larger, such as rows of a shared table, that is meant for the own cell:
+// each group's first member sends it on to the others, so that nobody sends it often.
+std::vector<std::vector<size_t>> CellGroups(const topology& topology, random_generator& rng);
+
 // How long a gateway that is in the same cell may be silent before it counts as gone.
 duration Lifetime(const topology& topology);
 
--- a/libs/exchange/src/message.cc
+++ b/libs/exchange/src/message.cc
@@ -23,6 +23,7 @@
 // Larger values than any that are sent; what exceeds them is no message.
 constexpr uint64_t kMaxNumber = uint64_t{1} << 48;
 constexpr size_t kMaxNumbers = 16'384;
+constexpr uint64_t kMaxTable = 15;
 constexpr uint64_t kMaxSequences = 1'000'000;
 constexpr std::chrono::milliseconds kMaxAge{600'000};
 
@@ -67,6 +68,44 @@
   return true;
 }
 
+json DescribeRows(const table_rows& item) {
+  json rows = json::array();
+  for (const shared_row& row : item.rows) {
+    rows.push_back({row.key, row.version, row.value ? json(*row.value) : json()});
+  }
+  return {{"t", item.table},
+          {"a", item.since},
+          {"b", item.until},
+          {"r", std::move(rows)},
+          {"g", item.pass_to}};
+}
+
+std::optional<table_rows> ReadRows(const json& body) {
+  if (!body.is_object()) return std::nullopt;
+  const auto receivers = Numbers(body, "g", 1, UINT32_MAX);
+  const json since = body.value("a", json());
+  const json until = body.value("b", json());
+  const json rows = body.value("r", json());
+  const json number = body.value("t", json());
+  if (!receivers || !number.is_number_unsigned() || number.get<uint64_t>() > kMaxTable ||
+      !since.is_number_unsigned() || !until.is_number_unsigned() || !rows.is_array()) {
+    return std::nullopt;
+  }
+  table_rows out{
+      .table = number.get<int>(), .since = since, .until = until, .rows = {}, .pass_to = {}};
+  for (const uint64_t name : *receivers) out.pass_to.push_back(static_cast<uint32_t>(name));
+  for (const json& entry : rows) {
+    if (!entry.is_array() || entry.size() != 3 || !entry[0].is_string() ||
+        !entry[1].is_number_unsigned() || !(entry[2].is_string() || entry[2].is_null())) {
+      return std::nullopt;
+    }
+    shared_row row{.key = entry[0], .version = entry[1], .value = {}};
+    if (entry[2].is_string()) row.value = entry[2].get<std::string>();
+    out.rows.push_back(std::move(row));
+  }
+  return out;
+}
+
 void Put(json& body, const char* name, const numbers& values) {
   if (!values.empty()) body[name] = values;
 }
@@ -109,6 +148,7 @@
   Put(body, "e", engines);
   Put(body, "c", contacts);
   Put(body, "n", news);
+  if (message.rows) body["r"] = DescribeRows(*message.rows);
   std::string out;
   json::to_cbor(body, out);
   return out;
@@ -160,7 +200,9 @@
             }
             return known && IsName(v[1]);
           });
-  if (!valid) return std::nullopt;
+  const auto rows = body.find("r");
+  if (rows != body.end()) out.rows = ReadRows(*rows);
+  if (!valid || (rows != body.end() && !out.rows)) return std::nullopt;
   return out;
 }
 
--- a/libs/exchange/src/topology.cc
+++ b/libs/exchange/src/topology.cc
@@ -2,6 +2,7 @@
 #include "exchange/topology.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <utility>
 
@@ -120,6 +121,16 @@
   return out;
 }
 
+std::vector<std::vector<size_t>> CellGroups(const topology& topology, random_generator& rng) {
+  std::vector<size_t> members = topology.cell;
+  std::ranges::shuffle(members, rng);
+  const auto groups =
+      static_cast<size_t>(std::ceil(std::sqrt(static_cast<double>(members.size()))));
+  std::vector<std::vector<size_t>> out(groups);
+  for (size_t i = 0; i < members.size(); ++i) out[i % groups].push_back(members[i]);
+  return out;
+}
+
 duration Lifetime(const topology& topology) {
   const duration silent = kMissedMessages * topology.interval;
   return topology.exact ? std::max<duration>(kExactLifetime, silent) : silent;
--- a/libs/exchange/tests/exchange_test.cc
+++ b/libs/exchange/tests/exchange_test.cc
@@ -175,6 +175,13 @@
                                           news_kind::kSuspect),
                         *rc::gen::arbitrary<uint32_t>(), *rc::gen::arbitrary<uint64_t>()});
   }
+  if (*rc::gen::arbitrary<bool>()) {
+    out.rows = table_rows{*rc::gen::inRange(0, 3),
+                          *rc::gen::arbitrary<uint64_t>(),
+                          *rc::gen::arbitrary<uint64_t>(),
+                          {{"a", 7, "value"}, {"b", 9, std::nullopt}},
+                          {1, 4'000'000'000}};
+  }
   return out;
 }
 
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -5,8 +5,10 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "base/result.h"
 #include "catalog/catalog.h"
@@ -29,8 +31,24 @@
 using table_sender = std::function<void(const lease::table_call& call,
                                         std::function<void(const lease::table_outcome&)> done)>;
 
-// Shared tables that a gateway follows.
-enum class feed : uint8_t { kConfiguration, kEndpoints };
+// Shared tables that a gateway knows.
+enum class feed : uint8_t { kConfiguration, kEndpoints, kGateways };
+inline constexpr size_t kFeeds = 3;
+
+struct changed_row {
+  std::string key;
+  uint64_t version = 0;
+  std::optional<std::string> value;  // nullopt: deleted
+  bool operator==(const changed_row&) const = default;
+};
+
+// All changes of a table after the version `since`, up to the version `until`.
+struct table_change {
+  uint64_t since = 0;
+  uint64_t until = 0;
+  std::vector<changed_row> rows;
+  bool operator==(const table_change&) const = default;
+};
 
 // What a gateway asks of the shared store.
 struct store_hooks {
@@ -38,6 +56,11 @@
   // Asks a table for its changes at once, on a new connection: the call that waits for them may be
   // lost.
   std::function<void(feed)> check;
+  // Whether calls that wait for changes are kept open. Without them the tables change only by
+  // `check` and `apply`.
+  std::function<void(bool)> follow{};
+  // Changes that another gateway has read.
+  std::function<void(feed, const table_change&)> apply{};
 };
 
 class gateway {
@@ -65,6 +88,9 @@
   // to which all changes are known.
   virtual void OnFeedPosition(feed which, uint64_t changed, uint64_t complete) = 0;
 
+  // Changes that a call of this gateway has brought.
+  virtual void OnTableChange(feed which, const table_change& change) = 0;
+
   virtual void OnPeers(std::span<const peer_address> peers) = 0;
 
   // Limits from changed settings; addresses stay.
--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -135,7 +135,7 @@
 
 start_result TakePipeline(gateway_state& state, call& item, const catalog::service& service) {
   item.committed_tokens = ExpectedTokens(item, *service.pipelined);
-  pipeline_choice choice = ChoosePipeline(state, item, service, item.reached);
+  pipeline_choice choice = ChoosePipeline(state, item, service, CountedEndpoints(state, item));
   if (choice.result == start_result::kStarted) item.path = std::move(choice.path);
   return choice.result;
 }
@@ -293,6 +293,17 @@
 
 }  // namespace
 
+std::set<std::string> CountedEndpoints(gateway_state& state, const call& item) {
+  std::set<std::string> out;
+  for (const auto& [id, incarnation] : item.reached) {
+    const endpoint* engine = FindEndpoint(state, id);
+    const bool ended =
+        engine == nullptr || engine->down || engine->listed.incarnation != incarnation;
+    if (!ended) out.insert(id);
+  }
+  return out;
+}
+
 std::string_view ToString(attempt_failure failure) {
   return kFailureNames.at(static_cast<size_t>(failure));
 }
@@ -329,7 +340,7 @@
 bool MayStartElsewhere(gateway_state& state, const call& item) {
   const catalog::service* service = ServiceOf(item);
   if (service == nullptr || !service->pipelined) return false;
-  std::set<std::string> reached = item.reached;
+  std::set<std::string> reached = CountedEndpoints(state, item);
   reached.insert(item.path.front().endpoint_id);
   return ChoosePipeline(state, item, *service, reached).result == start_result::kStarted;
 }
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -27,6 +27,9 @@
 // Spread of callers over the time after an endpoint's own pause.
 constexpr duration kRefusalRetrySpread = 200ms;
 constexpr duration kStartRetryAfter = 500ms;
+// Limits of age after which a copy of the configuration no longer counts as current: one for the
+// check and one for its answer.
+constexpr int kCurrentLimits = 2;
 // An idempotent plain call is tried elsewhere when the endpoint has not answered by then; multiples
 // of the route's latency goal.
 constexpr double kTryGoalParts = 1.0;
@@ -108,10 +111,18 @@
   SendRefusal(state, exchange, why);
 }
 
+// Whether newer versions would be known. With many gateways most of them hear of changes from those
+// that follow the table, so the age of what they know decides.
+bool IsConfigurationCurrent(const gateway_state& state) {
+  if (state.topology.exact) return state.configuration_fed;
+  const freshness& item = state.feeds.at(static_cast<size_t>(feed::kConfiguration));
+  return MonotonicNow() - item.confirmed_at < kCurrentLimits * item.limit;
+}
+
 // A route or key that is not known may belong to a version that could not be read yet.
 void RefuseUnknown(gateway_state& state, const net::exchange_ptr& exchange, std::string_view id,
                    const refusal& why) {
-  if (state.configuration_fed) return Refuse(state, exchange, id, why);
+  if (IsConfigurationCurrent(state)) return Refuse(state, exchange, id, why);
   Refuse(state, exchange, id, {503, "configuration_outdated", kStartRetryAfter});
 }
 
@@ -224,7 +235,8 @@
   if (item.may_have_run && !IsIdempotent(item)) return false;
   if (failure == attempt_failure::kNotSent) return true;
   // A pipelined request may go through a head again with other engines behind it.
-  const bool sent_out = static_cast<int>(item.reached.size()) >= item.route->max_attempts;
+  const auto counted = static_cast<int>(CountedEndpoints(state, item).size());
+  const bool sent_out = counted >= item.route->max_attempts;
   if (item.sends >= kMaxSends || (sent_out && !pipelined)) return false;
   return MayRepeat(state.budget, item.service, now);
 }
@@ -247,11 +259,10 @@
   endpoint* target = FindEndpoint(state, target_id);
   endpoint* fault = FindEndpoint(state, fault_id);
   if (failure != attempt_failure::kNotSent) ++item->sends;
-  const bool reached = failure != attempt_failure::kNotSent;
   const bool pipelined = item->path.front().range.Size() > 0;
-  // Endpoints that have ended do not count as tried.
-  const bool target_lost = target == nullptr || target->down || failure == attempt_failure::kBroken;
-  if (reached && !(pipelined && target_lost)) item->reached.insert(target_id);
+  if (failure != attempt_failure::kNotSent && target != nullptr) {
+    item->reached[target_id] = target->listed.incarnation;
+  }
   if (fault != nullptr && failure == attempt_failure::kNotExecuted && pipelined) {
     fault->refused_until = std::max(fault->refused_until, now + kRefusalHold);
   }
@@ -330,7 +341,8 @@
 
 void WatchTry(gateway_state& state, const call_ptr& item) {
   if (item->path.front().range.Size() > 0 || !item->route->idempotent) return;
-  if (static_cast<int>(item->reached.size()) + 1 >= item->route->max_attempts) return;
+  const auto counted = static_cast<int>(CountedEndpoints(state, *item).size());
+  if (counted + 1 >= item->route->max_attempts) return;
   const duration goal(static_cast<duration::rep>(
       kTryGoalParts * static_cast<double>(item->route->latency_goal.count())));
   const std::weak_ptr<call> weak = item;
--- a/libs/gateway/src/details/attempt.h
+++ b/libs/gateway/src/details/attempt.h
@@ -1,6 +1,8 @@
 // One attempt of a request at an endpoint: choice, sending, reply.
 #pragma once
 
+#include <set>
+#include <string>
 #include <string_view>
 
 #include "details/state.h"
@@ -37,6 +39,11 @@
 // Whether the request could go on elsewhere if its open attempt ended now.
 bool MayStartElsewhere(gateway_state& state, const call& item);
 
+// Endpoints that count against the attempts that the route allows: the request was sent there, and
+// they have not ended since. One that broke off may live on, since the loss may be another
+// engine's.
+std::set<std::string> CountedEndpoints(gateway_state& state, const call& item);
+
 // Cancels the open attempt and releases its load.
 void CloseAttempt(gateway_state& state, call& item);
 
--- a/libs/gateway/src/details/freshness.h
+++ b/libs/gateway/src/details/freshness.h
@@ -19,8 +19,17 @@
   uint64_t complete = 0;    // all changes up to this version are known; at least `changed`
   time_point confirmed_at;  // min(): never
   time_point checked_at;    // when the last check was begun
+  int unanswered = 0;       // checks in a row that confirmed nothing
+  // Least time between two checks; doubles with each one that is not answered.
+  duration check_pause = std::chrono::milliseconds(500);
+  // What others know is on its way for this long before it is asked for.
+  duration grace{0};
+  uint64_t known_elsewhere = 0;  // newest change that others have told of
+  time_point told_at;            // when it was first told of
 };
 
+void OnCheck(freshness& item, time_point now);
+
 // The table's own reply.
 void OnTablePosition(freshness& item, uint64_t changed, uint64_t complete, time_point now);
 
@@ -28,7 +37,7 @@
 // check is due, because it knows more.
 bool OnPeerPosition(freshness& item, uint64_t changed, duration age, time_point now);
 
-// Whether the confirmation is so old that the table must be checked.
+// Whether the table must be checked: the confirmation is old, or others know more.
 bool IsCheckDue(const freshness& item, time_point now);
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -119,8 +119,8 @@
   int reroutes = 0;  // refused ones of the open attempt, in a row
 
   // Over all attempts.
-  int sends = 0;                  // attempts that reached an endpoint
-  std::set<std::string> reached;  // endpoints that they were sent to and that are still there
+  int sends = 0;                            // attempts that reached an endpoint
+  std::map<std::string, uint64_t> reached;  // endpoints that they were sent to, with incarnations
   bool may_have_run = false;
   duration first_output{0};  // after arrival
   duration longest_gap{0};   // between outputs
@@ -158,6 +158,7 @@
 struct peer {
   peer_address address;
   time_point heard{};                          // its last message of state; min(): never
+  bool reaches_store = false;                  // as it last said
   time_point reached_store_at{};               // as it or others said; min(): never
   std::unordered_map<uint32_t, load> loads{};  // by the endpoint's name in messages
 };
@@ -184,7 +185,8 @@
 
   std::shared_ptr<const catalog::catalog> configuration;  // null: none yet
   bool configuration_fed = false;                         // newer versions would be known
-  std::array<freshness, 2> feeds;                         // by `feed`
+  std::array<freshness, kFeeds> feeds;                    // by `feed`
+  bool reading = true;                                    // follows the tables for its cell
   bool endpoints_known = false;
   time_point list_back_at;        // when the list could last be followed again
   std::set<std::string> missing;  // endpoints that lapsed while the list could not be followed
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -15,6 +15,7 @@
 
 // Left for the process to end before the platform kills it.
 constexpr duration kExitReserve = 300ms;
+constexpr int kGatewayAgeFactor = 4;
 // Callers' connections are kept open; they close them themselves.
 constexpr duration kIdleTimeout = std::chrono::minutes(5);
 
@@ -27,6 +28,8 @@
       item.limit = state_.config.feed_age_limit;
       item.spread = UniformUnit(state_.rng);
     }
+    // Gateways that come and go are noticed by their messages first.
+    state_.feeds.at(static_cast<size_t>(feed::kGateways)).limit *= kGatewayAgeFactor;
   }
 
   result<void> Listen() {
@@ -103,6 +106,10 @@
     ConfirmFeed(state_, which, changed, complete);
   }
 
+  void OnTableChange(feed which, const table_change& change) override {
+    ShareChange(state_, which, change);
+  }
+
   void OnPeers(std::span<const peer_address> peers) override { ReplacePeers(state_, peers); }
 
   void OnSettings(const settings& settings) override {
--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -1,11 +1,13 @@
 // Exchange with other gateways: loads, reports of engines, how current the shared tables are, and
 // news of endpoints. Whom to tell and how often is decided in libs/exchange.
 #include <algorithm>
+#include <numeric>
 
 #include "details/fleet.h"
 #include "details/monitor.h"
 #include "details/watch.h"
 #include "exchange/message.h"
+#include "exchange/watch.h"
 #include "log/log.h"
 
 namespace balsambay::gateway {
@@ -145,7 +147,7 @@
             {"why", why},
             {"version", item.complete},
             {"age_ms", WholeMilliseconds(now - item.confirmed_at)}});
-  item.checked_at = now;
+  OnCheck(item, now);
   state.store.check(static_cast<feed>(index));
 }
 
@@ -195,8 +197,143 @@
   }
 }
 
+// --- Rows of shared tables.
+
+// Larger changes are asked for at the store by each gateway, as fetching many rows is one call
+// there.
+constexpr size_t kMostRowBytes = 4000;
+// Of one datagram.
+constexpr size_t kRowBytesPerMessage = 1100;
+
+size_t BytesOf(const changed_row& row) {
+  return row.key.size() + (row.value ? row.value->size() : 0);
+}
+
+void SendRows(gateway_state& state, feed which, const table_change& change) {
+  for (const std::vector<size_t>& group : exchange::CellGroups(state.topology, state.rng)) {
+    exchange::message message = MakeMessage(state, MonotonicNow());
+    // The position would tell of rows that are still on their way.
+    message.feeds.clear();
+    message.rows = exchange::table_rows{
+        .table = static_cast<int>(which), .since = change.since, .until = change.until};
+    for (const changed_row& row : change.rows) {
+      message.rows->rows.push_back({row.key, row.version, row.value});
+    }
+    for (const size_t index : group) {
+      if (index == group.front()) continue;
+      message.rows->pass_to.push_back(exchange::NameOf(state.members[index].id));
+    }
+    Send(state, {group.front()}, Encode(message));
+  }
+}
+
+// Splits a change into parts that fit into a datagram each. Rows are in the order of their
+// versions.
+std::vector<table_change> SplitChange(const table_change& change) {
+  std::vector<table_change> out;
+  size_t bytes = 0;
+  for (const changed_row& row : change.rows) {
+    if (out.empty() || bytes + BytesOf(row) > kRowBytesPerMessage) {
+      out.push_back({out.empty() ? change.since : out.back().until, 0, {}});
+      bytes = 0;
+    }
+    bytes += BytesOf(row);
+    out.back().rows.push_back(row);
+    out.back().until = row.version;
+  }
+  if (!out.empty()) out.back().until = change.until;
+  return out;
+}
+
+void PassRowsOn(gateway_state& state, exchange::message message) {
+  const std::vector<uint32_t> receivers = std::exchange(message.rows->pass_to, {});
+  if (receivers.empty()) return;
+  message.from = exchange::NameOf(state.config.id);
+  const std::string data = Encode(message);
+  for (const uint32_t name : receivers) {
+    const auto id = state.peer_names.find(name);
+    if (id == state.peer_names.end()) continue;
+    state.peer_socket->Send(state.peers.at(id->second).address.address, data);
+  }
+}
+
+void OnRows(gateway_state& state, const exchange::message& message) {
+  const exchange::table_rows& rows = *message.rows;
+  if (rows.table < 0 || static_cast<size_t>(rows.table) >= kFeeds) return;
+  table_change change{rows.since, rows.until, {}};
+  for (const exchange::shared_row& row : rows.rows) {
+    change.rows.push_back({row.key, row.version, row.value});
+  }
+  if (state.store.apply) state.store.apply(static_cast<feed>(rows.table), change);
+  PassRowsOn(state, message);
+}
+
+void TellPositions(gateway_state& state) {
+  const std::string data = Encode(MakeMessage(state, MonotonicNow()));
+  const exchange::receivers to = exchange::NewsReceivers(state.topology, state.rng);
+  Send(state, to.cell, data);
+  Send(state, to.relays, data);
+}
+
+// Checks of all gateways together stay within this rate; see OnPeerPosition for the first one.
+constexpr duration kCheckPauseEach = 5ms;
+constexpr duration kLeastCheckPause = 500ms;
+constexpr duration kMostCheckPause = 1500ms;
+// Time for rows that another gateway passes on.
+constexpr duration kRowGrace = 150ms;
+
+void AdaptFeeds(gateway_state& state) {
+  for (freshness& item : state.feeds) {
+    item.check_pause = std::clamp<duration>(kCheckPauseEach * state.members.size(),
+                                            kLeastCheckPause, kMostCheckPause);
+    item.grace = IsExact(state) ? duration::zero() : kRowGrace;
+  }
+}
+
+// --- Readers.
+
+// Gateways of a cell that follow the shared tables for all of it.
+constexpr size_t kReaders = 2;
+constexpr std::string_view kReaderOrder = "readers of the shared tables";
+constexpr duration kReaderTick = 500ms;
+constexpr duration kStartReading = 4000ms;
+
+bool ShouldRead(const gateway_state& state, time_point now) {
+  // The holder of the lease decides by the list of endpoints.
+  if (IsExact(state) || lease::MayAct(state.lease, now)) return true;
+  // The lists grow while an installation starts.
+  if (now - state.started_at < kStartReading) return true;
+  const duration lifetime = exchange::Lifetime(state.topology);
+  const bool starting = now - state.started_at < lifetime;
+  std::vector<std::string_view> others;
+  for (const size_t index : state.topology.cell) {
+    const auto other = state.peers.find(state.members[index].id);
+    if (other == state.peers.end()) continue;
+    const bool reads = now - other->second.heard < lifetime && other->second.reaches_store;
+    if (starting || reads) others.push_back(other->first);
+  }
+  return exchange::WatchRank(kReaderOrder, state.config.id, others) < kReaders;
+}
+
+void UpdateReading(gateway_state& state, time_point now) {
+  const bool reading = ShouldRead(state, now);
+  if (std::exchange(state.reading, reading) == reading || !state.store.follow) return;
+  log::Log(log::level::kInfo, reading ? "follows the shared tables" : "leaves the shared tables",
+           {{"cell", state.topology.cell.size()}, {"exact", IsExact(state)}});
+  state.store.follow(reading);
+}
+
+void ReadInTurn(gateway_state& state, time_point now) {
+  UpdateReading(state, now);
+  Subscribe(state.loop.Timers(), now + kReaderTick,
+            [&state](time_point at) { ReadInTurn(state, at); });
+}
+
 // --- News.
 
+// Datagrams may come from anybody.
+constexpr duration kUnknownSenderPause = 3000ms;
+
 void QueueNews(gateway_state& state, const exchange::endpoint_news& news) {
   state.news.push_back(news);
   if (state.news.size() > 1) return;
@@ -269,18 +406,28 @@
   }
 }
 
+// A gateway that is new, or one of which the list here knows nothing yet.
+void OnUnknownSender(gateway_state& state, time_point now) {
+  const auto index = static_cast<size_t>(feed::kGateways);
+  freshness& item = state.feeds.at(index);
+  if (now - item.checked_at < kUnknownSenderPause || item.confirmed_at == time_point()) return;
+  CheckFeed(state, index, "unknown sender", now);
+}
+
 void OnMessage(gateway_state& state, std::string_view data) {
   const auto message = exchange::Decode(data);
   if (!message) return;
-  const auto id = state.peer_names.find(message->from);
-  if (id == state.peer_names.end()) return;
   const time_point now = MonotonicNow();
+  const auto id = state.peer_names.find(message->from);
+  if (id == state.peer_names.end()) return OnUnknownSender(state, now);
   peer& from = state.peers.at(id->second);
   const bool from_cell = IsInCell(state, id->second);
   ReadFeeds(state, *message, now);
+  if (message->rows) OnRows(state, *message);
   ReadNews(state, *message, from, from_cell);
   if (!message->is_state) return;
   from.heard = now;
+  from.reaches_store = message->reaches_store;
   if (message->reaches_store) from.reached_store_at = now;
   ReadContacts(state, *message, now);
   ReadRecords(state, *message, from_cell, now);
@@ -321,6 +468,7 @@
   state.peer_socket = std::move(socket);
   ReplacePeers(state, {});
   SendInTurn(state, MonotonicNow());
+  ReadInTurn(state, MonotonicNow());
   Tick(state, MonotonicNow());
   return Success();
 }
@@ -332,13 +480,24 @@
 void ConfirmFeed(gateway_state& state, feed which, uint64_t changed, uint64_t complete) {
   freshness& item = state.feeds.at(static_cast<size_t>(which));
   const time_point now = MonotonicNow();
-  const bool was_check = item.checked_at > item.confirmed_at;
+  // The others wait for this, or are about to check for themselves.
+  const bool awaited = item.checked_at > item.confirmed_at ||
+                       (item.confirmed_at != time_point() && now - item.confirmed_at > item.limit);
   OnTablePosition(item, changed, complete, now);
-  if (!was_check) return;
-  const std::string data = Encode(MakeMessage(state, now));
-  const exchange::receivers to = exchange::NewsReceivers(state.topology, state.rng);
-  Send(state, to.cell, data);
-  Send(state, to.relays, data);
+  if (awaited) TellPositions(state);
+}
+
+void ShareChange(gateway_state& state, feed which, const table_change& change) {
+  if (IsExact(state) || !state.reading) return;
+  const size_t bytes =
+      std::accumulate(change.rows.begin(), change.rows.end(), size_t{0},
+                      [](size_t sum, const changed_row& row) { return sum + BytesOf(row); });
+  if (bytes > kMostRowBytes) {
+    const time_point now = MonotonicNow();
+    OnTablePosition(state.feeds.at(static_cast<size_t>(which)), change.until, change.until, now);
+    return TellPositions(state);
+  }
+  for (const table_change& part : SplitChange(change)) SendRows(state, which, part);
 }
 
 void ReplacePeers(gateway_state& state, std::span<const peer_address> peers) {
@@ -361,6 +520,7 @@
   state.zone_peers = std::ranges::count(state.members, state.config.zone, &exchange::member::zone);
   state.members.push_back({state.config.id, state.config.zone});
   state.topology = exchange::MakeTopology(state.members, state.config.id, state.config.zone);
+  AdaptFeeds(state);
   log::Log(log::level::kInfo, "peers",
            {{"count", state.peers.size()},
             {"exact", state.topology.exact},
--- /dev/null
+++ b/libs/gateway/tests/cells_test.cc
@@ -0,0 +1,118 @@
+// Gateways of one cell over loopback: who follows the shared tables, and how the others learn.
+#include <unistd.h>
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "gateway/gateway.h"
+
+namespace balsambay::gateway {
+namespace {
+
+using namespace std::chrono_literals;
+
+// More than exchange exact loads with everybody, so that they form a cell.
+constexpr int kGateways = 26;
+
+struct cell {
+  net::loop loop;
+  std::vector<std::unique_ptr<gateway>> gateways;
+  std::vector<bool> follows = std::vector<bool>(kGateways, true);
+  std::vector<table_change> applied = std::vector<table_change>(kGateways);
+  uint64_t newest = 5;  // version of the tables
+  std::vector<int> checks = std::vector<int>(kGateways, 0);
+
+  cell() {
+    // Ports of test programs that run at the same time differ.
+    const int first_port = 20'000 + getpid() * 37 % 30'000;
+    std::vector<peer_address> peers;
+    for (int i = 0; i < kGateways; ++i) {
+      peers.push_back(
+          {"g" + std::to_string(i), "a", "127.0.0.1:" + std::to_string(first_port + i)});
+    }
+    for (size_t i = 0; i < kGateways; ++i) {
+      settings settings;
+      settings.id = peers[i].id;
+      settings.zone = "a";
+      settings.listen = settings.listen_ready = "127.0.0.1:0";
+      settings.listen_peers = peers[i].address;
+      settings.seed = i + 1;
+      store_hooks store;
+      store.call = [](const lease::table_call& call, const auto& done) {
+        if (std::holds_alternative<table::transaction>(call.request)) {
+          return done(table::commit_reply{});
+        }
+        done(table::read_reply{});
+      };
+      store.check = [this, i](feed which) {
+        ++checks[i];
+        if (gateways[i]) gateways[i]->OnFeedPosition(which, newest, newest);
+      };
+      store.follow = [this, i](bool following) { follows[i] = following; };
+      store.apply = [this, i](feed, const table_change& change) { applied[i] = change; };
+      gateways.push_back(Start(settings, {}, store, loop).value());
+      gateways[i]->OnConfigurationFeed(true);
+    }
+    for (const auto& item : gateways) item->OnPeers(peers);
+  }
+
+  void Run(duration time) {
+    Subscribe(loop.Timers(), MonotonicNow() + time, [this](time_point) { loop.Quit(); });
+    loop.Run();
+  }
+
+  std::vector<size_t> Followers() const {
+    std::vector<size_t> out;
+    for (size_t i = 0; i < kGateways; ++i) {
+      if (follows[i] && gateways[i]) out.push_back(i);
+    }
+    return out;
+  }
+};
+
+// Guards against a call of every gateway for every change of a table.
+TEST_CASE("two gateways of a cell follow the tables and pass changes on") {
+  cell all;
+  all.Run(5s);
+  const std::vector<size_t> readers = all.Followers();
+  REQUIRE(readers.size() == 2);
+  const table_change change{5, 7, {{"e1", 6, "new"}, {"e2", 7, std::nullopt}}};
+  all.gateways[readers[0]]->OnTableChange(feed::kEndpoints, change);
+  all.Run(300ms);
+  for (size_t i = 0; i < kGateways; ++i) {
+    if (i != readers[0]) CHECK(all.applied[i] == change);
+  }
+}
+
+// A change that is too large for messages, such as a whole configuration: the others ask for it.
+TEST_CASE("a large change is asked for by each gateway") {
+  cell all;
+  for (const auto& item : all.gateways) item->OnFeedPosition(feed::kConfiguration, 5, 5);
+  all.Run(5s);
+  const size_t reader = all.Followers().front();
+  const table_change change{5, 7, {{"config", 7, std::string(100'000, 'x')}}};
+  all.newest = 7;
+  std::ranges::fill(all.checks, 0);
+  all.gateways[reader]->OnTableChange(feed::kConfiguration, change);
+  all.gateways[reader]->OnFeedPosition(feed::kConfiguration, 7, 7);
+  all.Run(800ms);
+  for (size_t i = 0; i < kGateways; ++i) {
+    if (i != reader) CHECK(all.checks[i] == 1);
+  }
+}
+
+// Guards against a cell that nobody reads for while its readers are cut off from the store.
+TEST_CASE("another gateway follows the tables when a reader does not reach the store") {
+  cell all;
+  all.Run(5s);
+  const std::vector<size_t> before = all.Followers();
+  REQUIRE(before.size() == 2);
+  all.gateways[before[0]]->OnConfigurationFeed(false);
+  all.Run(8s);
+  const std::vector<size_t> after = all.Followers();
+  const auto reaching = std::ranges::count_if(after, [&](size_t i) { return i != before[0]; });
+  CHECK(reaching == 2);
+}
+
+}  // namespace
+}  // namespace balsambay::gateway
--- a/libs/gateway/tests/freshness_test.cc
+++ b/libs/gateway/tests/freshness_test.cc
@@ -28,7 +28,7 @@
     for (freshness& self : gateways) {
       if (!IsCheckDue(self, now)) continue;
       ++checks;
-      self.checked_at = now;
+      OnCheck(self, now);
       OnTablePosition(self, 5, 9, now);
       for (freshness& other : gateways) {
         if (&other != &self) CHECK_FALSE(OnPeerPosition(other, 5, 5ms, now + 5ms));
@@ -54,13 +54,40 @@
   freshness& self = gateways[0];
   CHECK_FALSE(OnPeerPosition(self, 9, 0ms, kStart + 600ms));
   CHECK(OnPeerPosition(self, 12, 0ms, kStart + 700ms));
-  self.checked_at = kStart + 700ms;
+  OnCheck(self, kStart + 700ms);
   CHECK_FALSE(OnPeerPosition(self, 12, 0ms, kStart + 800ms));
   CHECK(OnPeerPosition(self, 12, 0ms, kStart + 1300ms));
   // The age is that of its own knowledge, which is behind.
   CHECK(self.confirmed_at < kStart + 700ms);
 }
 
+// A large installation: the change itself is on its way from the gateway that has read it, so that
+// one lost message costs a call, not each change.
+TEST_CASE("a change that others know is given time to arrive") {
+  auto gateways = Gateways(1);
+  freshness& self = gateways[0];
+  self.grace = 150ms;
+  CHECK_FALSE(OnPeerPosition(self, 12, 0ms, kStart + 700ms));
+  CHECK_FALSE(IsCheckDue(self, kStart + 800ms));
+  CHECK(IsCheckDue(self, kStart + 850ms));
+  OnTablePosition(self, 12, 12, kStart + 860ms);
+  CHECK_FALSE(IsCheckDue(self, kStart + 1500ms));
+}
+
+// Guards against a call of every gateway each half second while the store does not answer.
+TEST_CASE("checks that are not answered become rare") {
+  auto gateways = Gateways(1);
+  freshness& self = gateways[0];
+  int checks = 0;
+  for (time_point now = kStart; now < kStart + 30s; now += 50ms) {
+    if (!IsCheckDue(self, now)) continue;
+    ++checks;
+    OnCheck(self, now);
+  }
+  CHECK(checks <= 10);
+  CHECK(checks >= 6);
+}
+
 // A gateway that has read nothing yet has nothing to check.
 TEST_CASE("nothing is checked before the first read") {
   freshness self;
