Streams: how long a pause is unusual is learned from their pace

The patience was a constant 100 ms, while events of four tokens come each 80 to 130 ms under that load, so that all engines of a path were asked between any two events. Ruled out: the watchers of zones (regular checks are under a tenth) and news of peers.

Change: each gateway keeps moving means and deviations of the time to the first output and between outputs; a pause is unusual beyond the mean and four deviations, within bounds of 100 to 800 ms (250 to 1,500 ms for the first output). A pause beyond the patience counts as the patience, so that engines that are lost do not make long pauses usual.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -188,7 +188,6 @@
   const uint32_t attempt = item->attempt;
   item->head = head;
   item->facts = state.wire.read_reply(head);
-  item->last_progress = MonotonicNow();
   // A reply of another request or endpoint says nothing about this one.
   endpoint* target = IsForeign(*item) || head.status == 421
                          ? nullptr
@@ -213,7 +212,9 @@
     return Fail(state, item, attempt_failure::kBroken, events);
   }
   if (whole.empty()) return;
-  item->last_progress = MonotonicNow();
+  const time_point now = MonotonicNow();
+  Learn(item->progressed ? state.pace.gap : state.pace.first, now - item->last_progress);
+  item->last_progress = now;
   item->progressed = true;
   events.on_output(state, item, whole);
 }
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -34,11 +34,6 @@
 // of the route's latency goal.
 constexpr double kTryGoalParts = 1.0;
 constexpr duration kLeastTryTime = 100ms;
-// A stream without output for this long is looked into: about twice the usual pause between
-// events, and half of the longest pause that callers accept.
-constexpr duration kStallCheck = 100ms;
-// The first output includes the reading of the prompt.
-constexpr duration kFirstStallCheck = 250ms;
 // A refusal counts against an endpoint for this long; by then the platform's list or a report tells
 // why.
 constexpr duration kRefusalHold = 700ms;
@@ -506,7 +501,7 @@
   std::map<std::string_view, suspicion> seen;
   for (const auto& [number, item] : state.calls) {
     if (!item->upstream || item->path.front().range.Size() == 0 || item->rerouting) continue;
-    const duration patience = item->progressed ? kStallCheck : kFirstStallCheck;
+    const duration patience = Patience(item->progressed ? state.pace.gap : state.pace.first);
     const bool stalled = now - item->last_progress >= patience;
     for (const call_hop& part : item->path) {
       suspicion& entry = seen[part.endpoint_id];
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -15,6 +15,7 @@
 #include "catalog/catalog.h"
 #include "details/event_stream.h"
 #include "details/freshness.h"
+#include "details/pace.h"
 #include "details/repeat_budget.h"
 #include "details/telemetry.h"
 #include "exchange/message.h"
@@ -211,6 +212,7 @@
 
   time_point progress_due = time_point::max() - std::chrono::hours(1);
   time_point held_up_at;           // when the loop last ran late
+  struct pace pace;                // of streams
   double report_ms = 0;            // moving mean of the time that reports take
   double report_deviation_ms = 0;  // of that time from its mean
 
--- a/libs/gateway/src/details/telemetry.h
+++ b/libs/gateway/src/details/telemetry.h
@@ -24,6 +24,7 @@
 };
 
 void CountRefusal(telemetry& metrics, std::string_view reason);
+void CountReport(telemetry& metrics, std::string_view reason);
 void CountRetry(telemetry& metrics, std::string_view reason);
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/monitor.cc
+++ b/libs/gateway/src/monitor.cc
@@ -116,6 +116,7 @@
 
 void Ask(gateway_state& state, endpoint& item, std::string_view why, duration timeout) {
   item.probing = true;
+  CountReport(state.metrics, why);
   net::client_request request = state.wire.write_report_request(item.listed.address);
   request.header_timeout = timeout;
   request.fresh_connection = true;
--- a/libs/gateway/src/telemetry.cc
+++ b/libs/gateway/src/telemetry.cc
@@ -35,6 +35,13 @@
                                          {{"reason", std::string(reason)}}));
 }
 
+void CountReport(telemetry& metrics, std::string_view reason) {
+  metrics::Increment(
+      metrics.registry,
+      metrics::AddCounter(metrics.registry, "gateway_reports_total", "Reports asked of engines.",
+                          {{"reason", std::string(reason)}}));
+}
+
 void CountRetry(telemetry& metrics, std::string_view reason) {
   metrics::Increment(
       metrics.registry,
