HTTP client: a connection for each call

Cause: a server that sends an answer a second time, late, on a connection that is in use again: the next call on it got the copy (net_test, failed with libsoup's kept connections). The store's reads, and repeatable calls of the daemon, were made on such connections; a copied reply of another table would even have moved the position past changes.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -333,7 +333,6 @@
   request.header_timeout = item->due - now;
   // A reused connection that the endpoint closes at the same moment would leave open whether the
   // request ran.
-  request.fresh_connection = true;
   item->upstream = state.client->Send(std::move(request), MakeCallbacks(state, item, events));
   return start_result::kStarted;
 }
--- a/libs/gateway/src/monitor.cc
+++ b/libs/gateway/src/monitor.cc
@@ -119,7 +119,6 @@
   CountReport(state.metrics, why);
   net::client_request request = state.wire.write_report_request(item.listed.address);
   request.header_timeout = timeout;
-  request.fresh_connection = true;
   net::Fetch(
       *state.client, std::move(request),
       [&state, id = item.listed.id, address = item.listed.address, reason = std::string(why),
--- a/libs/gateway/src/placer.cc
+++ b/libs/gateway/src/placer.cc
@@ -108,7 +108,6 @@
   net::client_request request =
       state.wire.write_place(item.listed.address, order.range, *order.expected_orders);
   request.header_timeout = kOrderTimeout;
-  request.fresh_connection = true;
   order.in_call = true;
   metrics::Increment(state.metrics.registry, state.metrics.orders);
   net::Fetch(
@@ -170,7 +169,6 @@
   }
   net::client_request request = state.wire.write_report_request(item->listed.address);
   request.header_timeout = kOrderTimeout;
-  request.fresh_connection = true;
   order.in_call = true;
   net::Fetch(
       *state.client, std::move(request),
--- a/libs/net/include/net/http_client.h
+++ b/libs/net/include/net/http_client.h
@@ -1,5 +1,6 @@
 // HTTP client on the loop. Its main promise: a failed call says whether any byte of the request can
-// have reached the peer, which decides between "not run" and "unknown".
+// have reached the peer, which decides between "not run" and "unknown". Each call has a connection
+// of its own, so that no answer can be that of an earlier call.
 #pragma once
 
 #include <functional>
@@ -19,9 +20,6 @@
   std::vector<header> headers;
   std::string body;  // sent as application/json unless `headers` name a Content-Type
   duration header_timeout = std::chrono::seconds(10);  // until the reply's headers
-  // A reused connection may be closed by the peer at the same moment, which leaves the outcome
-  // open. A fresh one turns that case into a connect error with proof that nothing was sent.
-  bool fresh_connection = false;
 };
 
 // Head of a reply, in the order received.
--- a/libs/net/src/engine_client.cc
+++ b/libs/net/src/engine_client.cc
@@ -50,7 +50,6 @@
     call.url = "http://" + request_.stages.front().address + "/v1/runs";
     call.body = EncodeRun(request_);
     call.header_timeout = request_.header_timeout;
-    call.fresh_connection = !request_.repeatable;
     const auto self = shared_from_this();
     client_callbacks callbacks;
     callbacks.on_headers = [self](const reply_head& head) { self->OnHeaders(head); };
--- a/libs/router/src/service_calls.cc
+++ b/libs/router/src/service_calls.cc
@@ -74,7 +74,6 @@
   call.url = "http://" + item.route.front().address + "/v1/call/" + item.service;
   call.headers = {{"Balsambay-Request-Id", item.id}};
   call.body = item.body.empty() ? "{}" : item.body;
-  call.fresh_connection = !item.answer.repeatable;
   // A service may take as long as its caller waits.
   call.header_timeout = item.deadline - now;
   return call;
