--- a/libs/base/src/delta.cc
+++ b/libs/base/src/delta.cc
@@ -10,8 +10,8 @@
 namespace balsambay {
 namespace {
 
-constexpr size_t kWindowBytes = 32 * 1024;  // what zlib keeps of a dictionary
-constexpr size_t kStepBytes = 16 * 1024;
+constexpr size_t kWindowBytes = size_t{32} * 1024;  // what zlib keeps of a dictionary
+constexpr size_t kStepBytes = size_t{16} * 1024;
 
 std::string_view Dictionary(std::string_view base) {
   return base.substr(base.size() - std::min(base.size(), kWindowBytes));
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -103,7 +103,7 @@
   callbacks.on_headers = [fetched](const reply_head& head) { fetched->OnHeaders(head); };
   callbacks.on_data = [fetched](std::string_view data) { fetched->OnData(data); };
   callbacks.on_end = [fetched](const call_end& end) { fetched->OnEnd(end); };
-  const auto call = client.Send(std::move(request), std::move(callbacks));
+  auto call = client.Send(std::move(request), std::move(callbacks));
   fetched->call = call;
   return call;
 }
--- a/libs/pipeline/src/path.cc
+++ b/libs/pipeline/src/path.cc
@@ -98,7 +98,8 @@
   out.known = item.committed / room;
   out.assumed = item.assumed_committed / room;
   out.used_per_layer = state.query.tokens / room;
-  if (state.query.old_figures) out.weight = 1 - kSpread * std::log(1 - UnitOf(state.query.seed, index));
+  if (state.query.old_figures)
+    out.weight = 1 - kSpread * std::log(1 - UnitOf(state.query.seed, index));
   out.may_be_head = MayBeHead(state, index);
   return out;
 }
