Rows of the list of gateways are read last in a message

Cause, found on reading the change: rows of the list of gateways replace all peers, and the message's sender was looked up before and used after. Ruled out: news and positions, which leave the list as it is.

Change: state and news are read before the rows. The test sends such a datagram: the address sanitizer reports heap-use-after-free in OnMessage before, nothing after (all tests of the gateway, sanitizer build).

--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -425,6 +425,16 @@
   CheckFeed(state, index, "unknown sender", now);
 }
 
+void ReadState(gateway_state& state, peer& from, const exchange::message& message, bool from_cell,
+               time_point now) {
+  from.heard = now;
+  from.reaches_store = message.reaches_store;
+  if (message.reaches_store) from.reached_store_at = now;
+  ReadContacts(state, message, now);
+  ReadRecords(state, message, from_cell, now);
+  if (IsExact(state)) ReadLoads(state, from, message);
+}
+
 void OnMessage(gateway_state& state, std::string_view data) {
   const auto message = exchange::Decode(data);
   if (!message) return;
@@ -434,15 +444,10 @@
   peer& from = state.peers.at(id->second);
   const bool from_cell = IsInCell(state, id->second);
   ReadFeeds(state, *message, now);
-  if (message->rows) OnRows(state, *message);
   ReadNews(state, *message, from, from_cell);
-  if (!message->is_state) return;
-  from.heard = now;
-  from.reaches_store = message->reaches_store;
-  if (message->reaches_store) from.reached_store_at = now;
-  ReadContacts(state, *message, now);
-  ReadRecords(state, *message, from_cell, now);
-  if (IsExact(state)) ReadLoads(state, from, *message);
+  if (message->is_state) ReadState(state, from, *message, from_cell, now);
+  // Last, since rows of the list of gateways replace `from`.
+  if (message->rows) OnRows(state, *message);
 }
 
 void DropSilent(gateway_state& state, time_point now) {
--- a/libs/gateway/tests/cells_test.cc
+++ b/libs/gateway/tests/cells_test.cc
@@ -4,7 +4,9 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "exchange/message.h"
 #include "gateway/gateway.h"
+#include "net/datagram.h"
 
 namespace balsambay::gateway {
 namespace {
@@ -18,6 +20,8 @@
   net::loop loop;
   std::vector<std::unique_ptr<gateway>> gateways;
   std::vector<bool> follows = std::vector<bool>(kGateways, true);
+  std::vector<peer_address> peers;
+  std::function<void(size_t)> on_apply = [](size_t) {};
   std::vector<table_change> applied = std::vector<table_change>(kGateways);
   uint64_t newest = 5;  // version of the tables
   std::vector<int> checks = std::vector<int>(kGateways, 0);
@@ -25,7 +29,6 @@
   cell() {
     // Ports of test programs that run at the same time differ.
     const int first_port = 20'000 + getpid() * 37 % 30'000;
-    std::vector<peer_address> peers;
     for (int i = 0; i < kGateways; ++i) {
       peers.push_back(
           {"g" + std::to_string(i), "a", "127.0.0.1:" + std::to_string(first_port + i)});
@@ -49,7 +52,10 @@
         if (gateways[i]) gateways[i]->OnFeedPosition(which, newest, newest);
       };
       store.follow = [this, i](bool following) { follows[i] = following; };
-      store.apply = [this, i](feed, const table_change& change) { applied[i] = change; };
+      store.apply = [this, i](feed, const table_change& change) {
+        applied[i] = change;
+        on_apply(i);
+      };
       gateways.push_back(Start(settings, {}, store, loop).value());
       gateways[i]->OnConfigurationFeed(true);
     }
@@ -130,6 +136,23 @@
   CHECK(all.checks[other] >= 1);
 }
 
+// Datagrams may come from anybody. Guards against a sender that is looked up, replaced by the rows
+// of its own message, and then used (seen with the address sanitizer).
+TEST_CASE("a message may replace the list of gateways and tell state at once") {
+  cell all;
+  all.on_apply = [&all](size_t i) { all.gateways[i]->OnPeers(all.peers); };
+  exchange::message message;
+  message.from = exchange::NameOf("g1");
+  message.is_state = message.reaches_store = true;
+  message.news = {{exchange::news_kind::kDown, exchange::NameOf("e1"), 1}};
+  message.rows = exchange::table_rows{.table = static_cast<int>(feed::kGateways), .until = 7};
+  message.rows->rows = {{"member/g1", 7, std::nullopt}};
+  const auto sender = net::BindDatagram("127.0.0.1:0", [](std::string_view) {}).value();
+  sender->Send(all.peers[0].address, exchange::Encode(message));
+  all.Run(200ms);
+  CHECK(all.applied[0].until == 7);
+}
+
 // Guards against a cell that nobody reads for while its readers are cut off from the store.
 TEST_CASE("another gateway follows the tables when a reader does not reach the store") {
   cell all;
