--- a/platform/tests/loopback.h
+++ b/tests/support/loopback.h
@@ -34,14 +34,8 @@
   bool ended = false;
 };
 
-// The reply fills up while the loop runs.
-inline std::shared_ptr<reply> Send(net::http_client& client, const std::string& method, int port,
-                                   const std::string& path, std::vector<net::header> headers) {
-  auto out = std::make_shared<reply>();
-  net::client_request request;
-  request.method = method;
-  request.url = "http://127.0.0.1:" + std::to_string(port) + path;
-  request.headers = std::move(headers);
+// Fills `out` while the loop runs.
+inline net::client_callbacks CallbacksOf(const std::shared_ptr<reply>& out) {
   net::client_callbacks callbacks;
   callbacks.on_headers = [out](const net::reply_head& head) {
     out->status = head.status;
@@ -54,7 +48,18 @@
     out->failure = end.failure;
     out->ended = true;
   };
-  client.Send(std::move(request), std::move(callbacks));
+  return callbacks;
+}
+
+// The reply fills up while the loop runs.
+inline std::shared_ptr<reply> Send(net::http_client& client, const std::string& method, int port,
+                                   const std::string& path, std::vector<net::header> headers) {
+  auto out = std::make_shared<reply>();
+  net::client_request request;
+  request.method = method;
+  request.url = "http://127.0.0.1:" + std::to_string(port) + path;
+  request.headers = std::move(headers);
+  client.Send(std::move(request), CallbacksOf(out));
   return out;
 }
 
