Exchange and pace: one type for changed rows, one moving mean

One struct for a changed row instead of two with a copy between them; whether a gateway is in the own cell is noted when the list changes instead of searched for with each message; the moving mean with its deviation stands once (moving_time.h); deltas for others are computed only by gateways that pass changes on; an unused cost of path queries goes.

--- a/libs/exchange/include/exchange/message.h
+++ b/libs/exchange/include/exchange/message.h
@@ -63,22 +63,29 @@
   bool operator==(const store_contact&) const = default;
 };
 
-struct shared_row {
+struct changed_row {
   std::string key;
   uint64_t version = 0;
-  std::optional<std::string> value;    // nullopt: deleted
-  std::optional<uint64_t> delta_to{};  // set: `value` is a delta to the row's value of this version
-  bool operator==(const shared_row&) const = default;
+  std::optional<std::string> value;  // nullopt: deleted
+  // Set: `value` is a delta (base/delta.h) to the row's value of this version; 0: to nothing.
+  std::optional<uint64_t> delta_to{};
+  bool operator==(const changed_row&) const = default;
 };
 
-// Changes of a shared table that the sender has read.
-struct table_rows {
-  int table = 0;
+// All changes of a shared table after the version `since`, up to the version `until`.
+struct table_change {
   uint64_t since = 0;
   uint64_t until = 0;
-  std::vector<shared_row> rows{};
-  std::vector<uint32_t> pass_to{};  // gateways to which the receiver sends them on
-  bool operator==(const table_rows&) const = default;
+  std::vector<changed_row> rows{};
+  bool operator==(const table_change&) const = default;
+};
+
+// A change that the sender has read. Without rows: it is too large, the receiver asks the table.
+struct shared_change {
+  int table = 0;
+  table_change change{};
+  std::vector<uint32_t> pass_to{};  // gateways to which the receiver sends it on
+  bool operator==(const shared_change&) const = default;
 };
 
 struct message {
@@ -90,7 +97,7 @@
   std::vector<engine_record> engines;
   std::vector<store_contact> contacts;
   std::vector<endpoint_news> news;
-  std::optional<table_rows> rows;
+  std::optional<shared_change> rows;
   bool operator==(const message&) const = default;
 };
 
--- a/libs/exchange/include/exchange/watch.h
+++ b/libs/exchange/include/exchange/watch.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <span>
 #include <string_view>
+#include <vector>
 
 namespace balsambay::exchange {
 
@@ -13,4 +14,8 @@
 size_t WatchRank(std::string_view endpoint, std::string_view self,
                  std::span<const std::string_view> others);
 
+// The first `count` of `gateways` in that order.
+std::vector<std::string_view> FirstWatchers(std::string_view endpoint,
+                                            std::vector<std::string_view> gateways, size_t count);
+
 }  // namespace balsambay::exchange
--- a/libs/exchange/src/message.cc
+++ b/libs/exchange/src/message.cc
@@ -73,12 +73,12 @@
   return json::binary(std::vector<uint8_t>(bytes.begin(), bytes.end()));
 }
 
-std::optional<shared_row> ReadRow(const json& entry) {
+std::optional<changed_row> ReadRow(const json& entry) {
   if (!entry.is_array() || entry.size() < 3 || entry.size() > 4 || !entry[0].is_string() ||
       !entry[1].is_number_unsigned() || !(entry[2].is_binary() || entry[2].is_null())) {
     return std::nullopt;
   }
-  shared_row out{.key = entry[0], .version = entry[1], .value = {}};
+  changed_row out{.key = entry[0], .version = entry[1], .value = {}};
   if (entry[2].is_binary()) {
     const auto& bytes = entry[2].get_binary();
     out.value = std::string(bytes.begin(), bytes.end());
@@ -90,20 +90,20 @@
   return out;
 }
 
-json DescribeRows(const table_rows& item) {
+json DescribeRows(const shared_change& item) {
   json rows = json::array();
-  for (const shared_row& row : item.rows) {
+  for (const changed_row& row : item.change.rows) {
     rows.push_back({row.key, row.version, row.value ? DescribeBytes(*row.value) : json()});
     if (row.delta_to) rows.back().push_back(*row.delta_to);
   }
   return {{"t", item.table},
-          {"a", item.since},
-          {"b", item.until},
+          {"a", item.change.since},
+          {"b", item.change.until},
           {"r", std::move(rows)},
           {"g", item.pass_to}};
 }
 
-std::optional<table_rows> ReadRows(const json& body) {
+std::optional<shared_change> ReadRows(const json& body) {
   if (!body.is_object()) return std::nullopt;
   const auto receivers = Numbers(body, "g", 1, UINT32_MAX);
   const json since = body.value("a", json());
@@ -114,13 +114,12 @@
       !since.is_number_unsigned() || !until.is_number_unsigned() || !rows.is_array()) {
     return std::nullopt;
   }
-  table_rows out{
-      .table = number.get<int>(), .since = since, .until = until, .rows = {}, .pass_to = {}};
+  shared_change out{.table = number.get<int>(), .change = {.since = since, .until = until}};
   for (const uint64_t name : *receivers) out.pass_to.push_back(static_cast<uint32_t>(name));
   for (const json& entry : rows) {
     auto row = ReadRow(entry);
     if (!row) return std::nullopt;
-    out.rows.push_back(std::move(*row));
+    out.change.rows.push_back(std::move(*row));
   }
   return out;
 }
--- a/libs/exchange/tests/exchange_test.cc
+++ b/libs/exchange/tests/exchange_test.cc
@@ -176,11 +176,12 @@
                         *rc::gen::arbitrary<uint32_t>(), *rc::gen::arbitrary<uint64_t>()});
   }
   if (*rc::gen::arbitrary<bool>()) {
-    out.rows = table_rows{*rc::gen::inRange(0, 3),
-                          *rc::gen::arbitrary<uint64_t>(),
-                          *rc::gen::arbitrary<uint64_t>(),
-                          {{"a", 7, "value"}, {"b", 9, std::nullopt}, {"c", 10, "\x80\xff", 3}},
-                          {1, 4'000'000'000}};
+    out.rows =
+        shared_change{*rc::gen::inRange(0, 3),
+                      {*rc::gen::arbitrary<uint64_t>(),
+                       *rc::gen::arbitrary<uint64_t>(),
+                       {{"a", 7, "value"}, {"b", 9, std::nullopt}, {"c", 10, "\x80\xff", 3}}},
+                      {1, 4'000'000'000}};
   }
   return out;
 }
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -12,6 +12,7 @@
 
 #include "base/result.h"
 #include "catalog/catalog.h"
+#include "exchange/message.h"
 #include "gateway/settings.h"
 #include "gateway/wire.h"
 #include "lease/table_call.h"
@@ -35,28 +36,13 @@
 enum class feed : uint8_t { kConfiguration, kEndpoints, kGateways };
 inline constexpr size_t kFeeds = 3;
 
-struct changed_row {
-  std::string key;
-  uint64_t version = 0;
-  std::optional<std::string> value;  // nullopt: deleted
-  // Set: `value` is a delta (base/delta.h) to the row's value of this version; 0: to nothing.
-  std::optional<uint64_t> delta_to{};
-  bool operator==(const changed_row&) const = default;
-};
-
-// All changes of a table after the version `since`, up to the version `until`.
-struct table_change {
-  uint64_t since = 0;
-  uint64_t until = 0;
-  std::vector<changed_row> rows;
-  bool operator==(const table_change&) const = default;
-};
+using exchange::changed_row;
+using exchange::table_change;
 
 // What a gateway asks of the shared store.
 struct store_hooks {
   table_sender call;
-  // Asks a table for its changes at once, on a new connection: the call that waits for them may be
-  // lost.
+  // Asks a table for its changes at once: the call that waits for them may be lost.
   std::function<void(feed)> check;
   // Whether calls that wait for changes are kept open. Without them the tables change only by
   // `check` and `apply`.
@@ -90,6 +76,9 @@
   // to which all changes are known.
   virtual void OnFeedPosition(feed which, uint64_t changed, uint64_t complete) = 0;
 
+  // Whether OnTableChange tells others; describing a change for them takes time.
+  virtual bool SharesChanges() const = 0;
+
   // Changes that a call of this gateway has brought.
   virtual void OnTableChange(feed which, const table_change& change) = 0;
 
--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -331,8 +331,6 @@
   net::client_request request = state.wire.write_attempt(item->incoming, item->body,
                                                          MakeSpec(*item, target, item->due - now));
   request.header_timeout = item->due - now;
-  // A reused connection that the endpoint closes at the same moment would leave open whether the
-  // request ran.
   item->upstream = state.client->Send(std::move(request), MakeCallbacks(state, item, events));
   return start_result::kStarted;
 }
--- a/libs/gateway/src/details/monitor.h
+++ b/libs/gateway/src/details/monitor.h
@@ -30,6 +30,8 @@
 void TellNews(gateway_state& state, exchange::news_kind kind, const endpoint& item);
 // Notes a reply of a followed table; the others learn of it at once when it ended a check.
 void ConfirmFeed(gateway_state& state, feed which, uint64_t changed, uint64_t complete);
+// Whether this gateway reads the tables for its cell.
+bool SharesChanges(const gateway_state& state);
 // Tells the own cell of changes that this gateway has read for it.
 void ShareChange(gateway_state& state, feed which, const table_change& change);
 void ReplacePeers(gateway_state& state, std::span<const peer_address> peers);
--- a/libs/gateway/src/details/pace.h
+++ b/libs/gateway/src/details/pace.h
@@ -5,6 +5,7 @@
 #include <chrono>
 
 #include "base/time.h"
+#include "details/moving_time.h"
 
 namespace balsambay::gateway {
 
@@ -13,8 +14,7 @@
   struct estimate {
     duration least;  // shorter pauses are never unusual
     duration most;   // longer ones always are
-    double mean_ms = 0;
-    double deviation_ms = 0;
+    moving_time seen{};
     bool known = false;
   };
   // Between two outputs of a stream: at least about twice the usual pause of small batches, at most
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -15,6 +15,7 @@
 #include "catalog/catalog.h"
 #include "details/event_stream.h"
 #include "details/freshness.h"
+#include "details/moving_time.h"
 #include "details/pace.h"
 #include "details/repeat_budget.h"
 #include "details/telemetry.h"
@@ -158,6 +159,7 @@
 
 struct peer {
   peer_address address;
+  bool in_cell = false;                        // of the own cell in `topology`
   time_point heard{};                          // its last message of state; min(): never
   bool reaches_store = false;                  // as it last said
   time_point reached_store_at{};               // as it or others said; min(): never
@@ -211,10 +213,9 @@
   repeat_budget budget;
 
   time_point progress_due = time_point::max() - std::chrono::hours(1);
-  time_point held_up_at;           // when the loop last ran late
-  struct pace pace;                // of streams
-  double report_ms = 0;            // moving mean of the time that reports take
-  double report_deviation_ms = 0;  // of that time from its mean
+  time_point held_up_at;    // when the loop last ran late
+  struct pace pace;         // of streams
+  moving_time report_time;  // that reports take
 
   // Placement of layers.
   lease::holder lease;
--- a/libs/gateway/src/freshness.cc
+++ b/libs/gateway/src/freshness.cc
@@ -9,6 +9,7 @@
 // Part of the limit over which the checks of different gateways are spread. The first one confirms
 // for all within some ms.
 constexpr double kSpreadPart = 0.3;
+// Of the pause after checks that are not answered: up to 12 s for the longest pause.
 constexpr int kMostDoublings = 3;
 
 bool MayCheck(const freshness& item, time_point now) {
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -15,6 +15,8 @@
 
 // Left for the process to end before the platform kills it.
 constexpr duration kExitReserve = 300ms;
+// The list of gateways may be this much older than the other tables before it is checked: those
+// that come or go are noticed by their messages first.
 constexpr int kGatewayAgeFactor = 4;
 // Callers' connections are kept open; they close them themselves.
 constexpr duration kIdleTimeout = std::chrono::minutes(5);
@@ -28,7 +30,6 @@
       item.limit = state_.config.feed_age_limit;
       item.spread = UniformUnit(state_.rng);
     }
-    // Gateways that come and go are noticed by their messages first.
     state_.feeds.at(static_cast<size_t>(feed::kGateways)).limit *= kGatewayAgeFactor;
   }
 
@@ -106,6 +107,8 @@
     ConfirmFeed(state_, which, changed, complete);
   }
 
+  bool SharesChanges() const override { return balsambay::gateway::SharesChanges(state_); }
+
   void OnTableChange(feed which, const table_change& change) override {
     ShareChange(state_, which, change);
   }
--- a/libs/gateway/src/monitor.cc
+++ b/libs/gateway/src/monitor.cc
@@ -24,14 +24,14 @@
 // Reports take longer when this process is short of processor time; as for retransmissions of TCP,
 // an answer is missing when it takes longer than the mean by this many mean deviations.
 constexpr double kDeviations = 4;
-constexpr double kMeanWeight = 0.125;
-constexpr double kDeviationWeight = 0.25;
+constexpr moving_weights kReportWeights{.mean = 0.125, .deviation = 0.25};
 constexpr int kMissedReports = 2;
 // A timer that runs this late shows that this process was held up; silence proves nothing then.
 constexpr duration kHeldUp = 50ms;
 // A report is some hundred ms old, so asking more often tells nothing new.
 constexpr duration kCheckInterval = 250ms;
 constexpr duration kDownProbeInterval = 500ms;
+// For later watchers, whose rank raises the interval.
 constexpr duration kLongestDownProbe = 5000ms;
 // Each engine is asked this often by one of the gateways, for its speed.
 constexpr duration kRoundInterval = 2000ms;
@@ -65,16 +65,8 @@
 
 void Ask(gateway_state& state, endpoint& item, std::string_view why, duration timeout);
 
-void LearnReportTime(gateway_state& state, duration taken) {
-  const double ms = Milliseconds(taken);
-  state.report_deviation_ms +=
-      kDeviationWeight * (std::abs(ms - state.report_ms) - state.report_deviation_ms);
-  state.report_ms += kMeanWeight * (ms - state.report_ms);
-}
-
 duration CheckTimeout(const gateway_state& state) {
-  const double ms = state.report_ms + kDeviations * state.report_deviation_ms;
-  return std::clamp<duration>(FromMilliseconds(ms), kCheckTimeout, kReportTimeout);
+  return std::clamp(Beyond(state.report_time, kDeviations), kCheckTimeout, kReportTimeout);
 }
 
 void OnNoReport(gateway_state& state, endpoint& item, bool refused, std::string_view why) {
@@ -103,7 +95,7 @@
     const bool refused = reply.end.failure == net::call_failure::kConnect && now < due;
     return OnNoReport(state, *item, refused, why);
   }
-  LearnReportTime(state, MonotonicNow() - asked);
+  Add(state.report_time, MonotonicNow() - asked, kReportWeights);
   auto report = state.wire.read_report(reply.body);
   if (report.has_error()) {
     log::Log(log::level::kWarning, "report cannot be read",
--- a/libs/gateway/src/pace.cc
+++ b/libs/gateway/src/pace.cc
@@ -1,35 +1,30 @@
-// Estimates as those of retransmission times in TCP, with slower weights since every output counts.
+// Learning from each output.
 #include "details/pace.h"
 
 #include <algorithm>
-#include <cmath>
+#include <utility>
 
 namespace balsambay::gateway {
 namespace {
 
-constexpr double kMeanWeight = 0.02;
-constexpr double kDeviationWeight = 0.04;
+// TCP learns from one time each round trip. Here every output of every stream counts, some hundred
+// a second, so the weights are smaller: they cover the last second or so.
+constexpr moving_weights kWeights{.mean = 0.02, .deviation = 0.04};
+// As for retransmissions of TCP.
 constexpr double kDeviations = 4;
 
 }  // namespace
 
 void Learn(pace::estimate& item, duration taken) {
   // A single pause of an engine that is lost must not make the next one usual.
-  const double ms = Milliseconds(std::min(taken, Patience(item)));
-  if (!item.known) {
-    item.known = true;
-    item.mean_ms = ms;
-    item.deviation_ms = ms / 2;
-    return;
-  }
-  item.deviation_ms += kDeviationWeight * (std::abs(ms - item.mean_ms) - item.deviation_ms);
-  item.mean_ms += kMeanWeight * (ms - item.mean_ms);
+  const duration value = std::min(taken, Patience(item));
+  if (std::exchange(item.known, true)) return Add(item.seen, value, kWeights);
+  item.seen = {.mean_ms = Milliseconds(value), .deviation_ms = Milliseconds(value) / 2};
 }
 
 duration Patience(const pace::estimate& item) {
   if (!item.known) return item.least;
-  return std::clamp(FromMilliseconds(item.mean_ms + kDeviations * item.deviation_ms), item.least,
-                    item.most);
+  return std::clamp(Beyond(item.seen, kDeviations), item.least, item.most);
 }
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -50,11 +50,21 @@
   for (const auto& [id, other] : state.peers) AddLoads(state, other);
 }
 
+void SendTo(gateway_state& state, const std::string& id, const std::string& data) {
+  const auto found = state.peers.find(id);
+  if (found != state.peers.end()) state.peer_socket->Send(found->second.address.address, data);
+}
+
 void Send(gateway_state& state, const std::vector<size_t>& to, const std::string& data) {
-  for (const size_t index : to) {
-    const auto found = state.peers.find(state.members[index].id);
-    if (found != state.peers.end()) state.peer_socket->Send(found->second.address.address, data);
-  }
+  for (const size_t index : to) SendTo(state, state.members[index].id, data);
+}
+
+// To the own cell and to some members of others.
+void Announce(gateway_state& state, const exchange::message& message) {
+  const std::string data = Encode(message);
+  const exchange::receivers to = exchange::NewsReceivers(state.topology, state.rng);
+  Send(state, to.cell, data);
+  Send(state, to.relays, data);
 }
 
 bool ReachesStore(const gateway_state& state, time_point now) {
@@ -178,11 +188,6 @@
   }
 }
 
-bool IsInCell(const gateway_state& state, const std::string& id) {
-  return std::ranges::any_of(state.topology.cell,
-                             [&](size_t index) { return state.members[index].id == id; });
-}
-
 void ReadRecords(gateway_state& state, const exchange::message& message, bool from_cell,
                  time_point now) {
   for (const engine_record& record : message.engines) {
@@ -214,11 +219,7 @@
     exchange::message message = MakeMessage(state, MonotonicNow());
     // The position would tell of rows that are still on their way.
     message.feeds.clear();
-    message.rows = exchange::table_rows{
-        .table = static_cast<int>(which), .since = change.since, .until = change.until};
-    for (const changed_row& row : change.rows) {
-      message.rows->rows.push_back({row.key, row.version, row.value, row.delta_to});
-    }
+    message.rows = exchange::shared_change{.table = static_cast<int>(which), .change = change};
     for (const size_t index : group) {
       if (index == group.front()) continue;
       message.rows->pass_to.push_back(exchange::NameOf(state.members[index].id));
@@ -252,36 +253,26 @@
   const std::string data = Encode(message);
   for (const uint32_t name : receivers) {
     const auto id = state.peer_names.find(name);
-    if (id == state.peer_names.end()) continue;
-    state.peer_socket->Send(state.peers.at(id->second).address.address, data);
+    if (id != state.peer_names.end()) SendTo(state, id->second, data);
   }
 }
 
 void OnRows(gateway_state& state, const exchange::message& message) {
-  const exchange::table_rows& rows = *message.rows;
-  if (rows.table < 0 || static_cast<size_t>(rows.table) >= kFeeds) return;
-  if (rows.rows.empty()) {
-    const auto index = static_cast<size_t>(rows.table);
+  const auto index = static_cast<size_t>(message.rows->table);
+  const table_change& change = message.rows->change;
+  if (index >= kFeeds) return;
+  if (change.rows.empty()) {
     const time_point now = MonotonicNow();
-    if (OnLargeChange(state.feeds[index], rows.until, now)) {
+    if (OnLargeChange(state.feeds[index], change.until, now)) {
       CheckFeed(state, index, "too large to be passed on", now);
     }
-    return PassRowsOn(state, message);
-  }
-  table_change change{rows.since, rows.until, {}};
-  for (const exchange::shared_row& row : rows.rows) {
-    change.rows.push_back({row.key, row.version, row.value, row.delta_to});
+  } else if (state.store.apply) {
+    state.store.apply(static_cast<feed>(index), change);
   }
-  if (state.store.apply) state.store.apply(static_cast<feed>(rows.table), change);
   PassRowsOn(state, message);
 }
 
-void TellPositions(gateway_state& state) {
-  const std::string data = Encode(MakeMessage(state, MonotonicNow()));
-  const exchange::receivers to = exchange::NewsReceivers(state.topology, state.rng);
-  Send(state, to.cell, data);
-  Send(state, to.relays, data);
-}
+void TellPositions(gateway_state& state) { Announce(state, MakeMessage(state, MonotonicNow())); }
 
 // Checks of all gateways together stay within this rate; see OnPeerPosition for the first one.
 constexpr duration kCheckPauseEach = 5ms;
@@ -316,11 +307,9 @@
   const duration lifetime = exchange::Lifetime(state.topology);
   const bool starting = now - state.started_at < lifetime;
   std::vector<std::string_view> others;
-  for (const size_t index : state.topology.cell) {
-    const auto other = state.peers.find(state.members[index].id);
-    if (other == state.peers.end()) continue;
-    const bool reads = now - other->second.heard < lifetime && other->second.reaches_store;
-    if (starting || reads) others.push_back(other->first);
+  for (const auto& [id, other] : state.peers) {
+    const bool reads = now - other.heard < lifetime && other.reaches_store;
+    if (other.in_cell && (starting || reads)) others.push_back(id);
   }
   return exchange::WatchRank(kReaderOrder, state.config.id, others) < kReaders;
 }
@@ -351,10 +340,7 @@
   Subscribe(state.loop.Timers(), MonotonicNow() + kNewsDelay, [&state](time_point now) {
     exchange::message message = MakeMessage(state, now);
     message.news = std::exchange(state.news, {});
-    const exchange::receivers to = exchange::NewsReceivers(state.topology, state.rng);
-    const std::string data = Encode(message);
-    Send(state, to.cell, data);
-    Send(state, to.relays, data);
+    Announce(state, message);
   });
 }
 
@@ -364,12 +350,11 @@
   message.news = {{news_kind::kSuspect, exchange::NameOf(item.listed.id), item.listed.incarnation}};
   const std::string data = Encode(message);
   for (const std::string_view id : FirstZoneWatchers(state, item)) {
-    const auto found = state.peers.find(std::string(id));
-    if (found != state.peers.end()) state.peer_socket->Send(found->second.address.address, data);
+    SendTo(state, std::string(id), data);
   }
 }
 
-void OnDownNews(gateway_state& state, endpoint& item, const peer& from, bool from_cell) {
+void OnDownNews(gateway_state& state, endpoint& item, const peer& from) {
   if (item.down) return;
   if (from.address.zone != state.config.zone) {
     // Another zone may lack a way that this one has.
@@ -381,10 +366,10 @@
       item.answered_at != time_point() && MonotonicNow() - item.answered_at < kOwnEvidence;
   if (answered) return AskEndpoint(state, item, kToldByPeer);
   MarkDown(state, item, "told by " + from.address.id);
-  if (!from_cell) TellNews(state, news_kind::kDown, item);
+  if (!from.in_cell) TellNews(state, news_kind::kDown, item);
 }
 
-void OnBackNews(gateway_state& state, endpoint& item, const peer& from, bool from_cell) {
+void OnBackNews(gateway_state& state, endpoint& item, const peer& from) {
   if (!item.down || from.address.zone != state.config.zone) return;
   if (item.found_down) {
     // This gateway may lack a way that the other one has.
@@ -392,20 +377,19 @@
     return;
   }
   MarkBack(state, item, "told by " + from.address.id);
-  if (!from_cell) TellNews(state, news_kind::kBack, item);
+  if (!from.in_cell) TellNews(state, news_kind::kBack, item);
 }
 
-void ReadNews(gateway_state& state, const exchange::message& message, const peer& from,
-              bool from_cell) {
+void ReadNews(gateway_state& state, const exchange::message& message, const peer& from) {
   for (const exchange::endpoint_news& news : message.news) {
     endpoint* item = FindByName(state, news.endpoint);
     if (item == nullptr || item->listed.incarnation != news.incarnation) continue;
     switch (news.kind) {
       case news_kind::kDown:
-        OnDownNews(state, *item, from, from_cell);
+        OnDownNews(state, *item, from);
         break;
       case news_kind::kBack:
-        OnBackNews(state, *item, from, from_cell);
+        OnBackNews(state, *item, from);
         break;
       case news_kind::kLeaving:
         NoteLeaving(state, *item);
@@ -425,13 +409,12 @@
   CheckFeed(state, index, "unknown sender", now);
 }
 
-void ReadState(gateway_state& state, peer& from, const exchange::message& message, bool from_cell,
-               time_point now) {
+void ReadState(gateway_state& state, peer& from, const exchange::message& message, time_point now) {
   from.heard = now;
   from.reaches_store = message.reaches_store;
   if (message.reaches_store) from.reached_store_at = now;
   ReadContacts(state, message, now);
-  ReadRecords(state, message, from_cell, now);
+  ReadRecords(state, message, from.in_cell, now);
   if (IsExact(state)) ReadLoads(state, from, message);
 }
 
@@ -442,10 +425,9 @@
   const auto id = state.peer_names.find(message->from);
   if (id == state.peer_names.end()) return OnUnknownSender(state, now);
   peer& from = state.peers.at(id->second);
-  const bool from_cell = IsInCell(state, id->second);
   ReadFeeds(state, *message, now);
-  ReadNews(state, *message, from, from_cell);
-  if (message->is_state) ReadState(state, from, *message, from_cell, now);
+  ReadNews(state, *message, from);
+  if (message->is_state) ReadState(state, from, *message, now);
   // Last, since rows of the list of gateways replace `from`.
   if (message->rows) OnRows(state, *message);
 }
@@ -503,8 +485,10 @@
   if (awaited) TellPositions(state);
 }
 
+bool SharesChanges(const gateway_state& state) { return !IsExact(state) && state.reading; }
+
 void ShareChange(gateway_state& state, feed which, const table_change& change) {
-  if (IsExact(state) || !state.reading) return;
+  if (!SharesChanges(state)) return;
   const size_t bytes =
       std::accumulate(change.rows.begin(), change.rows.end(), size_t{0},
                       [](size_t sum, const changed_row& row) { return sum + BytesOf(row); });
@@ -537,6 +521,10 @@
   state.zone_peers = std::ranges::count(state.members, state.config.zone, &exchange::member::zone);
   state.members.push_back({state.config.id, state.config.zone});
   state.topology = exchange::MakeTopology(state.members, state.config.id, state.config.zone);
+  for (auto& [id, item] : state.peers) item.in_cell = false;
+  for (const size_t index : state.topology.cell) {
+    state.peers.at(state.members[index].id).in_cell = true;
+  }
   AdaptFeeds(state);
   log::Log(log::level::kInfo, "peers",
            {{"count", state.peers.size()},
--- a/libs/gateway/src/placer.cc
+++ b/libs/gateway/src/placer.cc
@@ -35,6 +35,7 @@
 // A placement from nothing is not repeated, so it waits for engines that are not listed yet: each
 // lists itself with its first heartbeat, and changes of the list are fetched together.
 constexpr duration kInitialSettleTime = 2500ms;
+// A list that goes on changing is planned from all the same.
 constexpr duration kLongestSettle = 6000ms;
 constexpr duration kOrderTimeout = 500ms;
 constexpr duration kStepInterval = 150ms;
--- a/libs/gateway/src/telemetry.cc
+++ b/libs/gateway/src/telemetry.cc
@@ -4,6 +4,14 @@
 #include <string>
 
 namespace balsambay::gateway {
+namespace {
+
+void Count(telemetry& metrics, const char* name, const char* help, std::string_view reason) {
+  metrics::Increment(metrics.registry, metrics::AddCounter(metrics.registry, name, help,
+                                                           {{"reason", std::string(reason)}}));
+}
+
+}  // namespace
 
 telemetry::telemetry()
     : accepted(metrics::AddCounter(registry, "gateway_requests_total", "Requests taken.")),
@@ -29,24 +37,16 @@
           metrics::AddGauge(registry, "gateway_config_version", "Configuration in force.")) {}
 
 void CountRefusal(telemetry& metrics, std::string_view reason) {
-  metrics::Increment(metrics.registry,
-                     metrics::AddCounter(metrics.registry, "gateway_refusals_total",
-                                         "Requests answered without an endpoint's answer.",
-                                         {{"reason", std::string(reason)}}));
+  Count(metrics, "gateway_refusals_total", "Requests answered without an endpoint's answer.",
+        reason);
 }
 
 void CountReport(telemetry& metrics, std::string_view reason) {
-  metrics::Increment(
-      metrics.registry,
-      metrics::AddCounter(metrics.registry, "gateway_reports_total", "Reports asked of engines.",
-                          {{"reason", std::string(reason)}}));
+  Count(metrics, "gateway_reports_total", "Reports asked of engines.", reason);
 }
 
 void CountRetry(telemetry& metrics, std::string_view reason) {
-  metrics::Increment(
-      metrics.registry,
-      metrics::AddCounter(metrics.registry, "gateway_retries_total",
-                          "Further attempts of requests.", {{"reason", std::string(reason)}}));
+  Count(metrics, "gateway_retries_total", "Further attempts of requests.", reason);
 }
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/watch.cc
+++ b/libs/gateway/src/watch.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 
-#include "base/hash.h"
 #include "exchange/watch.h"
 
 namespace balsambay::gateway {
@@ -15,18 +14,16 @@
 constexpr duration kRankLifetime = 1000ms;
 
 // Gateways of other cells are not heard in turn; they count as alive.
-bool IsAlive(const gateway_state& state, const std::string& id, const peer& other, time_point now) {
+bool IsAlive(const gateway_state& state, const peer& other, time_point now) {
   const duration lifetime = exchange::Lifetime(state.topology);
-  if (now - state.started_at < lifetime || now - other.heard < lifetime) return true;
-  return std::ranges::none_of(state.topology.cell,
-                              [&](size_t index) { return state.members[index].id == id; });
+  return !other.in_cell || now - state.started_at < lifetime || now - other.heard < lifetime;
 }
 
 std::vector<std::string_view> LivingIn(const gateway_state& state, std::string_view zone,
                                        time_point now) {
   std::vector<std::string_view> out;
   for (const auto& [id, other] : state.peers) {
-    if (other.address.zone == zone && IsAlive(state, id, other, now)) out.push_back(id);
+    if (other.address.zone == zone && IsAlive(state, other, now)) out.push_back(id);
   }
   return out;
 }
@@ -49,11 +46,8 @@
 }
 
 std::vector<std::string_view> FirstZoneWatchers(const gateway_state& state, const endpoint& item) {
-  std::vector<std::string_view> out = LivingIn(state, state.config.zone, MonotonicNow());
-  std::ranges::sort(out, std::greater<>(),
-                    [&](std::string_view id) { return Hash64(item.listed.id, Hash64(id)); });
-  if (out.size() > kZoneWatchers) out.resize(kZoneWatchers);
-  return out;
+  return exchange::FirstWatchers(item.listed.id, LivingIn(state, state.config.zone, MonotonicNow()),
+                                 kZoneWatchers);
 }
 
 bool IsRegularWatcher(gateway_state& state, endpoint& item) {
--- a/libs/gateway/tests/cells_test.cc
+++ b/libs/gateway/tests/cells_test.cc
@@ -145,8 +145,9 @@
   message.from = exchange::NameOf("g1");
   message.is_state = message.reaches_store = true;
   message.news = {{exchange::news_kind::kDown, exchange::NameOf("e1"), 1}};
-  message.rows = exchange::table_rows{.table = static_cast<int>(feed::kGateways), .until = 7};
-  message.rows->rows = {{"member/g1", 7, std::nullopt}};
+  message.rows = exchange::shared_change{
+      .table = static_cast<int>(feed::kGateways),
+      .change = {.since = 0, .until = 7, .rows = {{"member/g1", 7, std::nullopt}}}};
   const auto sender = net::BindDatagram("127.0.0.1:0", [](std::string_view) {}).value();
   sender->Send(all.peers[0].address, exchange::Encode(message));
   all.Run(200ms);
--- a/libs/net/tests/net_test.cc
+++ b/libs/net/tests/net_test.cc
@@ -170,37 +170,49 @@
   CHECK_FALSE(called);
 }
 
-// A peer that writes `head` and then `piece` again and again until the connection is closed.
-struct endless_peer {
-  int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  int connection = -1;
-  std::string head;
-  std::string piece;
-  size_t written = 0;
+// Accepts connections on loopback without HTTP.
+struct raw_listener {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 
-  endless_peer(std::string first, std::string repeated)
-      : head(std::move(first)), piece(std::move(repeated)) {
+  raw_listener() {
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
-    REQUIRE(listen(listener, 4) == 0);
-  }
-  ~endless_peer() {
-    close(listener);
-    if (connection >= 0) close(connection);
+    REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+    REQUIRE(listen(fd, 4) == 0);
   }
+  ~raw_listener() { close(fd); }
+  raw_listener(const raw_listener&) = delete;
+  raw_listener& operator=(const raw_listener&) = delete;
 
   std::string Url() const {
     sockaddr_in address{};
     socklen_t size = sizeof address;
-    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
+    getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
     return "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port)) + "/";
   }
 
+  // -1: none waits.
+  int Accept() const { return accept4(fd, nullptr, nullptr, SOCK_NONBLOCK); }
+};
+
+// A peer that writes `head` and then `piece` again and again until the connection is closed.
+struct endless_peer {
+  raw_listener listener;
+  int connection = -1;
+  std::string head;
+  std::string piece;
+  size_t written = 0;
+
+  endless_peer(std::string first, std::string repeated)
+      : head(std::move(first)), piece(std::move(repeated)) {}
+  ~endless_peer() {
+    if (connection >= 0) close(connection);
+  }
+
   void Pump() {
     if (connection < 0) {
-      connection = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+      connection = listener.Accept();
       if (connection < 0) return;
       if (send(connection, head.data(), head.size(), MSG_NOSIGNAL) < 0) return;
     }
@@ -233,7 +245,8 @@
   whole_reply out;
   bool done = false;
   const time_point begin = MonotonicNow();
-  Fetch(*f.client, {.url = peer.Url(), .headers = {}, .body = "x", .header_timeout = 300ms},
+  Fetch(*f.client,
+        {.url = peer.listener.Url(), .headers = {}, .body = "x", .header_timeout = 300ms},
         [&](const whole_reply& reply) {
           out = reply;
           done = true;
@@ -256,7 +269,7 @@
                     "1000\r\n" + std::string(4096, 'x') + "\r\n");
   bool done = false;
   call_end end;
-  Fetch(*f.client, {.method = "GET", .url = peer.Url(), .headers = {}, .body = ""},
+  Fetch(*f.client, {.method = "GET", .url = peer.listener.Url(), .headers = {}, .body = ""},
         [&](const whole_reply& reply) {
           end = reply.end;
           done = true;
@@ -273,36 +286,22 @@
 // A peer that answers each request with its number on the connection, and sends its first answer
 // again: in the same bytes, or just before the answer to the next request on that connection.
 struct repeating_peer {
-  int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  raw_listener listener;
   bool late = false;
   int requests = 0;
   std::vector<int> connections;
 
-  explicit repeating_peer(bool repeats_late) : late(repeats_late) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
-    REQUIRE(listen(listener, 4) == 0);
-  }
+  explicit repeating_peer(bool repeats_late) : late(repeats_late) {}
   ~repeating_peer() {
-    close(listener);
     for (const int fd : connections) close(fd);
   }
 
-  std::string Url() const {
-    sockaddr_in address{};
-    socklen_t size = sizeof address;
-    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
-    return "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port)) + "/";
-  }
-
   static std::string Answer(int number) {
     return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + std::to_string(number);
   }
 
   void Pump() {
-    const int accepted = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+    const int accepted = listener.Accept();
     if (accepted >= 0) connections.push_back(accepted);
     for (const int fd : connections) {
       std::array<char, 4096> buffer{};
@@ -327,7 +326,11 @@
     whole_reply out;
     bool done = false;
     Fetch(*f.client,
-          {.method = "GET", .url = peer.Url(), .headers = {}, .body = "", .header_timeout = 300ms},
+          {.method = "GET",
+           .url = peer.listener.Url(),
+           .headers = {},
+           .body = "",
+           .header_timeout = 300ms},
           [&](const whole_reply& reply) {
             out = reply;
             done = true;
--- a/libs/pipeline/benchmarks/path_choice.cc
+++ b/libs/pipeline/benchmarks/path_choice.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "../tests/test_model.h"
 #include "base/random.h"
 #include "pipeline/placement.h"
 
@@ -22,22 +23,11 @@
 constexpr int kSite = 216;
 
 model_spec SiteModel() {
-  model_spec model;
-  model.layers = 80;
-  model.layer_mb = 1750;
-  model.kv_bytes_per_token = 590000;
-  model.step_ms = 0.85;
-  model.step_ms_per_sequence = 0.0038;
-  model.step_ms_per_k_context = 0.005;
+  model_spec model = TestModel();
   model.read_tokens_per_ms = 272;
-  model.zone_delay_ms = 0.62;
-  model.usual_prompt_tokens = 772;
   model.usual_answer_tokens = 172;
-  model.slots = 192;
-  model.kinds = {{"h100", 72'000, 1.4, 1},
-                 {"a100s", 36'000, 3.1, 3.2},
-                 {"l4", 21'600, 16, 8.2},
-                 {"t4", 14'400, 15, 15}};
+  // Without the kind that holds all layers.
+  model.kinds.erase(model.kinds.begin());
   return model;
 }
 
@@ -51,12 +41,8 @@
 std::vector<engine> MakeEngines(const model_spec& model, int count) {
   std::vector<engine> out;
   for (int i = 0; i < count; ++i) {
-    engine item;
-    item.id = "e" + std::to_string(i);
-    item.zone = "zone-" + std::to_string(static_cast<size_t>(i) % kZones);
-    item.kind = KindOf(i);
-    item.usable = true;
-    out.push_back(item);
+    const auto zone = "zone-" + std::to_string(static_cast<size_t>(i) % kZones);
+    out.push_back(MakeEngine("e" + std::to_string(i), KindOf(i), {}, zone));
   }
   const placement_plan plan = PlanPlacement(model, out);
   for (size_t i = 0; i < out.size(); ++i) out[i].held = plan.ranges[i];
--- a/libs/pipeline/include/pipeline/path.h
+++ b/libs/pipeline/include/pipeline/path.h
@@ -49,8 +49,6 @@
   std::span<const size_t> excluded = {};
   // When not empty, the path begins at one of these.
   std::span<const size_t> heads = {};
-  // Added to the cost of a hop to another zone, ms: the wait for the shared pipe.
-  double crossing_ms = 0;
   // The loads given are some seconds old, and many daemons decide by them: costs are spread a
   // little, differently for each `seed`, and engines are filled evenly rather than the fastest ones
   // first.
--- a/libs/pipeline/src/path.cc
+++ b/libs/pipeline/src/path.cc
@@ -17,8 +17,8 @@
 // a path inside one zone survives a partition.
 constexpr double kCrossZonePenaltyMs = 8;
 // Added for an engine at full memory, ms; falls with the sixth power of the used part, or with the
-// third when the part is known from old figures. Of the order
-// of a whole path's time between tokens, so that a full engine costs as much as a detour.
+// third when the part is known from old figures. Of the order of a whole path's time between
+// tokens, so that a full engine costs as much as a detour.
 constexpr double kPressureMs = 25;
 // Mean part by which costs are raised at random when they come from old figures: with exponential
 // factors of this size equal engines get equal shares.
@@ -74,7 +74,7 @@
          std::ranges::find(state.query.heads, index) != state.query.heads.end();
 }
 
-// In [0, 1), the same for the same seed and engine.
+// In [0, 1), the same for the same seed and engine (SplitMix64).
 double UnitOf(uint64_t seed, size_t index) {
   uint64_t x = seed + (index + 1) * 0x9e3779b97f4a7c15ULL;
   x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
@@ -151,11 +151,9 @@
 }
 
 void Search(search& state) {
+  const double crossing = state.model.zone_delay_ms + kCrossZonePenaltyMs;
   for (size_t boundary = 0; boundary + 1 < state.boundaries.size(); ++boundary) {
     const int layer = state.boundaries[boundary];
-    // On the way to the head no activations move.
-    const double pipe_ms = boundary == 0 ? 0 : state.query.crossing_ms;
-    const double crossing = state.model.zone_delay_ms + kCrossZonePenaltyMs + pipe_ms;
     // A crossing costs the same between any two zones, so only the best zone counts as its origin.
     size_t cheapest = 0;
     for (size_t zone = 1; zone < state.zones.size(); ++zone) {
--- a/libs/pipeline/tests/fleet.h
+++ b/libs/pipeline/tests/fleet.h
@@ -1,4 +1,4 @@
-// Engines and a model for the tests of paths and placement.
+// Random engines for the tests of paths and placement.
 #pragma once
 
 #include <rapidcheck.h>
@@ -6,42 +6,10 @@
 #include <string>
 #include <vector>
 
-#include "pipeline/path.h"
+#include "test_model.h"
 
 namespace balsambay::pipeline {
 
-inline model_spec TestModel() {
-  model_spec model;
-  model.layers = 80;
-  model.layer_mb = 1750;
-  model.kv_bytes_per_token = 590000;
-  model.step_ms = 0.85;
-  model.step_ms_per_sequence = 0.0038;
-  model.step_ms_per_k_context = 0.005;
-  model.read_tokens_per_ms = 196;
-  model.load_s = 14;
-  model.zone_delay_ms = 0.62;
-  model.usual_prompt_tokens = 772;
-  model.usual_answer_tokens = 167;
-  model.slots = 192;
-  model.kinds = {{"huge", 200'000, 1, 1},
-                 {"h100", 72'000, 1.4, 1},
-                 {"a100s", 36'000, 3.1, 3.2},
-                 {"l4", 21'600, 16, 8.2},
-                 {"t4", 14'400, 15, 15}};
-  return model;
-}
-
-inline engine MakeEngine(std::string id, size_t kind, layer_range held, std::string zone = "a") {
-  engine out;
-  out.id = std::move(id);
-  out.zone = std::move(zone);
-  out.kind = kind;
-  out.held = held;
-  out.usable = true;
-  return out;
-}
-
 // Engines of all kinds in up to three zones that hold random ranges, some of them unusable.
 inline std::vector<engine> RandomEngines(const model_spec& model) {
   const int count = *rc::gen::inRange(1, 40);
