Gateway logs: which requests were on a lost endpoint, by fingerprint

Logs named requests by the caller's id, which is new for each attempt of the caller, and a lost endpoint without the requests that ran there. So they could not tell whether the same request had lost one endpoint after the other (hypothesis 1 of docs/incidents/crashing-request.md), was stopped by one gateway and run by another (2), or whether repeats of all requests exceeded the budget (3).

Now: a fingerprint of caller, path and body with each failed attempt and each request that is given up, one line for each request on an endpoint that is lost (part of the path, outputs so far), and a counter of these.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -216,6 +216,7 @@
   Learn(item->progressed ? state.pace.gap : state.pace.first, now - item->last_progress);
   item->last_progress = now;
   item->progressed = true;
+  ++item->outputs;
   events.on_output(state, item, whole);
 }
 
@@ -276,6 +277,7 @@
 
 void AdoptPath(gateway_state& state, call& item, std::vector<call_hop> path) {
   AttachLoad(state, item, -1);
+  item.outputs = 0;
   item.path = std::move(path);
   AttachLoad(state, item, 1);
 }
@@ -321,6 +323,7 @@
   ++item->attempt;
   item->last_progress = now;
   item->progressed = false;
+  item->outputs = 0;
   item->rerouting = false;
   item->reroutes = 0;
   item->head = {};
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -5,6 +5,7 @@
 #include <array>
 
 #include "details/attempt.h"
+#include "details/containment.h"
 #include "details/fleet.h"
 #include "details/monitor.h"
 #include "log/log.h"
@@ -154,6 +155,7 @@
             {"version", item->configuration->content.version},
             {"attempts", item->attempt},
             {"may_have_run", item->may_have_run},
+            {"fingerprint", quarantine::ToString(item->fingerprint)},
             {"tokens", item->committed_tokens},
             {"age_ms", WholeMilliseconds(MonotonicNow() - item->arrived)},
             {"open_requests", state.calls.size()}});
@@ -245,6 +247,7 @@
   }
   log::Log(log::level::kInfo, "attempt failed",
            {{"request", item->incoming.id},
+            {"fingerprint", quarantine::ToString(item->fingerprint)},
             {"attempt", item->attempt},
             {"endpoint", target_id},
             {"fault", fault_id},
@@ -474,6 +477,7 @@
   if (item->incoming.time_left) {
     item->due = std::min(item->due, item->arrived + *item->incoming.time_left);
   }
+  item->fingerprint = FingerprintOf(*item);
   CountRequest(state.budget, item->service, item->arrived);
   Register(state, item);
   Begin(state, item);
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -28,6 +28,7 @@
 #include "net/http_server.h"
 #include "pipeline/path.h"
 #include "pipeline/placement.h"
+#include "quarantine/quarantine.h"
 
 namespace balsambay::gateway {
 
@@ -98,6 +99,7 @@
   uint64_t number = 0;
   incoming_call incoming;
   std::string body;
+  quarantine::fingerprint fingerprint;  // the same when the caller sends it again
   net::exchange_ptr exchange;
   std::shared_ptr<const catalog::catalog> configuration;  // in force when it arrived
   const catalog::route* route = nullptr;                  // in `configuration`
@@ -117,6 +119,7 @@
   std::string reply_body;  // answers that are sent whole
   time_point last_progress;
   bool progressed = false;  // the open attempt has produced output
+  int outputs = 0;          // of the open attempt, since its engines last changed
   bool rerouting = false;
   int reroutes = 0;  // refused ones of the open attempt, in a row
 
--- a/libs/gateway/src/details/telemetry.h
+++ b/libs/gateway/src/details/telemetry.h
@@ -14,6 +14,7 @@
   metrics::counter_id completed;
   metrics::counter_id broken_off;  // replies that ended early
   metrics::counter_id hung_up;     // callers that left
+  metrics::counter_id on_lost;     // requests that were on an endpoint when it was lost
   metrics::counter_id rerouted;
   metrics::counter_id orders;
   metrics::counter_id table_failures;
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "details/calls.h"
+#include "details/containment.h"
 #include "details/monitor.h"
 #include "log/log.h"
 
@@ -226,6 +227,7 @@
   item.next_probe = item.down_since + kFirstProbeDelay;
   log::Log(log::level::kWarning, "endpoint out of use",
            {{"endpoint", item.listed.id}, {"address", item.listed.address}, {"reason", reason}});
+  NoteLost(state, item);
   MoveCallsOff(state, item.listed.id, true);
 }
 
--- a/libs/gateway/src/telemetry.cc
+++ b/libs/gateway/src/telemetry.cc
@@ -21,6 +21,8 @@
                                      "Replies that were cut because they could not be completed.")),
       hung_up(metrics::AddCounter(registry, "gateway_hung_up_total",
                                   "Requests whose caller closed the connection.")),
+      on_lost(metrics::AddCounter(registry, "gateway_on_lost_endpoints_total",
+                                  "Requests that were on an endpoint when it was lost.")),
       rerouted(metrics::AddCounter(registry, "gateway_rerouted_total",
                                    "Running requests that were moved to other engines.")),
       orders(metrics::AddCounter(registry, "gateway_orders_total", "Orders sent to engines.")),
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -36,6 +36,9 @@
 
 fingerprint MakeFingerprint(std::string_view workspace, std::string_view content);
 
+// 32 hexadecimal digits, for logs and keys of stored rows.
+std::string ToString(const fingerprint& key);
+
 struct fingerprint_hash {
   size_t operator()(const fingerprint& key) const { return key.low; }
 };
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cinttypes>
+#include <cstdio>
 
 #include "base/hash.h"
 #include "base/result.h"
@@ -240,6 +242,12 @@
   return {Hash64(content, seed), Hash64(content, seed + 1)};
 }
 
+std::string ToString(const fingerprint& key) {
+  std::array<char, 33> text{};
+  std::snprintf(text.data(), text.size(), "%016" PRIx64 "%016" PRIx64, key.high, key.low);
+  return text.data();
+}
+
 void SetHasPeers(table& state, bool has_peers) { state.has_peers = has_peers; }
 
 decision Start(table& state, run_id id, const fingerprint& key, time_point now, outputs& out) {
--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -116,12 +116,9 @@
 }
 
 void platform_site::Publish(const site_endpoint& item) {
-  json row = {{"service", item.service},
-              {"addr", "127.0.0.1:" + std::to_string(item.port)},
-              {"zone", item.zone},
-              {"slots", 50},
-              {"state", "ready"},
-              {"seq", 1},
+  json row = {{"service", item.service}, {"addr", "127.0.0.1:" + std::to_string(item.port)},
+              {"zone", item.zone},       {"slots", 50},
+              {"state", "ready"},        {"seq", 1},
               {"born", item.started_ms}};
   if (item.service == "model") {
     row["kind"] = "k";
@@ -134,9 +131,15 @@
 
 void platform_site::PublishConfiguration() {
   const auto route = [](const std::string& kind, const std::string& service) {
-    return json{{"name", kind},           {"host", kHost},       {"prefix", "/" + kind + "/"},
-                {"kind", kind},           {"timeout_ms", 6000},  {"target_latency_ms", 500},
-                {"gap_aim_ms", 200},      {"attempts", 2},       {"service", service},
+    return json{{"name", kind},
+                {"host", kHost},
+                {"prefix", "/" + kind + "/"},
+                {"kind", kind},
+                {"timeout_ms", 6000},
+                {"target_latency_ms", 500},
+                {"gap_aim_ms", 200},
+                {"attempts", 2},
+                {"service", service},
                 {"can_resume", kind == "stream"}};
   };
   // Memory for one stage and requests, not for two stages.
@@ -236,9 +239,8 @@
 }
 
 size_t platform_site::ArrivalsOf(std::string_view body, time_point after) const {
-  return static_cast<size_t>(std::ranges::count_if(arrivals, [&](const arrival& item) {
-    return item.body == body && item.at > after;
-  }));
+  return static_cast<size_t>(std::ranges::count_if(
+      arrivals, [&](const arrival& item) { return item.body == body && item.at > after; }));
 }
 
 size_t platform_site::CountLogLines(std::string_view text) const {
@@ -296,12 +298,9 @@
 }
 
 void platform_site::ServeReport(const site_endpoint& item, const net::exchange_ptr& exchange) {
-  json body = {{"seq", item.accepted_orders},
-               {"busy", false},
-               {"born", item.started_ms},
-               {"kv_used", 0},
-               {"kv_total", 1'000'000},
-               {"stalled", json::array()}};
+  json body = {{"seq", item.accepted_orders}, {"busy", false},
+               {"born", item.started_ms},     {"kv_used", 0},
+               {"kv_total", 1'000'000},       {"stalled", json::array()}};
   if (item.end_layer > item.first_layer) {
     body["layers"] = {{"from", item.first_layer}, {"to", item.end_layer}, {"version", 1}};
   }
@@ -367,10 +366,10 @@
   std::string fault;
   if (!TakePath(*active, exchange->Header("Balsambay-Hop-Count"), fault) ||
       active->path.front().endpoint != &item) {
-    return exchange->Respond(503,
-                             std::array{net::header{"Balsambay-Not-Executed", "1"},
-                                        net::header{"At-Server", fault}},
-                             "");
+    return exchange->Respond(
+        503,
+        std::array{net::header{"Balsambay-Not-Executed", "1"}, net::header{"At-Server", fault}},
+        "");
   }
   runs_[active->id] = active;
   exchange->on_hangup = [this, weak = std::weak_ptr(active)] {
--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -26,10 +26,10 @@
 
 struct site_options {
   int gateways = 3;
-  std::vector<std::string> zones = {"a"};  // gateways and engines take them in turn
-  int engines_per_stage = 5;               // two stages of four layers each
-  int services = 3;                        // endpoints of the plain service
-  duration read_time = std::chrono::milliseconds(40);    // until the first event
+  std::vector<std::string> zones = {"a"};              // gateways and engines take them in turn
+  int engines_per_stage = 5;                           // two stages of four layers each
+  int services = 3;                                    // endpoints of the plain service
+  duration read_time = std::chrono::milliseconds(40);  // until the first event
   duration event_pause = std::chrono::milliseconds(25);
   int events_before_crash = 0;
   duration restart_after = std::chrono::milliseconds(1500);
