--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -427,6 +427,16 @@
   for (site_endpoint* endpoint : lost) Crash(*endpoint, body);
 }
 
+void platform_site::CutPeers() {
+  // Nothing listens on the port for discarded datagrams.
+  for (const site_gateway& item : gateways) {
+    store.Put("balsambay", "member/" + item.id,
+              json{{"zone", item.zone}, {"address", item.ip + ":9"}}.dump());
+  }
+  // Until all have read the list again.
+  Pause(1500ms);
+}
+
 void platform_site::Crash(site_endpoint& item, const std::string& body) {
   if (!item.server) return;
   crashes.push_back({body, item.id, MonotonicNow()});
@@ -439,7 +449,7 @@
     active->exchange->Abort();
   }
   item.server.reset();
-  item.first_layer = item.end_layer = 0;
+  if (options_.restart_empty) item.first_layer = item.end_layer = 0;
   Subscribe(loop.Timers(), MonotonicNow() + options_.restart_after,
             [this, &item](time_point) { Listen(item); });
 }
--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -33,6 +33,8 @@
   duration event_pause = std::chrono::milliseconds(25);
   int events_before_crash = 0;
   duration restart_after = std::chrono::milliseconds(1500);
+  // Without it, engines that come back hold what they held.
+  bool restart_empty = true;
   // Requests whose path has lost an engine end after this time.
   duration stall = std::chrono::milliseconds(3000);
 };
@@ -95,6 +97,9 @@
   bool RunUntil(const std::function<bool()>& done, duration limit);
   void Pause(duration time);
 
+  // Gateways no longer hear each other; the store and all endpoints still reach them.
+  void CutPeers();
+
   void Crash(site_endpoint& item, const std::string& body);
   site_endpoint& Endpoint(const std::string& id);
 
