--- a/libs/exchange/include/exchange/message.h
+++ b/libs/exchange/include/exchange/message.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "quarantine/quarantine.h"
 
 namespace balsambay::exchange {
 
@@ -98,6 +99,7 @@
   std::vector<store_contact> contacts;
   std::vector<endpoint_news> news;
   std::optional<shared_change> rows;
+  std::vector<quarantine::update> suspects;  // of the sender; without its name
   bool operator==(const message&) const = default;
 };
 
--- a/libs/exchange/src/message.cc
+++ b/libs/exchange/src/message.cc
@@ -9,6 +9,7 @@
 
 #include "base/cbor.h"
 #include "base/hash.h"
+#include "quarantine/message.h"
 
 namespace balsambay::exchange {
 namespace {
@@ -25,6 +26,7 @@
 constexpr uint64_t kMaxNumber = uint64_t{1} << 48;
 constexpr size_t kMaxNumbers = 16'384;
 constexpr uint64_t kMaxTable = 15;
+constexpr size_t kMaxSuspects = 64;
 constexpr uint64_t kMaxSequences = 1'000'000;
 constexpr std::chrono::milliseconds kMaxAge{600'000};
 
@@ -167,6 +169,9 @@
   Put(body, "c", contacts);
   Put(body, "n", news);
   if (message.rows) body["r"] = DescribeRows(*message.rows);
+  for (const quarantine::update& item : message.suspects) {
+    body["q"].push_back(quarantine::Describe(item));
+  }
   std::string out;
   json::to_cbor(body, out);
   return out;
@@ -221,6 +226,13 @@
   const auto rows = body.find("r");
   if (rows != body.end()) out.rows = ReadRows(*rows);
   if (!valid || (rows != body.end() && !out.rows)) return std::nullopt;
+  const json suspects = body.value("q", json::array());
+  if (!suspects.is_array() || suspects.size() > kMaxSuspects) return std::nullopt;
+  for (const json& entry : suspects) {
+    auto item = quarantine::ReadUpdate("", entry);
+    if (!item) return std::nullopt;
+    out.suspects.push_back(std::move(*item));
+  }
   return out;
 }
 
--- a/libs/exchange/tests/exchange_test.cc
+++ b/libs/exchange/tests/exchange_test.cc
@@ -183,6 +183,18 @@
                        {{"a", 7, "value"}, {"b", 9, std::nullopt}, {"c", 10, "\x80\xff", 3}}},
                       {1, 4'000'000'000}};
   }
+  for (int i = *rc::gen::inRange(0, 3); i > 0; --i) {
+    out.suspects.push_back(
+        {.daemon = "",
+         .key = {*rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint64_t>()},
+         .losses = {{"e1", *rc::gen::arbitrary<uint64_t>()}},
+         .cleared = {{"e2", 2}, {"e3", 3}},
+         .condemned = *rc::gen::arbitrary<bool>(),
+         .claim =
+             *rc::gen::element(quarantine::claim_kind::kNone, quarantine::claim_kind::kHolding),
+         .endpoints = {"e4", "e5"},
+         .half = {{"e6", *rc::gen::arbitrary<uint64_t>()}}});
+  }
   return out;
 }
 
--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/result.h"
@@ -39,6 +40,13 @@
 using exchange::changed_row;
 using exchange::table_change;
 
+// A row of the gateways' own table about a request that crashes endpoints.
+inline constexpr std::string_view kQuarantinePrefix = "quarantine/";
+struct quarantine_record {
+  std::string key;  // with the prefix
+  std::string value;
+};
+
 // What a gateway asks of the shared store.
 struct store_hooks {
   table_sender call;
@@ -84,6 +92,9 @@
 
   virtual void OnPeers(std::span<const peer_address> peers) = 0;
 
+  // All such rows of the table. One that is missing from then on is no longer in force.
+  virtual void OnQuarantine(std::span<const quarantine_record> records) = 0;
+
   // Limits from changed settings; addresses stay.
   virtual void OnSettings(const settings& settings) = 0;
 
--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 
+#include "details/containment.h"
 #include "details/fleet.h"
 #include "log/log.h"
 
@@ -27,6 +28,10 @@
 constexpr size_t kMaxEventBytes = size_t{256} << 10;
 // An endpoint that failed all its recent requests counts as this many requests longer.
 constexpr double kFailurePenalty = 20;
+// A suspect waits at most this long for engines without others: about the time in which these make
+// their first output. Callers wait two seconds for theirs.
+constexpr duration kApartWait = 400ms;
+constexpr std::ptrdiff_t kMostApart = 6;
 // Preference for the own zone, in requests.
 constexpr double kOtherZonePenalty = 0.5;
 
@@ -99,13 +104,29 @@
   std::vector<call_hop> path;
 };
 
+// Which engines a request may use.
+enum class company : uint8_t {
+  kAny,
+  kApart,  // without those that run other suspects
+};
+
+std::vector<size_t> ExcludedEngines(const gateway_state& state, const call& item,
+                                    std::span<const pipeline::engine> engines, company company) {
+  std::vector<size_t> out = IndexesOf(engines, item.avoided);
+  if (company == company::kAny) return out;
+  for (size_t i = 0; i < engines.size(); ++i) {
+    if (HasSuspect(state, engines[i].id)) out.push_back(i);
+  }
+  return out;
+}
+
 // `reached`: endpoints that count as tried.
 pipeline_choice ChoosePipeline(gateway_state& state, const call& item,
                                const catalog::service& service,
-                               const std::set<std::string>& reached) {
+                               const std::set<std::string>& reached, company company) {
   const pipeline::model_spec& model = *service.pipelined;
   const std::vector<pipeline::engine> engines = ViewEngines(state, service, MonotonicNow());
-  const std::vector<size_t> excluded = IndexesOf(engines, item.avoided);
+  const std::vector<size_t> excluded = ExcludedEngines(state, item, engines, company);
   // A request that may not be sent to further endpoints begins again where it was.
   std::vector<size_t> heads;
   if (static_cast<int>(reached.size()) >= item.route->max_attempts) {
@@ -133,20 +154,43 @@
   return {};
 }
 
+// Whether a suspect should wait for engines without others: it shows what it is only there. With
+// many suspects, something else takes engines down, and none of them waits.
+bool MayWaitApart(const gateway_state& state, call& item) {
+  const time_point now = MonotonicNow();
+  if (item.apart_until == time_point()) {
+    const auto suspects =
+        std::ranges::count_if(state.calls, [](const auto& entry) { return entry.second->suspect; });
+    item.apart_until = suspects <= kMostApart ? now + kApartWait : now;
+  }
+  return now < item.apart_until;
+}
+
 start_result TakePipeline(gateway_state& state, call& item, const catalog::service& service) {
   item.committed_tokens = ExpectedTokens(item, *service.pipelined);
-  pipeline_choice choice = ChoosePipeline(state, item, service, CountedEndpoints(state, item));
+  const std::set<std::string> reached = CountedEndpoints(state, item);
+  pipeline_choice choice = ChoosePipeline(state, item, service, reached, company::kAny);
+  if (choice.result == start_result::kStarted && item.suspect) {
+    pipeline_choice apart = ChoosePipeline(state, item, service, reached, company::kApart);
+    if (apart.result == start_result::kStarted) {
+      choice = std::move(apart);
+    } else if (MayWaitApart(state, item)) {
+      return start_result::kNoneApart;
+    }
+  }
   if (choice.result == start_result::kStarted) item.path = std::move(choice.path);
   return choice.result;
 }
 
-start_result TakePlain(gateway_state& state, call& item) {
+// nullptr: none.
+const endpoint* ChoosePlain(gateway_state& state, const call& item, company company) {
   const time_point now = MonotonicNow();
   const endpoint* best = nullptr;
   double best_cost = 0;
   for (const auto& [id, candidate] : state.endpoints) {
     if (candidate.listed.service != item.service || item.avoided.contains(id)) continue;
     if (!IsUsable(state, candidate, now)) continue;
+    if (company == company::kApart && HasSuspect(state, id)) continue;
     const double cost = candidate.own.sequences + candidate.peers.sequences +
                         kFailurePenalty * FailureRate(candidate, now) +
                         (candidate.listed.zone == state.config.zone ? 0 : kOtherZonePenalty) +
@@ -156,6 +200,12 @@
       best_cost = cost;
     }
   }
+  return best;
+}
+
+start_result TakePlain(gateway_state& state, call& item) {
+  const endpoint* best = item.suspect ? ChoosePlain(state, item, company::kApart) : nullptr;
+  if (best == nullptr) best = ChoosePlain(state, item, company::kAny);
   if (best == nullptr) return start_result::kNoEndpoint;
   item.committed_tokens = 0;
   item.path = {{best->listed.id, best->listed.address, {}}};
@@ -217,6 +267,7 @@
   item->last_progress = now;
   item->progressed = true;
   ++item->outputs;
+  NoteOutput(state, *item);
   events.on_output(state, item, whole);
 }
 
@@ -228,6 +279,7 @@
     case net::call_failure::kTimeout:
       return Fail(state, item, attempt_failure::kStalled, events);
     case net::call_failure::kBroken:
+      item->cut = true;
       return Fail(state, item, attempt_failure::kBroken, events);
     case net::call_failure::kNone:
       break;
@@ -275,7 +327,26 @@
   return out;
 }
 
+// A path that begins at the open attempt's head, engine number `head`. Full engines are used if
+// there are no others.
+pipeline::path_choice ChooseRest(const catalog::service& service,
+                                 std::span<const pipeline::engine> engines, const call& item,
+                                 size_t head, const gateway_state& state, company company) {
+  std::vector<size_t> excluded = ExcludedEngines(state, item, engines, company);
+  std::erase(excluded, head);
+  pipeline::path_query query{.tokens = item.committed_tokens,
+                             .home_zone = state.config.zone,
+                             .head = pipeline::path_stage{head, item.path.front().range},
+                             .ignore_room = false,
+                             .excluded = excluded};
+  pipeline::path_choice choice = pipeline::ChoosePath(*service.pipelined, engines, query);
+  if (choice.verdict != pipeline::path_verdict::kNoRoom) return choice;
+  query.ignore_room = true;
+  return pipeline::ChoosePath(*service.pipelined, engines, query);
+}
+
 void AdoptPath(gateway_state& state, call& item, std::vector<call_hop> path) {
+  PlaceAttempt(state, item, path);
   AttachLoad(state, item, -1);
   item.outputs = 0;
   item.path = std::move(path);
@@ -324,6 +395,7 @@
   item->last_progress = now;
   item->progressed = false;
   item->outputs = 0;
+  item->cut = false;
   item->rerouting = false;
   item->reroutes = 0;
   item->head = {};
@@ -331,6 +403,7 @@
   item->reply_body.clear();
   DropPartialEvent(item->events);
   AttachLoad(state, *item, 1);
+  PlaceAttempt(state, *item, item->path);
   net::client_request request = state.wire.write_attempt(item->incoming, item->body,
                                                          MakeSpec(*item, target, item->due - now));
   request.header_timeout = item->due - now;
@@ -343,11 +416,13 @@
   if (service == nullptr || !service->pipelined) return false;
   std::set<std::string> reached = CountedEndpoints(state, item);
   reached.insert(item.path.front().endpoint_id);
-  return ChoosePipeline(state, item, *service, reached).result == start_result::kStarted;
+  return ChoosePipeline(state, item, *service, reached, company::kAny).result ==
+         start_result::kStarted;
 }
 
 void CloseAttempt(gateway_state& state, call& item) {
   if (!item.upstream) return;
+  EndAttempt(state, item, attempt_end::kClosed);
   AttachLoad(state, item, -1);
   item.path.clear();
   Cancel(state.loop.Timers(), item.try_timer);
@@ -361,21 +436,14 @@
   if (service == nullptr || !service->pipelined) return false;
   if (item->rerouting) return true;
   const std::vector<pipeline::engine> engines = ViewEngines(state, *service, MonotonicNow());
-  const std::vector<size_t> excluded = IndexesOf(engines, item->avoided);
   const auto head =
       std::ranges::find(engines, item->path.front().endpoint_id, &pipeline::engine::id);
   if (head == engines.end()) return false;
-  pipeline::path_query query{
-      .tokens = item->committed_tokens,
-      .home_zone = state.config.zone,
-      .head = pipeline::path_stage{static_cast<size_t>(head - engines.begin()),
-                                   item->path.front().range},
-      .ignore_room = false,
-      .excluded = excluded};
-  pipeline::path_choice choice = pipeline::ChoosePath(*service->pipelined, engines, query);
-  if (choice.verdict == pipeline::path_verdict::kNoRoom) {
-    query.ignore_room = true;
-    choice = pipeline::ChoosePath(*service->pipelined, engines, query);
+  const auto index = static_cast<size_t>(head - engines.begin());
+  pipeline::path_choice choice;
+  if (item->suspect) choice = ChooseRest(*service, engines, *item, index, state, company::kApart);
+  if (choice.verdict != pipeline::path_verdict::kFound) {
+    choice = ChooseRest(*service, engines, *item, index, state, company::kAny);
   }
   if (choice.verdict != pipeline::path_verdict::kFound) return false;
   const bool crosses = ZoneCrossings(choice.stages, engines) > CrossingsOf(state, *item);
@@ -385,6 +453,10 @@
       state.wire.write_reroute(item->path.front().address, item->incoming.id, WireHops(path));
   order.header_timeout = kRerouteTimeout;
   item->rerouting = true;
+  // The new engines may begin before the reply is here.
+  std::vector<call_hop> both = item->path;
+  both.insert(both.end(), path.begin(), path.end());
+  PlaceAttempt(state, *item, both);
   metrics::Increment(state.metrics.registry, state.metrics.rerouted);
   const std::weak_ptr<call> weak = item;
   net::Fetch(*state.client, std::move(order),
@@ -404,7 +476,10 @@
                          {"head", path.front().endpoint_id},
                          {"status", reply.status},
                          {"detail", reply.end.detail}});
-               if (!done) return OnRerouteRefused(state, held, reply, events);
+               if (!done) {
+                 PlaceAttempt(state, *held, held->path);
+                 return OnRerouteRefused(state, held, reply, events);
+               }
                held->reroutes = 0;
                held->last_progress = MonotonicNow();
                AdoptPath(state, *held, path);
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -59,6 +59,9 @@
 constexpr duration kMoveLatest = 1800ms;
 constexpr duration kMoveRetry = 150ms;
 
+// Time between two looks of a request that waits for the quarantine.
+constexpr duration kHoldStep = 25ms;
+
 // Longest pause in a stream after which it is still worth continuing it, and the time between two
 // looks for an endpoint that can.
 constexpr duration kLongestPause = 1500ms;
@@ -124,6 +127,7 @@
 
 void Retire(gateway_state& state, const call_ptr& item) {
   CloseAttempt(state, *item);
+  item->held = false;
   Cancel(state.loop.Timers(), item->try_timer);
   Cancel(state.loop.Timers(), item->due_timer);
   item->exchange->on_hangup = nullptr;
@@ -169,6 +173,12 @@
              UniformUnit(state.rng) * static_cast<double>(duration(kRoomRetrySpread).count())));
 }
 
+// Coming back is of use when the quarantine ends.
+void GiveUpQuarantined(gateway_state& state, const call_ptr& item) {
+  const duration left = QuarantinedUntil(state, *item) - MonotonicNow();
+  GiveUp(state, item, {.status = 503, .reason = "quarantined", .retry_after = left});
+}
+
 void Begin(gateway_state& state, const call_ptr& item);
 
 // --- Outcomes of attempts.
@@ -204,6 +214,8 @@
     Answer(state, item->exchange, item->head.status, state.wire.reply_headers(item->head),
            item->reply_body);
   }
+  const bool success = item->head.status >= 200 && item->head.status < 300;
+  if (success) EndAttempt(state, *item, attempt_end::kAnswered);
   Retire(state, item);
 }
 
@@ -228,7 +240,7 @@
 
 bool MayTryAgain(gateway_state& state, const call& item, attempt_failure failure, bool pipelined,
                  time_point now) {
-  if (item.due - now < kLeastTimeLeft) return false;
+  if (item.due - now < kLeastTimeLeft || IsQuarantined(state, item)) return false;
   if (item.may_have_run && !IsIdempotent(item)) return false;
   if (failure == attempt_failure::kNotSent) return true;
   // A pipelined request may go through a head again with other engines behind it.
@@ -277,6 +289,7 @@
   const net::reply_head head = item->head;
   const std::string body = item->reply_body;
   const bool overloaded = failure == attempt_failure::kNotExecuted && item->head.status != 421;
+  if (item->cut && target != nullptr) NoteBroken(state, *item, *target);
   CloseAttempt(state, *item);
   if (fault != nullptr && failure == attempt_failure::kNotSent && !pipelined) {
     MarkDown(state, *fault, "cannot be reached");
@@ -297,6 +310,7 @@
     Answer(state, item->exchange, head.status, state.wire.reply_headers(head), body);
     return Retire(state, item);
   }
+  if (IsQuarantined(state, *item)) return GiveUpQuarantined(state, item);
   GiveUp(state, item,
          {.status = 503,
           .reason = overloaded ? "endpoint_full" : "endpoint_failed",
@@ -332,6 +346,7 @@
 void MoveOff(gateway_state& state, const call_ptr& item, const std::string& endpoint_id,
              bool last_chance, attempt_failure why) {
   const bool is_head = item->path.front().endpoint_id == endpoint_id;
+  if (IsQuarantined(state, *item)) return;  // about to be ended
   if (!is_head && Reroute(state, item, false, kEvents)) return;
   if (!last_chance || Restart(state, item, why) || is_head) return;
   Reroute(state, item, true, kEvents);
@@ -381,10 +396,33 @@
   return *next - now + duration(spread);
 }
 
+// Tries again at `when`, or before if the quarantine finds something.
+void Hold(gateway_state& state, const call_ptr& item, time_point when) {
+  item->held = true;
+  const std::weak_ptr<call> weak = item;
+  item->try_timer = Subscribe(state.loop.Timers(), when, [&state, weak](time_point) {
+    const call_ptr held = weak.lock();
+    if (held && held->held) Begin(state, held);
+  });
+}
+
 void Begin(gateway_state& state, const call_ptr& item) {
-  switch (StartAttempt(state, item, kEvents)) {
+  item->held = false;
+  const time_point now = MonotonicNow();
+  const quarantine::decision decided = AskToRun(state, *item);
+  if (decided.answer == quarantine::verdict::kRefuse) return GiveUpQuarantined(state, item);
+  if (decided.answer == quarantine::verdict::kHold) {
+    return Hold(state, item, std::max(decided.until, now + kHoldStep));
+  }
+  item->suspect = decided.answer == quarantine::verdict::kAllowAlone;
+  const start_result started = StartAttempt(state, item, kEvents);
+  if (started == start_result::kStarted) return WatchTry(state, item);
+  EndAttempt(state, *item, attempt_end::kClosed);
+  switch (started) {
     case start_result::kStarted:
-      return WatchTry(state, item);
+      return;
+    case start_result::kNoneApart:
+      return Hold(state, item, now + kHoldStep);
     case start_result::kNoRoom:
       if (WaitForEndpoint(state, item)) return;
       return GiveUp(state, item, {503, "no_room", SpreadRetry(state)});
@@ -500,6 +538,35 @@
   }
 }
 
+namespace {
+
+std::vector<call_ptr> CallsLike(const gateway_state& state, const quarantine::fingerprint& key) {
+  std::vector<call_ptr> out;
+  for (const auto& [number, item] : state.calls) {
+    if (item->fingerprint == key) out.push_back(item);
+  }
+  return out;
+}
+
+}  // namespace
+
+void EndQuarantined(gateway_state& state, const quarantine::fingerprint& key) {
+  for (const call_ptr& item : CallsLike(state, key)) {
+    if (!IsQuarantined(state, *item)) return;
+    if (item->upstream && HasShownProgress(*item)) continue;
+    if (item->upstream) item->may_have_run = true;
+    GiveUpQuarantined(state, item);
+  }
+}
+
+void ResumeHeld(gateway_state& state, const quarantine::fingerprint& key) {
+  for (const call_ptr& item : CallsLike(state, key)) {
+    if (!item->held) continue;
+    Cancel(state.loop.Timers(), item->try_timer);
+    Begin(state, item);
+  }
+}
+
 void CheckProgress(gateway_state& state) {
   const time_point now = MonotonicNow();
   std::map<std::string_view, suspicion> seen;
--- a/libs/gateway/src/details/attempt.h
+++ b/libs/gateway/src/details/attempt.h
@@ -31,7 +31,12 @@
   void (*on_reroute_failed)(gateway_state& state, const call_ptr& item);
 };
 
-enum class start_result : uint8_t { kStarted, kNoRoom, kNoEndpoint };
+enum class start_result : uint8_t {
+  kStarted,
+  kNoRoom,
+  kNoEndpoint,
+  kNoneApart,  // a suspect should wait for engines without others
+};
 
 // Chooses an endpoint or path and sends the request there.
 start_result StartAttempt(gateway_state& state, const call_ptr& item, const attempt_events& events);
--- a/libs/gateway/src/details/calls.h
+++ b/libs/gateway/src/details/calls.h
@@ -14,6 +14,12 @@
 // again elsewhere; otherwise it finishes those and only the rest of their paths changes.
 void MoveCallsOff(gateway_state& state, const std::string& endpoint_id, bool lost);
 
+// Ends the open requests with this fingerprint, but for those that go well.
+void EndQuarantined(gateway_state& state, const quarantine::fingerprint& key);
+
+// Requests that were held because of what was looked into go on.
+void ResumeHeld(gateway_state& state, const quarantine::fingerprint& key);
+
 // Looks for requests without progress and asks their heads for the reason.
 void CheckProgress(gateway_state& state);
 
--- a/libs/gateway/src/details/fleet.h
+++ b/libs/gateway/src/details/fleet.h
@@ -24,7 +24,9 @@
 void ReplaceEndpoints(gateway_state& state, std::span<const listed_endpoint> listed);
 
 // Takes an endpoint out of use until it answers again. Requests on it move elsewhere.
-void MarkDown(gateway_state& state, endpoint& item, std::string_view reason);
+// `silent_since`: it has not answered since then; kNever: it may have been lost just now.
+void MarkDown(gateway_state& state, endpoint& item, std::string_view reason,
+              time_point silent_since = kNever);
 // Takes it back into use.
 void MarkBack(gateway_state& state, endpoint& item, std::string_view reason);
 
--- a/libs/gateway/src/details/monitor.h
+++ b/libs/gateway/src/details/monitor.h
@@ -19,6 +19,10 @@
 // Requests that the report names as stalled move off the engines that cause it.
 void AskEndpoint(gateway_state& state, endpoint& item, std::string_view why);
 
+// Asks an endpoint that broke a connection off whether it lives. Plain endpoints count as lost only
+// when they refuse the next connection.
+void ConfirmLoss(gateway_state& state, endpoint& item);
+
 // Whether asking now could tell something new.
 bool MayAsk(const endpoint& item, time_point now);
 
@@ -28,6 +32,8 @@
 result<void> StartPeers(gateway_state& state);
 // Tells the others at once what this gateway has learned of an endpoint.
 void TellNews(gateway_state& state, exchange::news_kind kind, const endpoint& item);
+// Tells the others at once of suspected and refused requests.
+void TellSuspects(gateway_state& state, std::span<const quarantine::update> updates);
 // Notes a reply of a followed table; the others learn of it at once when it ended a check.
 void ConfirmFeed(gateway_state& state, feed which, uint64_t changed, uint64_t complete);
 // Whether this gateway reads the tables for its cell.
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -79,8 +79,9 @@
   size_t watch_rank = 0;    // among the gateways of this zone, at `ranked_at`
   time_point ranked_at;
   int missed_reports = 0;
-  time_point refused_until;  // refused work lately; not chosen before
-  double failure_rate = 0;   // moving mean over requests, decays with time since `failure_at`
+  time_point silent_since{};  // the first of these was asked for
+  time_point refused_until;   // refused work lately; not chosen before
+  double failure_rate = 0;    // moving mean over requests, decays with time since `failure_at`
   time_point failure_at;
 };
 
@@ -120,6 +121,8 @@
   time_point last_progress;
   bool progressed = false;  // the open attempt has produced output
   int outputs = 0;          // of the open attempt, since its engines last changed
+  bool suspect = false;     // the open attempt is one of a suspected request
+  bool cut = false;         // the connection of the open attempt broke
   bool rerouting = false;
   int reroutes = 0;  // refused ones of the open attempt, in a row
 
@@ -133,6 +136,8 @@
   bool streaming = false;  // the reply to the caller has begun
   event_splitter events;
   std::set<std::string> avoided;  // endpoint ids that failed for this request
+  bool held = false;              // waits for what the quarantine finds
+  time_point apart_until{};       // a suspect waits this long for engines without others
   timer_id due_timer = 0;
   timer_id try_timer = 0;
 };
@@ -169,9 +174,13 @@
   std::unordered_map<uint32_t, load> loads{};  // by the endpoint's name in messages
 };
 
+// Of the quarantine of this gateway (containment.cc).
+quarantine::settings QuarantineSettings(const settings& values);
+
 struct gateway_state {
   gateway_state(const settings& values, wire calls, store_hooks hooks, net::loop& main_loop)
       : config(values),
+        quarantine(QuarantineSettings(values)),
         wire(std::move(calls)),
         store(std::move(hooks)),
         loop(main_loop),
@@ -179,6 +188,7 @@
         rng(values.seed != 0 ? values.seed : std::random_device{}()) {}
 
   settings config;
+  quarantine::table quarantine;
   struct wire wire;
   store_hooks store;
   net::loop& loop;
@@ -206,7 +216,10 @@
   exchange::topology topology;                               // of `members`
   std::ptrdiff_t zone_peers = 0;                             // other gateways of the own zone
   size_t exchange_round = 0;
-  std::vector<exchange::endpoint_news> news;  // that are about to be told
+  std::vector<exchange::endpoint_news> news;                       // that are about to be told
+  std::map<quarantine::fingerprint, quarantine::update> suspects;  // likewise
+  size_t snapshot_cursor = 0;                         // in what the quarantine repeats to others
+  std::map<std::string, int64_t> quarantine_records;  // Unix ms of their end, by key
   time_point started_at;
   bool peer_loads_changed = false;                    // the sums of loads are out of date
   std::map<std::string, time_point> zone_down_until;  // zones that cannot be reached
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -33,6 +33,8 @@
 
 void Update(gateway_state& state, endpoint& item, const listed_endpoint& listed) {
   const bool restarted = item.listed.incarnation != listed.incarnation;
+  const bool unnoticed = restarted && !item.listed.id.empty() && !item.listed.leaving && !item.down;
+  if (unnoticed) NoteLost(state, item);
   const bool now_leaving = listed.leaving && !item.listed.leaving;
   // Within one incarnation, leaving is final.
   const bool leaving = listed.leaving || (!restarted && item.listed.leaving);
@@ -220,14 +222,15 @@
   state.endpoints_changed = MonotonicNow();
 }
 
-void MarkDown(gateway_state& state, endpoint& item, std::string_view reason) {
+void MarkDown(gateway_state& state, endpoint& item, std::string_view reason,
+              time_point silent_since) {
   if (item.down) return;
   item.down = true;
   item.down_since = MonotonicNow();
   item.next_probe = item.down_since + kFirstProbeDelay;
   log::Log(log::level::kWarning, "endpoint out of use",
            {{"endpoint", item.listed.id}, {"address", item.listed.address}, {"reason", reason}});
-  NoteLost(state, item);
+  NoteLost(state, item, silent_since);
   MoveCallsOff(state, item.listed.id, true);
 }
 
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -2,6 +2,7 @@
 #include "gateway/gateway.h"
 
 #include "details/calls.h"
+#include "details/containment.h"
 #include "details/fleet.h"
 #include "details/monitor.h"
 #include "details/placer.h"
@@ -72,6 +73,7 @@
     BOOST_OUTCOME_TRYV(StartPeers(state_));
     StartMonitor(state_);
     StartPlacer(state_);
+    StartContainment(state_);
     log::Log(log::level::kInfo, "gateway started",
              {{"id", state_.config.id}, {"zone", state_.config.zone}});
     return Success();
@@ -115,6 +117,10 @@
 
   void OnPeers(std::span<const peer_address> peers) override { ReplacePeers(state_, peers); }
 
+  void OnQuarantine(std::span<const quarantine_record> records) override {
+    ReplaceQuarantine(state_, records);
+  }
+
   void OnSettings(const settings& settings) override {
     state_.config.retry_ratio = settings.retry_ratio;
     state_.config.retry_window = settings.retry_window;
--- a/libs/gateway/src/monitor.cc
+++ b/libs/gateway/src/monitor.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "details/calls.h"
+#include "details/containment.h"
 #include "details/fleet.h"
 #include "details/watch.h"
 #include "log/log.h"
@@ -69,14 +70,16 @@
   return std::clamp(Beyond(state.report_time, kDeviations), kCheckTimeout, kReportTimeout);
 }
 
-void OnNoReport(gateway_state& state, endpoint& item, bool refused, std::string_view why) {
+void OnNoReport(gateway_state& state, endpoint& item, bool refused, std::string_view why,
+                time_point asked) {
   if (item.down) return;
-  ++item.missed_reports;
+  if (item.missed_reports++ == 0) item.silent_since = asked;
   if (!refused && why != kNoProgress && item.missed_reports < kMissedReports) {
     return Ask(state, item, why, CheckTimeout(state));
   }
   item.found_down = true;
-  MarkDown(state, item, "no report, asked because: " + std::string(why));
+  MarkDown(state, item, "no report, asked because: " + std::string(why),
+           refused ? kNever : item.silent_since);
   TellNews(state, exchange::news_kind::kDown, item);
 }
 
@@ -93,7 +96,7 @@
       return Ask(state, *item, why, kReportTimeout);
     }
     const bool refused = reply.end.failure == net::call_failure::kConnect && now < due;
-    return OnNoReport(state, *item, refused, why);
+    return OnNoReport(state, *item, refused, why, asked);
   }
   Add(state.report_time, MonotonicNow() - asked, kReportWeights);
   auto report = state.wire.read_report(reply.body);
@@ -102,7 +105,10 @@
              {{"endpoint", id}, {"detail", report.error().detail}});
     return;
   }
+  // Started again before anything was missed.
+  if (report.value().incarnation > item->listed.incarnation && !item->down) NoteLost(state, *item);
   ApplyReport(state, *item, report.value());
+  NoteAlive(state, *item, report.value().incarnation, asked);
   AskStalled(state, report.value());
 }
 
@@ -120,6 +126,36 @@
       kShortReply);
 }
 
+// A plain endpoint answers in turn, so only a refused connection shows that it is gone.
+void OnHealth(gateway_state& state, const std::string& id, const net::whole_reply& reply,
+              time_point asked) {
+  endpoint* item = FindEndpoint(state, id);
+  if (item == nullptr) return;
+  item->probing = false;
+  const bool timely = MonotonicNow() < asked + kReportTimeout;
+  if (reply.end.failure == net::call_failure::kConnect && timely) {
+    MarkDown(state, *item, "refuses connections");
+  } else if (reply.end.failure == net::call_failure::kNone) {
+    NoteAlive(state, *item, item->listed.incarnation, asked);
+  }
+}
+
+void AskHealth(gateway_state& state, endpoint& item) {
+  const catalog::service* service = catalog::FindService(*state.configuration, item.listed.service);
+  if (service == nullptr || service->health_path.empty()) return;
+  item.probing = true;
+  net::client_request request;
+  request.method = "GET";
+  request.url = "http://" + item.listed.address + service->health_path;
+  request.header_timeout = kReportTimeout;
+  net::Fetch(
+      *state.client, std::move(request),
+      [&state, id = item.listed.id, asked = MonotonicNow()](const net::whole_reply& reply) {
+        OnHealth(state, id, reply, asked);
+      },
+      kShortReply);
+}
+
 // Later watchers look less often, in case the first ones are gone.
 duration DownProbeInterval(size_t rank) {
   return std::min<duration>(kDownProbeInterval * (1 + 2 * rank), kLongestDownProbe);
@@ -200,7 +236,9 @@
     log::Log(log::level::kWarning, "zone cannot be reached",
              {{"zone", zone}, {"silent_ms", WholeMilliseconds(now - last)}});
     for (auto& [id, item] : state.endpoints) {
-      if (item.listed.zone == zone && IsEngine(state, item)) MarkDown(state, item, "zone cut off");
+      if (item.listed.zone == zone && IsEngine(state, item)) {
+        MarkDown(state, item, "zone cut off", last);
+      }
     }
   }
 }
@@ -233,6 +271,15 @@
   if (IsEngine(state, item)) Ask(state, item, why, CheckTimeout(state));
 }
 
+void ConfirmLoss(gateway_state& state, endpoint& item) {
+  constexpr std::string_view kBrokeOff = "broke off";
+  if (item.probing || item.down || !state.configuration) return;
+  item.checked_at = MonotonicNow();
+  if (IsEngine(state, item)) return Ask(state, item, kBrokeOff, CheckTimeout(state));
+  CountReport(state.metrics, kBrokeOff);
+  AskHealth(state, item);
+}
+
 void StartMonitor(gateway_state& state) {
   Tick(state, MonotonicNow());
   ProgressTick(state, MonotonicNow());
--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <numeric>
 
+#include "details/containment.h"
 #include "details/fleet.h"
 #include "details/monitor.h"
 #include "details/watch.h"
@@ -142,6 +143,10 @@
   if (IsExact(state)) message.loads = OwnLoads(state);
   message.contacts = BestContacts(state, now);
   message.engines = TakeRecords(state, record_duty::kTell, kMostRecords, now);
+  // Makes up for lost messages, one entry at a time.
+  if (auto item = quarantine::NextOfSnapshot(state.quarantine, state.snapshot_cursor)) {
+    message.suspects.push_back(std::move(*item));
+  }
   const exchange::receivers to =
       exchange::StateReceivers(state.topology, state.exchange_round++, state.rng);
   if (!to.relays.empty()) Send(state, to.relays, Encode(message));
@@ -401,6 +406,34 @@
   }
 }
 
+// --- Suspected and refused requests.
+
+// Of one datagram.
+constexpr size_t kMostSuspects = 6;
+
+void SendSuspects(gateway_state& state, time_point now) {
+  const auto all = std::exchange(state.suspects, {});
+  exchange::message message = MakeMessage(state, now);
+  for (const auto& [key, item] : all) {
+    message.suspects.push_back(item);
+    if (message.suspects.size() < kMostSuspects) continue;
+    Announce(state, message);
+    message.suspects.clear();
+  }
+  if (!message.suspects.empty()) Announce(state, message);
+}
+
+// What comes from another cell is passed on in the own one.
+void ReadSuspects(gateway_state& state, const exchange::message& message, const peer& from) {
+  const auto changed = MergeSuspects(state, from.address.id, message.suspects);
+  if (from.in_cell) return;
+  for (const quarantine::fingerprint& key : changed) {
+    if (const auto item = quarantine::UpdateOf(state.quarantine, key)) {
+      TellSuspects(state, {&*item, 1});
+    }
+  }
+}
+
 // A gateway that is new, or one of which the list here knows nothing yet.
 void OnUnknownSender(gateway_state& state, time_point now) {
   const auto index = static_cast<size_t>(feed::kGateways);
@@ -427,6 +460,7 @@
   peer& from = state.peers.at(id->second);
   ReadFeeds(state, *message, now);
   ReadNews(state, *message, from);
+  ReadSuspects(state, *message, from);
   if (message->is_state) ReadState(state, from, *message, now);
   // Last, since rows of the list of gateways replace `from`.
   if (message->rows) OnRows(state, *message);
@@ -475,6 +509,15 @@
   QueueNews(state, {kind, exchange::NameOf(item.listed.id), item.listed.incarnation});
 }
 
+void TellSuspects(gateway_state& state, std::span<const quarantine::update> updates) {
+  if (updates.empty()) return;
+  const bool queued = !state.suspects.empty();
+  for (const quarantine::update& item : updates) state.suspects[item.key] = item;
+  if (queued) return;
+  Subscribe(state.loop.Timers(), MonotonicNow() + kNewsDelay,
+            [&state](time_point now) { SendSuspects(state, now); });
+}
+
 void ConfirmFeed(gateway_state& state, feed which, uint64_t changed, uint64_t complete) {
   freshness& item = state.feeds.at(static_cast<size_t>(which));
   const time_point now = MonotonicNow();
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -1,13 +1,14 @@
 // Requests that crash the endpoints that run them, by fingerprint. A fingerprint that was on an
-// endpoint when it was lost is suspected; it then runs one copy at a time in the zone, away from
-// other suspects. After two lost endpoints it is refused. A completed run clears it.
+// endpoint when it was lost is suspected. After two lost endpoints it is refused. A completed run
+// clears it. How suspects run until then is a setting (`trial`).
 //
-// Daemons tell each other about losses and claims (who may run the one copy). The daemon sends the
-// updates that functions return to all peers of the zone, in order for each peer.
+// Daemons tell each other about losses and claims (who runs a suspect, and where). The daemon sends
+// the updates that functions return to its peers.
 #pragma once
 
 #include <compare>
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <map>
 #include <optional>
@@ -38,6 +39,7 @@
 
 // 32 hexadecimal digits, for logs and keys of stored rows.
 std::string ToString(const fingerprint& key);
+std::optional<fingerprint> ParseFingerprint(std::string_view text);
 
 struct fingerprint_hash {
   size_t operator()(const fingerprint& key) const { return key.low; }
@@ -57,19 +59,40 @@
   bool count_twice = false;   // a loss that two daemons report counts twice
   bool no_isolation = false;  // HasSuspect() is always false
   bool unbounded = false;
+  bool no_grading = false;  // with trial::kShared, all losses count in full
+};
+
+// How suspects run until they are cleared or refused.
+enum class trial : uint8_t {
+  // One copy in the zone at a time, on endpoints without other suspects; the daemon holds the
+  // others back meanwhile.
+  kOneCopy,
+  // At once, since callers wait and each endpoint serves many runs. What a loss then says about a
+  // run depends on how far the run had come and on who else was there:
+  // - A run that was on a lost endpoint without having progressed there is suspected of it: the
+  //   loss counts in full.
+  // - It counts half for a suspect that shared the endpoint with another suspect, and for a run
+  //   that had progressed; of the latter one for each run.
+  // - Of several endpoints of one route that are lost, one counts, until the run is placed anew.
+  // - While many endpoints are lost that the fingerprint was not on, one more loss is needed.
+  // - Losses that a refused fingerprint explains count no longer against others.
+  kShared,
 };
 
 struct settings {
   std::string daemon;  // own id; among claims of the same moment the lowest id wins
+  enum trial trial = trial::kOneCopy;
   int max_losses = 2;
   // Copies of an unproven fingerprint that may be without a first token at the same time, on this
   // daemon. 1 keeps simultaneous copies from losing one endpoint each; 0 means no limit.
   int max_unproven_runs = 1;
   // Longest time from an update to its arrival at a peer. A claim waits twice this time.
   duration exchange_delay = 50ms;
-  duration unused_claim = 1s;     // a claim that nobody uses is given up
-  duration peer_claim = 60s;      // a peer's claim lapses, in case the peer died
-  duration confirm_within = 10s;  // then an unanswering endpoint counts as lost
+  duration unused_claim = 1s;  // a claim that nobody uses is given up
+  duration peer_claim = 60s;   // a peer's claim lapses, in case the peer died
+  // Then an endpoint that has not answered after it broke off counts as lost; with trial::kShared,
+  // as alive, since the daemon asks at once.
+  duration confirm_within = 10s;
   duration loss_lifetime = 10min;
   duration proof_lifetime = 10min;
   size_t max_entries = 4096;  // plus those with runs in flight
@@ -78,7 +101,7 @@
 
 enum class verdict : uint8_t {
   kAllow,
-  kAllowAlone,  // place it on endpoints for which HasSuspect() is false
+  kAllowAlone,  // a suspect: place it on endpoints for which HasSuspect() is false
   kHold,        // ask again when woken, or at `until`
   kRefuse,      // `quarantined`
 };
@@ -103,11 +126,15 @@
   bool condemned = false;              // the sender refuses it
   claim_kind claim = claim_kind::kNone;
   std::vector<std::string> endpoints;  // where the sender runs it as a suspect
+  std::vector<endpoint_life> half{};   // losses that count half
+  bool operator==(const update&) const = default;
 };
 
 struct outputs {
-  std::vector<update> publish;    // to all peers
-  std::vector<fingerprint> wake;  // held requests that should ask again
+  std::vector<update> publish;         // to all peers
+  std::vector<fingerprint> wake;       // held requests that should ask again
+  std::vector<fingerprint> condemned;  // refused from now on
+  std::vector<fingerprint> released;   // no longer refused
 };
 
 enum class fingerprint_state : uint8_t { kClear, kSuspected, kQuarantined };
@@ -121,17 +148,26 @@
   std::vector<std::string> endpoints;
 };
 
+using run_id = uint64_t;
+
 struct pending_loss {
   endpoint_life life;
   time_point since;
-  bool alone = false;  // the run was a suspect, apart from other suspects
+  bool alone = false;       // the run was a suspect
+  bool progressed = false;  // on this endpoint; only with trial::kShared
+  run_id run = 0;
 };
 
 struct entry {
   fingerprint_state state = fingerprint_state::kClear;
-  std::vector<endpoint_life> losses;   // confirmed, at most max_losses
+  std::vector<endpoint_life> losses;   // confirmed, that count in full
+  std::vector<endpoint_life> half;     // confirmed, that count half; none of `losses`
   std::vector<endpoint_life> cleared;  // newest kKeptLives
-  std::vector<pending_loss> pending;   // broken connections, to be confirmed
+  std::vector<endpoint_life> present;  // lost while the fingerprint was there, newest kKeptLives
+  run_id progressed_run = 0;           // whose loss after progress counts already
+  bool condemned = false;
+  bool restored = false;              // condemned by a record, not by losses
+  std::vector<pending_loss> pending;  // broken connections, to be confirmed
   std::map<std::string, peer_claim> peers;
   std::optional<time_point> claimed_at;  // own claim
   bool has_waiters = false;
@@ -144,15 +180,26 @@
   std::list<fingerprint>::iterator position;
 };
 
-using run_id = uint64_t;
+// An endpoint of a run's route.
+struct run_part {
+  endpoint_life life;
+  time_point since{};       // when the run was placed there
+  bool progressed = false;  // the run has progressed there
+  bool settled = false;     // a loss of this route counts already
+};
 
 struct run {
   fingerprint key;
-  std::vector<endpoint_life> route;
+  std::vector<run_part> route;
   bool alone = false;
   bool progressed = false;
 };
 
+struct lost_life {
+  endpoint_life life;
+  time_point at;
+};
+
 // Invariant: each entry is in exactly one of the lists, most recently used first.
 struct table {
   table() = default;
@@ -165,9 +212,10 @@
   std::unordered_map<fingerprint, entry, fingerprint_hash> entries;
   std::unordered_map<run_id, run> runs;
   std::list<fingerprint> plain;   // nothing against them; evicted first
-  std::list<fingerprint> marked;  // suspected, quarantined or claimed
+  std::list<fingerprint> marked;  // suspected, quarantined, claimed or with pending losses
   // Endpoints with a suspected run that has not progressed, here or at a peer.
   std::set<std::string, std::less<>> suspect_endpoints;
+  std::deque<lost_life> recent;  // with trial::kShared: lost lately, oldest first
   time_point next_sweep{};
 };
 
@@ -178,8 +226,10 @@
 // when the table is full of suspects.
 decision Start(table& state, run_id id, const fingerprint& key, time_point now, outputs& out);
 
-// The endpoints that the run uses, before it is sent to them.
-void Place(table& state, run_id id, std::span<const endpoint_life> route, outputs& out);
+// The endpoints that the run uses, before it is sent to them, and again when they change. Those
+// that stay keep what the run has done there.
+void Place(table& state, run_id id, std::span<const endpoint_life> route, outputs& out,
+           time_point now = {});
 
 // The run produced a token that the caller did not have before. It no longer keeps other suspects
 // away, and the next copy of its fingerprint may start.
@@ -198,13 +248,25 @@
 // The endpoint was lost: it refuses connections or came back with another incarnation. Everything
 // that ran on this life of it is suspected, so it is called before End() for runs whose own
 // connection did not break. Cost: O(runs + pending entries).
-void Lost(table& state, const endpoint_life& life, time_point now, outputs& out);
+//
+// `alive_until`, with trial::kShared: the endpoint may have been lost at any time after this one,
+// so runs that were placed there later say nothing; kNever when nothing is known.
+void Lost(table& state, const endpoint_life& life, time_point now, outputs& out,
+          time_point alive_until = kNever);
+
+// The endpoint has answered in the same incarnation a question of the time `asked`, so a broken
+// connection was no loss; with trial::kShared, neither was what counted as a loss before that time.
+void Alive(table& state, const endpoint_life& life, time_point asked, outputs& out);
 
-// The endpoint answers in the same incarnation, so a broken connection was no loss.
-void Alive(table& state, const endpoint_life& life, time_point now, outputs& out);
+// Merges what a peer published. Losses are counted by their identity. Returns whether it changed
+// what is known of losses.
+bool Merge(table& state, const update& from, time_point now, outputs& out);
 
-// Merges what a peer published. Losses are counted by their identity.
-void Merge(table& state, const update& from, time_point now, outputs& out);
+// Refuses the fingerprint until a time that a durable record states, without publishing it.
+void Restore(table& state, const fingerprint& key, time_point until, outputs& out);
+
+// Forgets all losses of the fingerprint.
+void Lift(table& state, const fingerprint& key, outputs& out);
 
 // Drops the claims of a daemon that left the zone.
 void PeerGone(table& state, std::string_view daemon, time_point now, outputs& out);
@@ -222,6 +284,13 @@
 // All that a joining peer needs. Also sent from time to time to repair lost updates.
 std::vector<update> Snapshot(const table& state);
 
+// What peers need to know about the fingerprint now; nullopt when nothing is known.
+std::optional<update> UpdateOf(const table& state, const fingerprint& key);
+
+// One entry of the snapshot after the other, to repair lost updates little by little: number
+// `cursor`, which moves on.
+std::optional<update> NextOfSnapshot(const table& state, size_t& cursor);
+
 fingerprint_state StateOf(const table& state, const fingerprint& key);
 
 }  // namespace balsambay::quarantine
--- /dev/null
+++ b/libs/quarantine/src/details/blame.cc
@@ -0,0 +1,122 @@
+// Blame for lost endpoints.
+#include "details/blame.h"
+
+#include <algorithm>
+
+namespace balsambay::quarantine::details {
+namespace {
+
+// Endpoints that were out of reach are back within this time, if they were not lost.
+constexpr duration kRecentLifetime = 60s;
+constexpr size_t kMaxRecent = 256;
+
+void NoteRecent(table& state, const endpoint_life& life, time_point now) {
+  while (!state.recent.empty() &&
+         (now - state.recent.front().at > kRecentLifetime || state.recent.size() >= kMaxRecent)) {
+    state.recent.pop_front();
+  }
+  if (std::ranges::find(state.recent, life, &lost_life::life) == state.recent.end()) {
+    state.recent.push_back({life, now});
+  }
+}
+
+auto FindPart(run& active, const endpoint_life& life) {
+  return std::ranges::find(active.route, life, &run_part::life);
+}
+
+// Whether another suspect was on `life` when it was lost, here or at a peer.
+bool HadOtherSuspect(const table& state, const fingerprint& key, const endpoint_life& life) {
+  const bool runs = std::ranges::any_of(state.runs, [&](const auto& entry) {
+    const run& active = entry.second;
+    return active.key != key && active.alone && !active.progressed &&
+           std::ranges::find(active.route, life, &run_part::life) != active.route.end();
+  });
+  return runs || std::ranges::any_of(state.marked, [&](const fingerprint& other) {
+           if (other == key) return false;
+           const entry& item = state.entries.find(other)->second;
+           const bool pending = std::ranges::any_of(item.pending, [&](const pending_loss& one) {
+             return one.life == life && one.alone && !one.progressed;
+           });
+           return pending || std::ranges::any_of(item.peers, [&](const auto& peer) {
+                    return std::ranges::find(peer.second.endpoints, life.endpoint) !=
+                           peer.second.endpoints.end();
+                  });
+         });
+}
+
+// Losses after progress count once for each run.
+void AddAfterProgress(table& state, run_id id, const fingerprint& key, const finding& loss,
+                      findings& out) {
+  entry& item = state.entries.find(key)->second;
+  if (item.progressed_run == id) return;
+  item.progressed_run = id;
+  out.emplace(key, loss);
+}
+
+void GradeRun(table& state, run_id id, run& active, const endpoint_life& life,
+              time_point alive_until, findings& out) {
+  const auto part = FindPart(active, life);
+  if (part == active.route.end()) return;
+  entry& item = state.entries.find(active.key)->second;
+  if (!Contains(item.present, life)) Remember(item.present, life);
+  if (part->settled || part->since > alive_until) return;
+  const bool progressed = part->progressed;
+  for (run_part& other : active.route) other.settled = true;
+  if (progressed) return AddAfterProgress(state, id, active.key, {life, true, active.alone}, out);
+  const bool shared = active.alone && HadOtherSuspect(state, active.key, life);
+  out.emplace(active.key, finding{life, shared, active.alone});
+}
+
+void GradePending(table& state, const fingerprint& key, const endpoint_life& life, findings& out) {
+  for (const pending_loss& one : state.entries.find(key)->second.pending) {
+    if (one.life != life) continue;
+    if (one.progressed) {
+      AddAfterProgress(state, one.run, key, {life, true, one.alone}, out);
+      continue;
+    }
+    const bool shared = one.alone && HadOtherSuspect(state, key, life);
+    out.emplace(key, finding{life, shared, one.alone});
+  }
+}
+
+findings AllInFull(findings items) {
+  for (auto& [key, loss] : items) loss.half = false;
+  return items;
+}
+
+}  // namespace
+
+findings AffectedBy(const table& state, const endpoint_life& life) {
+  findings out;
+  const auto add = [&](const fingerprint& key, bool alone) {
+    finding& loss = out.try_emplace(key, finding{life, false, false}).first->second;
+    loss.alone |= alone;
+  };
+  for (const auto& [id, active] : state.runs) {
+    const bool there = std::ranges::find(active.route, life, &run_part::life) != active.route.end();
+    if (there) add(active.key, active.alone);
+  }
+  for (const fingerprint& key : state.marked) {
+    for (const pending_loss& one : state.entries.find(key)->second.pending) {
+      if (one.life == life) add(key, one.alone);
+    }
+  }
+  return out;
+}
+
+findings GradeLoss(table& state, const endpoint_life& life, time_point now,
+                   time_point alive_until) {
+  NoteRecent(state, life, now);
+  findings out;
+  // Runs first, while the pending losses still show who else was there.
+  for (auto& [id, active] : state.runs) GradeRun(state, id, active, life, alive_until, out);
+  for (const fingerprint& key : state.marked) GradePending(state, key, life, out);
+  return state.config.test_faults.no_grading ? AllInFull(std::move(out)) : out;
+}
+
+bool HasProgressed(const run& active, const endpoint_life& life) {
+  const auto part = std::ranges::find(active.route, life, &run_part::life);
+  return part != active.route.end() && part->progressed;
+}
+
+}  // namespace balsambay::quarantine::details
--- a/libs/quarantine/src/details/entries.cc
+++ b/libs/quarantine/src/details/entries.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
+#include <utility>
 
 #include "chart/chart.h"
 #include "fingerprint_state_chart.h"
@@ -13,7 +15,11 @@
 enum class event : uint8_t { kSuspected, kCondemned, kCleared };
 constexpr std::array<std::string_view, 3> kStates = {"clear", "suspected", "quarantined"};
 constexpr std::array<std::string_view, 3> kEvents = {"suspected", "condemned", "cleared"};
-constexpr size_t kKeptLives = 8;
+constexpr size_t kKeptLives = 16;
+// While this many endpoints were lost within this time that a fingerprint was not on, something
+// else takes them down.
+constexpr std::ptrdiff_t kManyLosses = 4;
+constexpr duration kRecently = 5s;
 
 void Raise(entry& item, event signal) {
   static const chart::table fingerprint_chart =
@@ -44,17 +50,38 @@
   return false;
 }
 
-event Assessment(const settings& config, const entry& item) {
-  if (static_cast<int>(item.losses.size()) >= config.max_losses) return event::kCondemned;
-  const bool open = !item.losses.empty() || !item.pending.empty() || !item.peers.empty();
+event Assessment(const entry& item) {
+  if (item.condemned) return event::kCondemned;
+  // A run that had progressed is hardly the cause; its repeats are not treated as suspects.
+  const bool looked_into =
+      std::ranges::any_of(item.pending, std::logical_not<>(), &pending_loss::progressed);
+  const bool open = !item.losses.empty() || looked_into || !item.peers.empty();
   return open ? event::kSuspected : event::kCleared;
 }
 
+// Losses that `cause` explains count no longer against others.
+void Explain(table& state, const fingerprint& cause, outputs& out) {
+  const entry& refused = state.entries.find(cause)->second;
+  std::vector<endpoint_life> lives = refused.losses;
+  lives.insert(lives.end(), refused.half.begin(), refused.half.end());
+  lives.insert(lives.end(), refused.present.begin(), refused.present.end());
+  const std::list<fingerprint> marked = state.marked;
+  for (const fingerprint& key : marked) {
+    entry& item = state.entries.find(key)->second;
+    if (key == cause || item.condemned) continue;
+    bool any = false;
+    for (const endpoint_life& life : lives) {
+      if (HasLoss(item, life)) any |= MoveToCleared(item, life);
+    }
+    if (any) Reassess(state, key, item, out);
+  }
+}
+
 std::vector<std::string> SuspectEndpoints(const table& state, const fingerprint& key) {
   std::vector<std::string> out;
   for (const auto& [id, active] : state.runs) {
     if (active.key != key || !active.alone || active.progressed) continue;
-    for (const endpoint_life& life : active.route) out.push_back(life.endpoint);
+    for (const run_part& part : active.route) out.push_back(part.life.endpoint);
   }
   return out;
 }
@@ -81,39 +108,83 @@
 }
 
 void Reassess(table& state, const fingerprint& key, entry& item, outputs& out) {
-  Raise(item, Assessment(state.config, item));
-  const bool marked = item.state != fingerprint_state::kClear || item.claimed_at.has_value();
+  const fingerprint_state before = item.state;
+  Raise(item, Assessment(item));
+  const bool marked = item.state != fingerprint_state::kClear || item.claimed_at.has_value() ||
+                      !item.pending.empty();
   if (marked != item.marked) MoveToFront(state, item, marked);
-  if (!item.has_waiters) return;
-  item.has_waiters = false;
-  out.wake.push_back(key);
+  if (std::exchange(item.has_waiters, false)) out.wake.push_back(key);
+  if (before == item.state) return;
+  if (before == fingerprint_state::kQuarantined) out.released.push_back(key);
+  if (item.state != fingerprint_state::kQuarantined) return;
+  out.condemned.push_back(key);
+  if (state.config.trial == trial::kShared) Explain(state, key, out);
 }
 
 bool Contains(std::span<const endpoint_life> lives, const endpoint_life& life) {
   return std::ranges::find(lives, life) != lives.end();
 }
 
-bool AddLoss(const settings& config, entry& item, const endpoint_life& life, bool alone,
-             time_point now) {
-  if (Contains(item.cleared, life)) return false;
-  if (Contains(item.losses, life) && !config.test_faults.count_twice) return false;
-  const int count = static_cast<int>(item.losses.size());
-  if (count >= config.max_losses) return false;
-  const bool trusted = !alone && now < item.completed_until;
-  if (trusted && count + 1 >= config.max_losses) {
-    MoveToCleared(item, life);
+bool HasLoss(const entry& item, const endpoint_life& life) {
+  return Contains(item.losses, life) || Contains(item.half, life);
+}
+
+int Score(const entry& item) {
+  return kFullLoss * static_cast<int>(item.losses.size()) +
+         kHalfLoss * static_cast<int>(item.half.size());
+}
+
+int ScoreToCondemn(const table& state, const entry& item, time_point now) {
+  const int usual = kFullLoss * state.config.max_losses;
+  if (state.config.test_faults.no_grading) return usual;
+  const auto unrelated = std::ranges::count_if(state.recent, [&](const lost_life& lost) {
+    return now - lost.at < kRecently && !Contains(item.present, lost.life) &&
+           !HasLoss(item, lost.life);
+  });
+  return unrelated >= kManyLosses ? usual + kFullLoss : usual;
+}
+
+bool AddLoss(const table& state, entry& item, const finding& loss, time_point now) {
+  if (item.condemned || Contains(item.cleared, loss.life)) return false;
+  if (Contains(item.losses, loss.life) && !state.config.test_faults.count_twice) return false;
+  if (loss.half && Contains(item.half, loss.life)) return false;
+  const int score = Score(item) + (loss.half ? kHalfLoss : kFullLoss);
+  const bool condemns = score >= ScoreToCondemn(state, item, now);
+  const bool trusted = !loss.alone && now < item.completed_until;
+  if (trusted && condemns) {
+    MoveToCleared(item, loss.life);
     return false;
   }
-  item.losses.push_back(life);
-  item.loss_expires = now + config.loss_lifetime;
+  std::erase(item.half, loss.life);
+  (loss.half ? item.half : item.losses).push_back(loss.life);
+  item.condemned = condemns;
+  item.loss_expires = now + state.config.loss_lifetime;
   return true;
 }
 
-void MoveToCleared(entry& item, const endpoint_life& life) {
-  std::erase(item.losses, life);
-  if (Contains(item.cleared, life)) return;
-  if (item.cleared.size() >= kKeptLives) item.cleared.erase(item.cleared.begin());
-  item.cleared.push_back(life);
+bool MoveToCleared(entry& item, const endpoint_life& life) {
+  const bool counted = std::erase(item.losses, life) + std::erase(item.half, life) > 0;
+  if (item.losses.empty() && !item.restored) item.condemned = false;
+  if (Contains(item.cleared, life)) return counted;
+  Remember(item.cleared, life);
+  return counted;
+}
+
+void Reconsider(const table& state, entry& item) {
+  const int usual = kFullLoss * state.config.max_losses;
+  if (!item.restored && Score(item) < usual) item.condemned = false;
+}
+
+void ClearLosses(entry& item) {
+  std::vector<endpoint_life> lives = item.losses;
+  lives.insert(lives.end(), item.half.begin(), item.half.end());
+  item.condemned = item.restored = false;
+  for (const endpoint_life& life : lives) MoveToCleared(item, life);
+}
+
+void Remember(std::vector<endpoint_life>& lives, const endpoint_life& life) {
+  if (lives.size() >= kKeptLives) lives.erase(lives.begin());
+  lives.push_back(life);
 }
 
 void ReleaseClaim(entry& item) {
@@ -135,14 +206,22 @@
   }
   for (const auto& [id, active] : state.runs) {
     if (!active.alone || active.progressed) continue;
-    for (const endpoint_life& life : active.route) state.suspect_endpoints.insert(life.endpoint);
+    for (const run_part& part : active.route) state.suspect_endpoints.insert(part.life.endpoint);
   }
 }
 
 update MakeUpdate(const table& state, const fingerprint& key, const entry& item) {
-  const bool condemned = item.state == fingerprint_state::kQuarantined;
-  return {state.config.daemon,         key, item.losses, item.cleared, condemned, OwnClaim(item),
-          SuspectEndpoints(state, key)};
+  update out{.daemon = state.config.daemon,
+             .key = key,
+             .losses = item.losses,
+             .cleared = item.cleared,
+             .condemned = item.state == fingerprint_state::kQuarantined,
+             .claim = OwnClaim(item),
+             .endpoints = SuspectEndpoints(state, key),
+             .half = item.half};
+  const bool shared = state.config.trial == trial::kShared;
+  if (shared && !out.endpoints.empty()) out.claim = claim_kind::kHolding;
+  return out;
 }
 
 }  // namespace balsambay::quarantine::details
--- a/libs/quarantine/src/details/entries.h
+++ b/libs/quarantine/src/details/entries.h
@@ -16,13 +16,39 @@
 
 bool Contains(std::span<const endpoint_life> lives, const endpoint_life& life);
 
+// What a loss counts.
+inline constexpr int kFullLoss = 2;
+inline constexpr int kHalfLoss = 1;
+
+// A loss as it is held against a fingerprint.
+struct finding {
+  endpoint_life life;
+  bool half = false;
+  bool alone = false;  // it ran as a suspect
+};
+
+bool HasLoss(const entry& item, const endpoint_life& life);
+
+int Score(const entry& item);
+
+// The score from which the fingerprint is refused.
+int ScoreToCondemn(const table& state, const entry& item, time_point now);
+
 // Adds a confirmed loss unless it is known or was cleared. Returns whether it was added. A
-// fingerprint that completed lately is condemned only by a loss while it ran as a suspect
-// (`alone`), because a request that crashes each endpoint never completes.
-bool AddLoss(const settings& config, entry& item, const endpoint_life& life, bool alone,
-             time_point now);
+// fingerprint that completed lately is condemned only by a loss while it ran as a suspect, because
+// a request that crashes each endpoint never completes.
+bool AddLoss(const table& state, entry& item, const finding& loss, time_point now);
+
+// Returns whether the loss counted so far.
+bool MoveToCleared(entry& item, const endpoint_life& life);
+
+// Withdraws a verdict that the losses left do not support.
+void Reconsider(const table& state, entry& item);
+
+void ClearLosses(entry& item);
 
-void MoveToCleared(entry& item, const endpoint_life& life);
+// Appends, without the oldest ones beyond a limit.
+void Remember(std::vector<endpoint_life>& lives, const endpoint_life& life);
 
 // Ends the own claim unless a loss is still to be confirmed.
 void ReleaseClaim(entry& item);
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -3,17 +3,24 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cinttypes>
 #include <cstdio>
+#include <numeric>
+#include <utility>
 
 #include "base/hash.h"
 #include "base/result.h"
+#include "details/blame.h"
 #include "details/entries.h"
 
 namespace balsambay::quarantine {
 namespace {
 
 constexpr duration kSweepInterval = 100ms;
+// With trial::kShared, a peer's suspect counts as present for this much longer than its claim: the
+// loss of an endpoint is confirmed within it.
+constexpr duration kClaimGrace = 300ms;
 
 // Reassesses and tells the peers.
 void Announce(table& state, const fingerprint& key, entry& item, outputs& out) {
@@ -47,10 +54,15 @@
   });
 }
 
+bool IsShared(const table& state) { return state.config.trial == trial::kShared; }
+
 // Whether every loss still to be confirmed leaves room for one more.
-bool MayRiskOne(const settings& config, const entry& item) {
-  const size_t possible = item.losses.size() + item.pending.size();
-  return static_cast<int>(possible) < config.max_losses;
+bool MayRiskOne(const table& state, const entry& item, time_point now) {
+  const int open = std::accumulate(
+      item.pending.begin(), item.pending.end(), 0, [](int sum, const pending_loss& one) {
+        return sum + (one.progressed ? details::kHalfLoss : details::kFullLoss);
+      });
+  return details::Score(item) + open < details::ScoreToCondemn(state, item, now);
 }
 
 // Ends the own claim after a copy that decided nothing. With further copies waiting here it goes
@@ -68,7 +80,7 @@
 // that knows another's claim makes none of its own.
 decision StartAlone(table& state, run_id id, const fingerprint& key, entry& item, time_point now,
                     outputs& out) {
-  if (item.fresh > 0 || !MayRiskOne(state.config, item)) return Hold(item, kNever);
+  if (item.fresh > 0 || !MayRiskOne(state, item, now)) return Hold(item, kNever);
   if (!item.claimed_at) {
     if (!item.peers.empty()) return Hold(item, kNever);
     item.claimed_at = now;
@@ -82,20 +94,24 @@
   return begun;
 }
 
-bool IsProven(const settings& config, const entry& item, time_point now) {
-  return config.max_unproven_runs <= 0 || now < item.proven_until;
+// A repeat waits only while the losses that are being looked into could be the last ones.
+decision StartShared(table& state, run_id id, const fingerprint& key, entry& item, time_point now) {
+  if (!item.pending.empty() && !MayRiskOne(state, item, now)) {
+    return Hold(item, item.pending.front().since + state.config.confirm_within);
+  }
+  return Begin(state, id, key, item, item.state == fingerprint_state::kSuspected);
 }
 
-void ClearLosses(entry& item) {
-  const std::vector<endpoint_life> losses = item.losses;
-  for (const endpoint_life& life : losses) details::MoveToCleared(item, life);
+bool IsProven(const settings& config, const entry& item, time_point now) {
+  return config.max_unproven_runs <= 0 || now < item.proven_until;
 }
 
-void EndCompleted(table& state, const fingerprint& key, entry& item, time_point now, outputs& out) {
+void EndCompleted(table& state, const fingerprint& key, entry& item, bool alone, time_point now,
+                  outputs& out) {
   item.proven_until = now + state.config.proof_lifetime;
   item.completed_until = item.proven_until;
-  const bool was_suspected = !item.losses.empty() || item.claimed_at.has_value();
-  ClearLosses(item);
+  const bool was_suspected = !item.losses.empty() || item.claimed_at.has_value() || alone;
+  details::ClearLosses(item);
   details::ReleaseClaim(item);
   if (was_suspected) {
     Announce(state, key, item, out);
@@ -110,15 +126,18 @@
       details::Contains(item.losses, broken.life) || details::Contains(item.cleared, broken.life);
   if (!decided) {
     item.pending.push_back(broken);
-    if (!item.claimed_at) item.claimed_at = now;
+    if (!item.claimed_at && !IsShared(state)) item.claimed_at = now;
   } else {
     YieldClaim(state, item, now);
   }
+  // Others learn of the loss once it is confirmed.
+  if (IsShared(state) && !broken.alone) return details::Reassess(state, key, item, out);
   Announce(state, key, item, out);
 }
 
-void EndFailed(table& state, const fingerprint& key, entry& item, time_point now, outputs& out) {
-  const bool claimed = item.claimed_at.has_value();
+void EndFailed(table& state, const fingerprint& key, entry& item, bool alone, time_point now,
+               outputs& out) {
+  const bool claimed = item.claimed_at.has_value() || (alone && IsShared(state));
   YieldClaim(state, item, now);
   if (claimed) {
     Announce(state, key, item, out);
@@ -133,43 +152,48 @@
 
 // The claim goes on after the confirmation, so that this daemon's own repeat needs no second settle
 // time; Tick() ends it when there is none.
-void Confirm(table& state, const fingerprint& key, entry& item, const endpoint_life& life,
-             bool alone, time_point now, outputs& out) {
-  const bool was_pending = ErasePending(item, life);
-  const bool added = details::AddLoss(state.config, item, life, alone, now);
+void Confirm(table& state, const fingerprint& key, entry& item, const details::finding& loss,
+             time_point now, outputs& out) {
+  const bool was_pending = ErasePending(item, loss.life);
+  const bool added = details::AddLoss(state, item, loss, now);
   if (!added && !was_pending) return;
-  const bool condemned = static_cast<int>(item.losses.size()) >= state.config.max_losses;
-  if (condemned) details::ReleaseClaim(item);
+  if (item.condemned) details::ReleaseClaim(item);
+  // Half a loss alone says too little to bother the peers with.
+  if (IsShared(state) && item.losses.empty()) return details::Reassess(state, key, item, out);
   Announce(state, key, item, out);
 }
 
-// Fingerprints that ran on `life`, and whether one of their runs was a suspect.
-std::map<fingerprint, bool> AffectedBy(const table& state, const endpoint_life& life) {
-  std::map<fingerprint, bool> out;
-  for (const auto& [id, active] : state.runs) {
-    if (details::Contains(active.route, life)) out[active.key] |= active.alone;
-  }
-  for (const fingerprint& key : state.marked) {
-    for (const pending_loss& one : state.entries.find(key)->second.pending) {
-      if (one.life == life) out[key] |= one.alone;
-    }
-  }
-  return out;
-}
-
 // A copy that began before the first sign of trouble: its daemon claims it, so that nobody starts
 // another one beside it.
 void ClaimRunning(table& state, const update& from, entry& item, time_point now, outputs& out) {
-  if (item.fresh == 0 || item.claimed_at) return;
+  if (item.fresh == 0 || item.claimed_at || IsShared(state)) return;
   item.claimed_at = now;
   out.publish.push_back(details::MakeUpdate(state, from.key, item));
 }
 
-void MergeLosses(const settings& config, entry& item, const update& from, time_point now) {
-  for (const endpoint_life& life : from.cleared) details::MoveToCleared(item, life);
+bool MergeLosses(const table& state, entry& item, const update& from, time_point now) {
+  bool changed = false;
+  for (const endpoint_life& life : from.cleared) changed |= details::MoveToCleared(item, life);
   for (const endpoint_life& life : from.losses) {
-    details::AddLoss(config, item, life, from.condemned, now);
+    const details::finding loss{.life = life, .half = false, .alone = from.condemned};
+    changed |= details::AddLoss(state, item, loss, now);
+  }
+  for (const endpoint_life& life : from.half) {
+    const details::finding loss{.life = life, .half = true, .alone = from.condemned};
+    changed |= details::AddLoss(state, item, loss, now);
   }
+  if (!IsShared(state)) return changed;
+  if (!from.cleared.empty()) details::Reconsider(state, item);
+  // The sender may have seen fewer losses of other causes, and so needed fewer of this one.
+  const bool refuted = std::ranges::any_of(from.losses, [&](const endpoint_life& life) {
+    return details::Contains(item.cleared, life);
+  });
+  const bool trusted = now < item.completed_until;
+  if (from.condemned && !item.condemned && !trusted && !refuted) {
+    changed = item.condemned = true;
+    item.loss_expires = now + state.config.loss_lifetime;
+  }
+  return changed;
 }
 
 // --- expiry ---
@@ -180,8 +204,13 @@
   bool any = false;
   for (const pending_loss& one : pending) {
     if (now - one.since < state.config.confirm_within) continue;
-    Confirm(state, key, item, one.life, one.alone, now, out);
     any = true;
+    if (IsShared(state)) {
+      ErasePending(item, one.life);
+      details::Reassess(state, key, item, out);
+    } else {
+      Confirm(state, key, item, {one.life, false, one.alone}, now, out);
+    }
   }
   return any;
 }
@@ -200,8 +229,9 @@
 }
 
 bool ExpireLosses(entry& item, time_point now) {
-  if (item.losses.empty() || now < item.loss_expires) return false;
-  ClearLosses(item);
+  const bool any = item.condemned || !item.losses.empty();
+  if (!any || now < item.loss_expires) return false;
+  details::ClearLosses(item);
   return true;
 }
 
@@ -248,11 +278,28 @@
   return text.data();
 }
 
+std::optional<fingerprint> ParseFingerprint(std::string_view text) {
+  constexpr size_t kDigits = 16;
+  constexpr int kBase = 16;
+  const auto number = [](std::string_view digits) -> std::optional<uint64_t> {
+    uint64_t value = 0;
+    const auto read = std::from_chars(digits.data(), digits.data() + digits.size(), value, kBase);
+    if (read.ec != std::errc() || read.ptr != digits.data() + digits.size()) return std::nullopt;
+    return value;
+  };
+  if (text.size() != 2 * kDigits) return std::nullopt;
+  const auto high = number(text.substr(0, kDigits));
+  const auto low = number(text.substr(kDigits));
+  if (!high || !low) return std::nullopt;
+  return fingerprint{*high, *low};
+}
+
 void SetHasPeers(table& state, bool has_peers) { state.has_peers = has_peers; }
 
 decision Start(table& state, run_id id, const fingerprint& key, time_point now, outputs& out) {
   entry& item = details::Touch(state, key);
   if (item.state == fingerprint_state::kQuarantined) return {verdict::kRefuse, item.loss_expires};
+  if (IsShared(state)) return StartShared(state, id, key, item, now);
   const bool suspected = item.state == fingerprint_state::kSuspected;
   if (suspected && !state.config.test_faults.no_claims) {
     return StartAlone(state, id, key, item, now, out);
@@ -264,14 +311,23 @@
   return Begin(state, id, key, item, false);
 }
 
-void Place(table& state, run_id id, std::span<const endpoint_life> route, outputs& out) {
+void Place(table& state, run_id id, std::span<const endpoint_life> route, outputs& out,
+           time_point now) {
   const auto found = state.runs.find(id);
   CheckInvariant(found != state.runs.end(), "quarantine: Place() for a run that did not start");
   run& active = found->second;
-  active.route.assign(route.begin(), route.end());
+  entry& item = state.entries.find(active.key)->second;
+  const std::vector<run_part> before = std::exchange(active.route, {});
+  std::ranges::transform(route, std::back_inserter(active.route), [&](const endpoint_life& life) {
+    const auto kept = std::ranges::find(before, life, &run_part::life);
+    return kept == before.end() ? run_part{life, now} : *kept;
+  });
+  if (active.progressed && !std::ranges::all_of(active.route, &run_part::progressed)) {
+    active.progressed = false;
+    item.fresh += 1;
+  }
   if (!active.alone) return;
   details::RebuildSuspectEndpoints(state);
-  const entry& item = state.entries.find(active.key)->second;
   out.publish.push_back(details::MakeUpdate(state, active.key, item));
 }
 
@@ -280,10 +336,11 @@
   if (found == state.runs.end() || found->second.progressed) return;
   run& active = found->second;
   active.progressed = true;
+  for (run_part& part : active.route) part.progressed = true;
   entry& item = details::Touch(state, active.key);
   item.fresh -= 1;
   item.proven_until = now + state.config.proof_lifetime;
-  const bool claimed = item.claimed_at.has_value();
+  const bool claimed = item.claimed_at.has_value() || (active.alone && IsShared(state));
   YieldClaim(state, item, now);
   if (active.alone) details::RebuildSuspectEndpoints(state);
   if (claimed) {
@@ -300,50 +357,81 @@
   const fingerprint key = found->second.key;
   const bool alone = found->second.alone;
   const bool fresh = !found->second.progressed;
+  const bool progressed_there =
+      IsShared(state) && broken && details::HasProgressed(found->second, *broken);
   state.runs.erase(found);
   if (alone) details::RebuildSuspectEndpoints(state);
   entry& item = details::Touch(state, key);
   item.runs -= 1;
   item.fresh -= fresh ? 1 : 0;
   if (how == run_end::kCompleted) {
-    EndCompleted(state, key, item, now, out);
+    EndCompleted(state, key, item, alone && IsShared(state), now, out);
   } else if (how == run_end::kBroken) {
     CheckInvariant(broken.has_value(), "quarantine: a broken run names its endpoint");
-    EndBroken(state, key, item, {*broken, now, alone}, now, out);
+    EndBroken(state, key, item, {*broken, now, alone, progressed_there, id}, now, out);
   } else {
-    EndFailed(state, key, item, now, out);
+    EndFailed(state, key, item, alone, now, out);
   }
 }
 
-void Lost(table& state, const endpoint_life& life, time_point now, outputs& out) {
-  for (const auto& [key, alone] : AffectedBy(state, life)) {
-    Confirm(state, key, state.entries.find(key)->second, life, alone, now, out);
+void Lost(table& state, const endpoint_life& life, time_point now, outputs& out,
+          time_point alive_until) {
+  const auto found = IsShared(state) ? details::GradeLoss(state, life, now, alive_until)
+                                     : details::AffectedBy(state, life);
+  for (const auto& [key, loss] : found) {
+    Confirm(state, key, state.entries.find(key)->second, loss, now, out);
   }
 }
 
-void Alive(table& state, const endpoint_life& life, time_point now, outputs& out) {
+void Alive(table& state, const endpoint_life& life, time_point asked, outputs& out) {
+  const auto lost = std::ranges::find(state.recent, life, &lost_life::life);
+  const bool refuted = IsShared(state) && lost != state.recent.end() && lost->at < asked;
   const std::list<fingerprint> marked = state.marked;
   for (const fingerprint& key : marked) {
     entry& item = state.entries.find(key)->second;
-    if (!ErasePending(item, life)) continue;
-    YieldClaim(state, item, now);
+    const bool was_pending = ErasePending(item, life);
+    const bool was_loss = refuted && details::HasLoss(item, life);
+    if (!was_pending && !was_loss) continue;
+    if (was_loss) {
+      details::MoveToCleared(item, life);
+      details::Reconsider(state, item);
+    }
+    YieldClaim(state, item, asked);
     Announce(state, key, item, out);
   }
 }
 
-void Merge(table& state, const update& from, time_point now, outputs& out) {
-  const bool says_something = from.claim != claim_kind::kNone || !from.losses.empty();
-  if (!says_something && details::Find(state, from.key) == nullptr) return;
+bool Merge(table& state, const update& from, time_point now, outputs& out) {
+  const bool says_something =
+      from.claim != claim_kind::kNone || !from.losses.empty() || from.condemned;
+  if (!says_something && details::Find(state, from.key) == nullptr) return false;
   entry& item = details::Touch(state, from.key);
-  MergeLosses(state.config, item, from, now);
+  const bool changed = MergeLosses(state, item, from, now);
   if (from.claim != claim_kind::kNone) {
     item.peers[from.daemon] = {now + state.config.peer_claim, from.claim, from.endpoints};
     ClaimRunning(state, from, item, now, out);
-  } else {
-    item.peers.erase(from.daemon);
+  } else if (const auto peer = item.peers.find(from.daemon); peer != item.peers.end()) {
+    // Its run may have ended by the loss that this daemon is about to hear of.
+    peer->second.expires = std::min(peer->second.expires, now + kClaimGrace);
+    if (!IsShared(state)) item.peers.erase(peer);
   }
   details::Reassess(state, from.key, item, out);
   details::RebuildSuspectEndpoints(state);
+  return changed;
+}
+
+void Restore(table& state, const fingerprint& key, time_point until, outputs& out) {
+  entry& item = details::Touch(state, key);
+  item.condemned = item.restored = true;
+  item.loss_expires = std::max(item.loss_expires, until);
+  details::Reassess(state, key, item, out);
+}
+
+void Lift(table& state, const fingerprint& key, outputs& out) {
+  entry* item = details::Find(state, key);
+  if (item == nullptr) return;
+  details::ClearLosses(*item);
+  details::Reassess(state, key, *item, out);
 }
 
 void PeerGone(table& state, std::string_view daemon, time_point /*now*/, outputs& out) {
@@ -383,6 +471,23 @@
   return out;
 }
 
+std::optional<update> UpdateOf(const table& state, const fingerprint& key) {
+  const auto found = state.entries.find(key);
+  if (found == state.entries.end()) return std::nullopt;
+  return details::MakeUpdate(state, key, found->second);
+}
+
+std::optional<update> NextOfSnapshot(const table& state, size_t& cursor) {
+  const size_t count = state.marked.size();
+  for (size_t i = 0; i < count; ++i) {
+    const size_t index = cursor++ % count;
+    const fingerprint& key = *std::next(state.marked.begin(), static_cast<std::ptrdiff_t>(index));
+    const entry& item = state.entries.find(key)->second;
+    if (!item.losses.empty()) return details::MakeUpdate(state, key, item);
+  }
+  return std::nullopt;
+}
+
 fingerprint_state StateOf(const table& state, const fingerprint& key) {
   const auto it = state.entries.find(key);
   return it == state.entries.end() ? fingerprint_state::kClear : it->second.state;
--- a/libs/router/src/quarantine_driver.cc
+++ b/libs/router/src/quarantine_driver.cc
@@ -8,6 +8,8 @@
 #include "details/logging.h"
 #include "details/peers.h"
 #include "details/requests.h"
+#include "log/log.h"
+#include "quarantine/message.h"
 
 namespace balsambay::router {
 namespace {
@@ -28,43 +30,13 @@
   return {std::string(endpoint), it == state.endpoint_starts.end() ? 0 : it->second};
 }
 
-json ToJson(const std::vector<quarantine::endpoint_life>& lives) {
-  json out = json::array();
-  for (const auto& life : lives) out.push_back({life.endpoint, life.incarnation});
-  return out;
-}
-
-std::vector<quarantine::endpoint_life> LivesFromJson(const json& value) {
-  std::vector<quarantine::endpoint_life> out;
-  for (const json& life : value)
-    out.push_back({life.at(0).get<std::string>(), life.at(1).get<uint64_t>()});
-  return out;
-}
-
-json ToJson(const quarantine::update& item) {
-  return {{"high", item.key.high},         {"low", item.key.low},
-          {"losses", ToJson(item.losses)}, {"cleared", ToJson(item.cleared)},
-          {"condemned", item.condemned},   {"claim", static_cast<int>(item.claim)},
-          {"endpoints", item.endpoints}};
-}
-
-quarantine::update UpdateFromJson(std::string_view daemon, const json& value) {
-  quarantine::update out;
-  out.daemon = daemon;
-  out.key = {value.at("high"), value.at("low")};
-  out.losses = LivesFromJson(value.at("losses"));
-  out.cleared = LivesFromJson(value.at("cleared"));
-  out.condemned = value.at("condemned");
-  out.claim = static_cast<quarantine::claim_kind>(std::clamp(value.at("claim").get<int>(), 0, 2));
-  out.endpoints = value.at("endpoints").get<std::vector<std::string>>();
-  return out;
-}
-
 void Publish(router_state& state, const std::vector<quarantine::update>& updates,
              std::string_view only_to = "") {
   if (updates.empty()) return;
   json message = {{"type", "quarantine"}, {"updates", json::array()}};
-  for (const quarantine::update& item : updates) message["updates"].push_back(ToJson(item));
+  for (const quarantine::update& item : updates) {
+    message["updates"].push_back(quarantine::Describe(item));
+  }
   if (only_to.empty()) return SendToAllPeers(state, message);
   SendToPeer(state, only_to, message);
 }
@@ -200,7 +172,12 @@
 void HandleQuarantineMessage(router_state& state, std::string_view peer, const json& message) {
   quarantine::outputs out;
   for (const json& item : message.at("updates")) {
-    quarantine::Merge(state.quarantine, UpdateFromJson(peer, item), MonotonicNow(), out);
+    const auto update = quarantine::ReadUpdate(peer, item);
+    if (!update) {
+      log::Log(log::level::kWarning, "quarantine update cannot be read", {{"peer", peer}});
+      continue;
+    }
+    quarantine::Merge(state.quarantine, *update, MonotonicNow(), out);
   }
   Process(state, out);
 }
