Quarantine beside other streams: checked by a model, gaps in blame closed

Callers saw requests that crash endpoints go on reaching them.

- Losses after some outputs counted once for each call, and not beside any other copy: a request that crashes engines after ten outputs took one after the other within its call (29 arrivals).
They count each time now, unless copies that have progressed go on.
- A verdict that rests on such losses was neither told nor repeated.
- What completed in the last ten minutes was never blamed, so that a request that begins to crash engines went on for as long (test fails with that setting).
A completion now outweighs one loss, for two seconds.
- Without the check of what was cleared here, an older message of a peer brought a withdrawn verdict back.
Only a verdict that holds without the cleared losses is taken over.

Ruled out: to let completions alone excuse losses after progress.

--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -21,9 +21,12 @@
 constexpr duration kConfirmWithin = 500ms;
 // Of a peer that dies while it runs a suspect; its first output comes within a second or two.
 constexpr duration kPeerClaim = 5000ms;
+// A request that completed longer ago may crash endpoints that have come since. Shorter than the
+// 3 s or more in which gateways have to contain a request.
+constexpr duration kProofLifetime = 2000ms;
 // A request has shown that its engines bear it when it has passed this many outputs on: an engine
-// may still send the first one while it breaks down.
-constexpr int kProofOutputs = 2;
+// may still send the first ones while it breaks down.
+constexpr int kProofOutputs = 3;
 // A loss is not noticed sooner, except by connections that break, which are held against the
 // requests on them in another way. So requests that were sent to the endpoint after that met it
 // dead.
@@ -199,7 +202,8 @@
           .trial = quarantine::trial::kShared,
           .max_unproven_runs = 0,
           .peer_claim = kPeerClaim,
-          .confirm_within = kConfirmWithin};
+          .confirm_within = kConfirmWithin,
+          .proof_lifetime = kProofLifetime};
 }
 
 void StartContainment(gateway_state& state) { Tick(state, MonotonicNow()); }
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -72,10 +72,9 @@
   // - A run that was on a lost endpoint without having progressed there is suspected of it: the
   //   loss counts in full.
   // - It counts half for a suspect that shared the endpoint with another suspect, and for a run
-  //   that had progressed; of the latter one for each run.
+  //   that had progressed, unless other copies go well.
   // - Of several endpoints of one route that are lost, one counts, until the run is placed anew.
   // - While many endpoints are lost that the fingerprint was not on, one more loss is needed.
-  // - Losses that a refused fingerprint explains count no longer against others.
   kShared,
 };
 
@@ -155,7 +154,6 @@
   time_point since;
   bool alone = false;       // the run was a suspect
   bool progressed = false;  // on this endpoint; only with trial::kShared
-  run_id run = 0;
 };
 
 struct entry {
@@ -164,7 +162,6 @@
   std::vector<endpoint_life> half;     // confirmed, that count half; none of `losses`
   std::vector<endpoint_life> cleared;  // newest kKeptLives
   std::vector<endpoint_life> present;  // lost while the fingerprint was there, newest kKeptLives
-  run_id progressed_run = 0;           // whose loss after progress counts already
   bool condemned = false;
   bool restored = false;              // condemned by a record, not by losses
   std::vector<pending_loss> pending;  // broken connections, to be confirmed
@@ -176,6 +173,7 @@
   time_point loss_expires{};
   time_point proven_until{};     // a copy produced a token or completed
   time_point completed_until{};  // a copy completed
+  int completions = 0;           // until then, less the losses that they outweighed
   bool marked = false;           // in `marked` rather than `plain`
   std::list<fingerprint>::iterator position;
 };
@@ -232,7 +230,9 @@
            time_point now = {});
 
 // The run produced a token that the caller did not have before. It no longer keeps other suspects
-// away, and the next copy of its fingerprint may start.
+// away, and the next copy of its fingerprint may start. With trial::kShared, also clears the losses
+// that count in full, since a request that crashes each endpoint makes no progress on any; call it
+// once the run has gone on for a few tokens.
 void Progress(table& state, run_id id, time_point now, outputs& out);
 
 enum class run_end : uint8_t {
--- a/libs/quarantine/src/details/blame.cc
+++ b/libs/quarantine/src/details/blame.cc
@@ -44,17 +44,16 @@
          });
 }
 
-// Losses after progress count once for each run.
-void AddAfterProgress(table& state, run_id id, const fingerprint& key, const finding& loss,
-                      findings& out) {
-  entry& item = state.entries.find(key)->second;
-  if (item.progressed_run == id) return;
-  item.progressed_run = id;
-  out.emplace(key, loss);
+// Losses after progress do not count while other copies go well.
+void AddGraded(const table& state, const fingerprint& key, const finding& loss, int own_progress,
+               findings& out) {
+  const entry& item = state.entries.find(key)->second;
+  const bool others_go_well = item.runs - item.fresh > own_progress;
+  if (!loss.progressed || !others_go_well) out.emplace(key, loss);
 }
 
-void GradeRun(table& state, run_id id, run& active, const endpoint_life& life,
-              time_point alive_until, findings& out) {
+void GradeRun(table& state, run& active, const endpoint_life& life, time_point alive_until,
+              findings& out) {
   const auto part = FindPart(active, life);
   if (part == active.route.end()) return;
   entry& item = state.entries.find(active.key)->second;
@@ -62,20 +61,16 @@
   if (part->settled || part->since > alive_until) return;
   const bool progressed = part->progressed;
   for (run_part& other : active.route) other.settled = true;
-  if (progressed) return AddAfterProgress(state, id, active.key, {life, true, active.alone}, out);
   const bool shared = active.alone && HadOtherSuspect(state, active.key, life);
-  out.emplace(active.key, finding{life, shared, active.alone});
+  AddGraded(state, active.key, {life, progressed || shared, active.alone, progressed},
+            active.progressed ? 1 : 0, out);
 }
 
 void GradePending(table& state, const fingerprint& key, const endpoint_life& life, findings& out) {
   for (const pending_loss& one : state.entries.find(key)->second.pending) {
     if (one.life != life) continue;
-    if (one.progressed) {
-      AddAfterProgress(state, one.run, key, {life, true, one.alone}, out);
-      continue;
-    }
     const bool shared = one.alone && HadOtherSuspect(state, key, life);
-    out.emplace(key, finding{life, shared, one.alone});
+    AddGraded(state, key, {life, one.progressed || shared, one.alone, one.progressed}, 0, out);
   }
 }
 
@@ -109,7 +104,7 @@
   NoteRecent(state, life, now);
   findings out;
   // Runs first, while the pending losses still show who else was there.
-  for (auto& [id, active] : state.runs) GradeRun(state, id, active, life, alive_until, out);
+  for (auto& [id, active] : state.runs) GradeRun(state, active, life, alive_until, out);
   for (const fingerprint& key : state.marked) GradePending(state, key, life, out);
   return state.config.test_faults.no_grading ? AllInFull(std::move(out)) : out;
 }
--- a/libs/quarantine/src/details/entries.cc
+++ b/libs/quarantine/src/details/entries.cc
@@ -59,24 +59,6 @@
   return open ? event::kSuspected : event::kCleared;
 }
 
-// Losses that `cause` explains count no longer against others.
-void Explain(table& state, const fingerprint& cause, outputs& out) {
-  const entry& refused = state.entries.find(cause)->second;
-  std::vector<endpoint_life> lives = refused.losses;
-  lives.insert(lives.end(), refused.half.begin(), refused.half.end());
-  lives.insert(lives.end(), refused.present.begin(), refused.present.end());
-  const std::list<fingerprint> marked = state.marked;
-  for (const fingerprint& key : marked) {
-    entry& item = state.entries.find(key)->second;
-    if (key == cause || item.condemned) continue;
-    bool any = false;
-    for (const endpoint_life& life : lives) {
-      if (HasLoss(item, life)) any |= MoveToCleared(item, life);
-    }
-    if (any) Reassess(state, key, item, out);
-  }
-}
-
 std::vector<std::string> SuspectEndpoints(const table& state, const fingerprint& key) {
   std::vector<std::string> out;
   for (const auto& [id, active] : state.runs) {
@@ -86,6 +68,16 @@
   return out;
 }
 
+bool IsTrusted(const table& state, const entry& item, const finding& loss, bool condemns,
+               time_point now) {
+  if (state.config.trial == trial::kOneCopy) {
+    return now < item.completed_until && !loss.alone && condemns;
+  }
+  // Copies that go on well show the same as one that has completed.
+  const bool progressing = !loss.progressed && item.runs > item.fresh;
+  return progressing || HasCompleted(item, now);
+}
+
 }  // namespace
 
 entry* Find(table& state, const fingerprint& key) {
@@ -116,9 +108,7 @@
   if (std::exchange(item.has_waiters, false)) out.wake.push_back(key);
   if (before == item.state) return;
   if (before == fingerprint_state::kQuarantined) out.released.push_back(key);
-  if (item.state != fingerprint_state::kQuarantined) return;
-  out.condemned.push_back(key);
-  if (state.config.trial == trial::kShared) Explain(state, key, out);
+  if (item.state == fingerprint_state::kQuarantined) out.condemned.push_back(key);
 }
 
 bool Contains(std::span<const endpoint_life> lives, const endpoint_life& life) {
@@ -134,14 +124,26 @@
          kHalfLoss * static_cast<int>(item.half.size());
 }
 
+int UsualScore(const table& state) { return kFullLoss * state.config.max_losses; }
+
 int ScoreToCondemn(const table& state, const entry& item, time_point now) {
-  const int usual = kFullLoss * state.config.max_losses;
+  const int usual = UsualScore(state);
   if (state.config.test_faults.no_grading) return usual;
   const auto unrelated = std::ranges::count_if(state.recent, [&](const lost_life& lost) {
     return now - lost.at < kRecently && !Contains(item.present, lost.life) &&
            !HasLoss(item, lost.life);
   });
-  return unrelated >= kManyLosses ? usual + kFullLoss : usual;
+  return unrelated >= kManyLosses ? usual + kHalfLoss : usual;
+}
+
+bool HasCompleted(const entry& item, time_point now) {
+  return now < item.completed_until && item.completions > 0;
+}
+
+void NoteCompleted(entry& item, time_point now, duration lifetime) {
+  const int before = now < item.completed_until ? item.completions : 0;
+  item.completions = std::min(before + 1, static_cast<int>(kKeptLives));
+  item.proven_until = item.completed_until = now + lifetime;
 }
 
 bool AddLoss(const table& state, entry& item, const finding& loss, time_point now) {
@@ -150,8 +152,8 @@
   if (loss.half && Contains(item.half, loss.life)) return false;
   const int score = Score(item) + (loss.half ? kHalfLoss : kFullLoss);
   const bool condemns = score >= ScoreToCondemn(state, item, now);
-  const bool trusted = !loss.alone && now < item.completed_until;
-  if (trusted && condemns) {
+  if (IsTrusted(state, item, loss, condemns, now)) {
+    if (item.completions > 0) --item.completions;
     MoveToCleared(item, loss.life);
     return false;
   }
@@ -171,8 +173,7 @@
 }
 
 void Reconsider(const table& state, entry& item) {
-  const int usual = kFullLoss * state.config.max_losses;
-  if (!item.restored && Score(item) < usual) item.condemned = false;
+  if (!item.restored && Score(item) < UsualScore(state)) item.condemned = false;
 }
 
 void ClearLosses(entry& item) {
@@ -182,6 +183,11 @@
   for (const endpoint_life& life : lives) MoveToCleared(item, life);
 }
 
+void ClearFullLosses(entry& item) {
+  const std::vector<endpoint_life> lives = item.losses;
+  for (const endpoint_life& life : lives) MoveToCleared(item, life);
+}
+
 void Remember(std::vector<endpoint_life>& lives, const endpoint_life& life) {
   if (lives.size() >= kKeptLives) lives.erase(lives.begin());
   lives.push_back(life);
--- a/libs/quarantine/src/details/entries.h
+++ b/libs/quarantine/src/details/entries.h
@@ -25,18 +25,27 @@
   endpoint_life life;
   bool half = false;
   bool alone = false;  // it ran as a suspect
+  bool progressed = false;
 };
 
 bool HasLoss(const entry& item, const endpoint_life& life);
 
 int Score(const entry& item);
 
-// The score from which the fingerprint is refused.
+// The score from which a fingerprint is refused.
+int UsualScore(const table& state);
+
+// The same, more while something else takes endpoints down.
 int ScoreToCondemn(const table& state, const entry& item, time_point now);
 
-// Adds a confirmed loss unless it is known or was cleared. Returns whether it was added. A
-// fingerprint that completed lately is condemned only by a loss while it ran as a suspect, because
-// a request that crashes each endpoint never completes.
+// Whether copies that completed lately still outweigh losses: each of them does one.
+bool HasCompleted(const entry& item, time_point now);
+
+void NoteCompleted(entry& item, time_point now, duration lifetime);
+
+// Adds a confirmed loss unless it is known or was cleared. Returns whether it was added. A request
+// that crashes each endpoint never completes: a fingerprint that completed lately is condemned only
+// by a loss while it ran as a suspect, and with trial::kShared by more losses than completions.
 bool AddLoss(const table& state, entry& item, const finding& loss, time_point now);
 
 // Returns whether the loss counted so far.
@@ -47,6 +56,9 @@
 
 void ClearLosses(entry& item);
 
+// Leaves those that count half.
+void ClearFullLosses(entry& item);
+
 // Appends, without the oldest ones beyond a limit.
 void Remember(std::vector<endpoint_life>& lives, const endpoint_life& life);
 
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -108,8 +108,7 @@
 
 void EndCompleted(table& state, const fingerprint& key, entry& item, bool alone, time_point now,
                   outputs& out) {
-  item.proven_until = now + state.config.proof_lifetime;
-  item.completed_until = item.proven_until;
+  details::NoteCompleted(item, now, state.config.proof_lifetime);
   const bool was_suspected = !item.losses.empty() || item.claimed_at.has_value() || alone;
   details::ClearLosses(item);
   details::ReleaseClaim(item);
@@ -150,6 +149,9 @@
   return std::erase_if(item.pending, [&](const pending_loss& one) { return one.life == life; }) > 0;
 }
 
+// Half a loss alone says too little to bother the peers with.
+bool IsWorthTelling(const entry& item) { return details::Score(item) >= details::kFullLoss; }
+
 // The claim goes on after the confirmation, so that this daemon's own repeat needs no second settle
 // time; Tick() ends it when there is none.
 void Confirm(table& state, const fingerprint& key, entry& item, const details::finding& loss,
@@ -158,8 +160,7 @@
   const bool added = details::AddLoss(state, item, loss, now);
   if (!added && !was_pending) return;
   if (item.condemned) details::ReleaseClaim(item);
-  // Half a loss alone says too little to bother the peers with.
-  if (IsShared(state) && item.losses.empty()) return details::Reassess(state, key, item, out);
+  if (IsShared(state) && !IsWorthTelling(item)) return details::Reassess(state, key, item, out);
   Announce(state, key, item, out);
 }
 
@@ -171,6 +172,17 @@
   out.publish.push_back(details::MakeUpdate(state, from.key, item));
 }
 
+// Whether the sender's verdict holds without the losses that were cleared here. The sender may have
+// seen fewer losses of other causes, and so needed fewer of this one.
+bool IsSupported(const table& state, const entry& item, const update& from) {
+  const auto counts = [&](const endpoint_life& life) {
+    return !details::Contains(item.cleared, life);
+  };
+  const auto score = details::kFullLoss * std::ranges::count_if(from.losses, counts) +
+                     details::kHalfLoss * std::ranges::count_if(from.half, counts);
+  return from.condemned && score >= details::UsualScore(state);
+}
+
 bool MergeLosses(const table& state, entry& item, const update& from, time_point now) {
   bool changed = false;
   for (const endpoint_life& life : from.cleared) changed |= details::MoveToCleared(item, life);
@@ -184,12 +196,8 @@
   }
   if (!IsShared(state)) return changed;
   if (!from.cleared.empty()) details::Reconsider(state, item);
-  // The sender may have seen fewer losses of other causes, and so needed fewer of this one.
-  const bool refuted = std::ranges::any_of(from.losses, [&](const endpoint_life& life) {
-    return details::Contains(item.cleared, life);
-  });
-  const bool trusted = now < item.completed_until;
-  if (from.condemned && !item.condemned && !trusted && !refuted) {
+  const bool goes_well = details::HasCompleted(item, now) || item.runs > item.fresh;
+  if (!item.condemned && !goes_well && IsSupported(state, item, from)) {
     changed = item.condemned = true;
     item.loss_expires = now + state.config.loss_lifetime;
   }
@@ -340,7 +348,11 @@
   entry& item = details::Touch(state, active.key);
   item.fresh -= 1;
   item.proven_until = now + state.config.proof_lifetime;
-  const bool claimed = item.claimed_at.has_value() || (active.alone && IsShared(state));
+  bool claimed = item.claimed_at.has_value();
+  if (IsShared(state)) {
+    claimed = active.alone || !item.losses.empty();
+    details::ClearFullLosses(item);
+  }
   YieldClaim(state, item, now);
   if (active.alone) details::RebuildSuspectEndpoints(state);
   if (claimed) {
@@ -368,7 +380,7 @@
     EndCompleted(state, key, item, alone && IsShared(state), now, out);
   } else if (how == run_end::kBroken) {
     CheckInvariant(broken.has_value(), "quarantine: a broken run names its endpoint");
-    EndBroken(state, key, item, {*broken, now, alone, progressed_there, id}, now, out);
+    EndBroken(state, key, item, {*broken, now, alone, progressed_there}, now, out);
   } else {
     EndFailed(state, key, item, alone, now, out);
   }
@@ -406,7 +418,14 @@
       from.claim != claim_kind::kNone || !from.losses.empty() || from.condemned;
   if (!says_something && details::Find(state, from.key) == nullptr) return false;
   entry& item = details::Touch(state, from.key);
+  const std::vector<endpoint_life> cleared = item.cleared;
   const bool changed = MergeLosses(state, item, from, now);
+  // The sender does not know what has been seen of the fingerprint here.
+  const bool refuted =
+      IsShared(state) && std::ranges::any_of(from.losses, [&](const auto& life) {
+        return details::Contains(item.cleared, life) && !details::Contains(cleared, life);
+      });
+  if (refuted) out.publish.push_back(details::MakeUpdate(state, from.key, item));
   if (from.claim != claim_kind::kNone) {
     item.peers[from.daemon] = {now + state.config.peer_claim, from.claim, from.endpoints};
     ClaimRunning(state, from, item, now, out);
@@ -465,7 +484,7 @@
   std::vector<update> out;
   for (const fingerprint& key : state.marked) {
     const entry& item = state.entries.find(key)->second;
-    if (item.losses.empty() && !item.claimed_at) continue;
+    if (!IsWorthTelling(item) && !item.claimed_at) continue;
     out.push_back(details::MakeUpdate(state, key, item));
   }
   return out;
@@ -483,7 +502,7 @@
     const size_t index = cursor++ % count;
     const fingerprint& key = *std::next(state.marked.begin(), static_cast<std::ptrdiff_t>(index));
     const entry& item = state.entries.find(key)->second;
-    if (!item.losses.empty()) return details::MakeUpdate(state, key, item);
+    if (IsWorthTelling(item)) return details::MakeUpdate(state, key, item);
   }
   return std::nullopt;
 }
