--- a/libs/quarantine/tests/shared_test.cc
+++ b/libs/quarantine/tests/shared_test.cc
@@ -63,6 +63,14 @@
   });
 }
 
+// Guards against copies of such a request that make each other look well. Fails: KNOWN-RED.txt.
+TEST_CASE("copies that crash engines after some outputs are refused together", "[.late_copies]") {
+  rc::prop("three copies, crash after ten outputs", [&](uint64_t seed) {
+    const auto fleet = RunFleet(seed, {.crashers = 1, .crash_after = 10, .crasher_copies = 3});
+    RC_ASSERT(MostLatePlacements(*fleet, kContact) <= kAllowedRetries);
+  });
+}
+
 // Guards against trust in what has completed before, for instance on endpoints of another version.
 TEST_CASE("a request that begins to crash engines after it has completed is refused") {
   rc::prop("harmless for six seconds", [&](uint64_t seed) {
