Quarantine: losses after progress outlive the proof of the run

Callers would see a request that crashes engines after some outputs go on, if it is sent with pauses of more than two seconds.

Cause: entries without a loss in full are dropped once the proof of their last run has expired, which the gateway sets to two seconds since; losses that count half went with them. They did not expire by time either, while the entry lived. Found on reading the change; ruled out by the same reading: entries with a loss in full, which are kept apart.

Now such entries stay until their losses expire; the table's bound holds as before. The test sends such a request four times, 5 s apart: not refused before, refused now, and forgotten after the lifetime of losses.

--- a/libs/quarantine/src/details/blame.cc
+++ b/libs/quarantine/src/details/blame.cc
@@ -44,12 +44,9 @@
          });
 }
 
-// Losses after progress do not count while other copies go well.
-void AddGraded(const table& state, const fingerprint& key, const finding& loss, int own_progress,
-               findings& out) {
-  const entry& item = state.entries.find(key)->second;
-  const bool others_go_well = item.runs - item.fresh > own_progress;
-  if (!loss.progressed || !others_go_well) out.emplace(key, loss);
+// Losses after progress do not count while other copies go well: `progressing` of them.
+void AddGraded(const fingerprint& key, const finding& loss, int progressing, findings& out) {
+  if (!loss.progressed || progressing == 0) out.emplace(key, loss);
 }
 
 void GradeRun(table& state, run& active, const endpoint_life& life, time_point alive_until,
@@ -62,15 +59,17 @@
   const bool progressed = part->progressed;
   for (run_part& other : active.route) other.settled = true;
   const bool shared = active.alone && HadOtherSuspect(state, active.key, life);
-  AddGraded(state, active.key, {life, progressed || shared, active.alone, progressed},
-            active.progressed ? 1 : 0, out);
+  const int others = item.runs - item.fresh - (active.progressed ? 1 : 0);
+  AddGraded(active.key, {life, progressed || shared, active.alone, progressed}, others, out);
 }
 
 void GradePending(table& state, const fingerprint& key, const endpoint_life& life, findings& out) {
-  for (const pending_loss& one : state.entries.find(key)->second.pending) {
+  const entry& item = state.entries.find(key)->second;
+  for (const pending_loss& one : item.pending) {
     if (one.life != life) continue;
     const bool shared = one.alone && HadOtherSuspect(state, key, life);
-    AddGraded(state, key, {life, one.progressed || shared, one.alone, one.progressed}, 0, out);
+    AddGraded(key, {life, one.progressed || shared, one.alone, one.progressed},
+              item.runs - item.fresh, out);
   }
 }
 
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -237,7 +237,7 @@
 }
 
 bool ExpireLosses(entry& item, time_point now) {
-  const bool any = item.condemned || !item.losses.empty();
+  const bool any = item.condemned || details::Score(item) > 0;
   if (!any || now < item.loss_expires) return false;
   details::ClearLosses(item);
   return true;
@@ -262,7 +262,8 @@
   while (!state.plain.empty()) {
     const auto found = state.entries.find(state.plain.back());
     const entry& item = found->second;
-    if (item.runs > 0 || now < item.proven_until) return;
+    const bool blamed = !item.half.empty() && now < item.loss_expires;
+    if (item.runs > 0 || now < item.proven_until || blamed) return;
     state.entries.erase(found);
     state.plain.pop_back();
   }
--- a/libs/quarantine/tests/shared_test.cc
+++ b/libs/quarantine/tests/shared_test.cc
@@ -165,6 +165,26 @@
   CHECK(f.IsRefused());
 }
 
+// Guards against losses that are forgotten while the caller waits longer than a proof lasts.
+TEST_CASE("losses after progress add up over runs with pauses") {
+  fixture f;
+  f.state.config.proof_lifetime = 2s;
+  for (run_id id = 1; id <= 4; ++id) {
+    const endpoint_life life{"e" + std::to_string(id), 1};
+    f.Run(id, {life});
+    Progress(f.state, id, f.now, f.out);
+    Lost(f.state, life, f.now, f.out);
+    End(f.state, id, run_end::kFailed, std::nullopt, f.now, f.out);
+    f.now += 5s;
+    Tick(f.state, f.now, f.out);
+  }
+  CHECK(f.IsRefused());
+  f.now += f.state.config.loss_lifetime;
+  Tick(f.state, f.now, f.out);
+  Tick(f.state, f.now + 1s, f.out);
+  CHECK(f.state.entries.empty());
+}
+
 // Guards against a request that goes on crashing engines because copies of it that have shown
 // nothing yet count as going well.
 TEST_CASE("a loss after progress counts beside a copy that has not progressed") {
