--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -238,16 +238,52 @@
 
 bool IsIdempotent(const call& item) { return item.route->idempotent || item.route->resumable; }
 
-bool MayTryAgain(gateway_state& state, const call& item, attempt_failure failure, bool pipelined,
-                 time_point now) {
-  if (item.due - now < kLeastTimeLeft || IsQuarantined(state, item)) return false;
-  if (item.may_have_run && !IsIdempotent(item)) return false;
-  if (failure == attempt_failure::kNotSent) return true;
+// Whether a further attempt may be sent, and if not, which limit forbids it.
+enum class permission : uint8_t {
+  kGranted,
+  kNoTime,
+  kQuarantined,
+  kMayHaveRun,
+  kSendsUsed,
+  kEndpointsUsed,
+  kBudgetUsed,
+};
+
+std::string_view ToString(permission item) {
+  constexpr std::array<std::string_view, 7> kNames = {
+      "granted",    "no_time",        "quarantined", "may_have_run",
+      "sends_used", "endpoints_used", "budget_used"};
+  return kNames.at(static_cast<size_t>(item));
+}
+
+permission MayTryAgain(gateway_state& state, const call& item, attempt_failure failure,
+                       bool pipelined, time_point now) {
+  if (item.due - now < kLeastTimeLeft) return permission::kNoTime;
+  if (IsQuarantined(state, item)) return permission::kQuarantined;
+  if (item.may_have_run && !IsIdempotent(item)) return permission::kMayHaveRun;
+  if (failure == attempt_failure::kNotSent) return permission::kGranted;
+  if (item.sends >= kMaxSends) return permission::kSendsUsed;
   // A pipelined request may go through a head again with other engines behind it.
   const auto counted = static_cast<int>(CountedEndpoints(state, item).size());
   const bool sent_out = counted >= item.route->max_attempts;
-  if (item.sends >= kMaxSends || (sent_out && !pipelined)) return false;
-  return MayRepeat(state.budget, item.service, now);
+  if (sent_out && !pipelined) return permission::kEndpointsUsed;
+  const bool within = MayRepeat(state.budget, item.service, now);
+  return within ? permission::kGranted : permission::kBudgetUsed;
+}
+
+// The inputs of MayTryAgain(), for a call that ends because of it.
+void LogDenied(gateway_state& state, const call& item, permission why, time_point now) {
+  metrics::Increment(state.metrics.registry, state.metrics.denied);
+  const budget_use used = UseOf(state.budget, item.service, now);
+  log::Log(log::level::kInfo, "further attempt denied",
+           {{"request", item.incoming.id},
+            {"limit", ToString(why)},
+            {"sends", item.sends},
+            {"endpoints", CountedEndpoints(state, item).size()},
+            {"endpoints_allowed", item.route->max_attempts},
+            {"repeats", used.repeats},
+            {"repeats_allowed", used.allowed},
+            {"left_ms", WholeMilliseconds(item.due - now)}});
 }
 
 void OnFailure(gateway_state& state, const call_ptr& item, attempt_failure failure) {
@@ -257,6 +293,9 @@
   if (endpoint* named = FindByAddress(state, item->facts.fault_address)) {
     fault_id = named->listed.id;
   }
+  // Otherwise the endpoint or the connection ended it.
+  const bool ended_by_gateway =
+      failure == attempt_failure::kMoved || failure == attempt_failure::kStalled;
   log::Log(log::level::kInfo, "attempt failed",
            {{"request", item->incoming.id},
             {"fingerprint", quarantine::ToString(item->fingerprint)},
@@ -265,7 +304,10 @@
             {"fault", fault_id},
             {"reason", ToString(failure)},
             {"status", item->head.status},
-            {"events", item->events.events}});
+            {"events", item->events.events},
+            {"ended_by_gateway", ended_by_gateway},
+            {"silent_ms", WholeMilliseconds(now - item->last_progress)}});
+  if (ended_by_gateway) CountEndedRunning(state.metrics, ToString(failure));
   endpoint* target = FindEndpoint(state, target_id);
   endpoint* fault = FindEndpoint(state, fault_id);
   if (failure != attempt_failure::kNotSent) ++item->sends;
@@ -300,11 +342,13 @@
     AskEndpoint(state, *fault, failure == attempt_failure::kNotExecuted ? "refused" : "broke off");
   }
   if (!state.calls.contains(item->number)) return;
-  if (MayTryAgain(state, *item, failure, pipelined, now)) {
+  const permission allowed = MayTryAgain(state, *item, failure, pipelined, now);
+  if (allowed == permission::kGranted) {
     if (failure != attempt_failure::kNotSent) CountRepeat(state.budget, item->service, now);
     CountRetry(state.metrics, ToString(failure));
     return Begin(state, item);
   }
+  LogDenied(state, *item, allowed, now);
   if (has_answer) {
     metrics::Increment(state.metrics.registry, state.metrics.completed);
     Answer(state, item->exchange, head.status, state.wire.reply_headers(head), body);
@@ -324,7 +368,9 @@
 // Begins the open attempt anew elsewhere. False when the request may not be sent again; the attempt
 // then goes on, since an engine that seemed lost may only be slow.
 bool Restart(gateway_state& state, const call_ptr& item, attempt_failure why) {
-  if (!IsIdempotent(*item) || !MayTryAgain(state, *item, why, true, MonotonicNow())) return false;
+  if (!IsIdempotent(*item)) return false;
+  const permission allowed = MayTryAgain(state, *item, why, true, MonotonicNow());
+  if (allowed != permission::kGranted) return false;
   if (!MayStartElsewhere(state, *item)) return false;
   OnFailure(state, item, why);
   return true;
--- a/libs/gateway/src/details/repeat_budget.h
+++ b/libs/gateway/src/details/repeat_budget.h
@@ -23,6 +23,14 @@
   std::map<std::string, sends, std::less<>> services;
 };
 
+// Repeats of a window, and how many this gateway may send.
+struct budget_use {
+  size_t repeats = 0;
+  double allowed = 0;
+};
+
+budget_use UseOf(repeat_budget& budget, std::string_view service, time_point now);
+
 void CountRequest(repeat_budget& budget, std::string_view service, time_point now);
 
 // Whether the budget allows one more repeat.
--- a/libs/gateway/src/details/telemetry.h
+++ b/libs/gateway/src/details/telemetry.h
@@ -16,6 +16,7 @@
   metrics::counter_id hung_up;     // callers that left
   metrics::counter_id on_lost;     // requests that were on an endpoint when it was lost
   metrics::counter_id rerouted;
+  metrics::counter_id denied;  // further attempts that a limit forbade
   metrics::counter_id orders;
   metrics::counter_id table_failures;
   metrics::histogram_id first_output_seconds;
@@ -27,5 +28,7 @@
 void CountRefusal(telemetry& metrics, std::string_view reason);
 void CountReport(telemetry& metrics, std::string_view reason);
 void CountRetry(telemetry& metrics, std::string_view reason);
+// An attempt that the gateway itself ended while its endpoint may still have been at work.
+void CountEndedRunning(telemetry& metrics, std::string_view reason);
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/repeat_budget.cc
+++ b/libs/gateway/src/repeat_budget.cc
@@ -16,6 +16,13 @@
 
 }  // namespace
 
+budget_use UseOf(repeat_budget& budget, std::string_view service, time_point now) {
+  auto& [requests, repeats] = SendsOf(budget, service);
+  DropOld(requests, now - budget.window);
+  DropOld(repeats, now - budget.window);
+  return {repeats.size(), budget.ratio * static_cast<double>(requests.size()) + budget.own_slack};
+}
+
 void CountRequest(repeat_budget& budget, std::string_view service, time_point now) {
   auto& requests = SendsOf(budget, service).requests;
   DropOld(requests, now - budget.window);
@@ -23,11 +30,8 @@
 }
 
 bool MayRepeat(repeat_budget& budget, std::string_view service, time_point now) {
-  auto& [requests, repeats] = SendsOf(budget, service);
-  DropOld(requests, now - budget.window);
-  DropOld(repeats, now - budget.window);
-  const double allowed = budget.ratio * static_cast<double>(requests.size()) + budget.own_slack;
-  return static_cast<double>(repeats.size()) + 1 <= allowed;
+  const budget_use used = UseOf(budget, service, now);
+  return static_cast<double>(used.repeats) + 1 <= used.allowed;
 }
 
 void CountRepeat(repeat_budget& budget, std::string_view service, time_point now) {
--- a/libs/gateway/src/telemetry.cc
+++ b/libs/gateway/src/telemetry.cc
@@ -25,6 +25,8 @@
                                   "Requests that were on an endpoint when it was lost.")),
       rerouted(metrics::AddCounter(registry, "gateway_rerouted_total",
                                    "Running requests that were moved to other engines.")),
+      denied(metrics::AddCounter(registry, "gateway_attempts_denied_total",
+                                 "Requests that ended because a limit forbade another attempt.")),
       orders(metrics::AddCounter(registry, "gateway_orders_total", "Orders sent to engines.")),
       table_failures(metrics::AddCounter(registry, "gateway_table_failures_total",
                                          "Calls to the shared table without a usable reply.")),
@@ -51,4 +53,8 @@
   Count(metrics, "gateway_retries_total", "Further attempts of requests.", reason);
 }
 
+void CountEndedRunning(telemetry& metrics, std::string_view reason) {
+  Count(metrics, "gateway_attempts_ended_total", "Attempts that the gateway ended.", reason);
+}
+
 }  // namespace balsambay::gateway
