--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -82,7 +82,7 @@
 int CrossingsOf(gateway_state& state, const call& item) {
   int crossings = 0;
   std::string_view last;
-  for (const call_hop& part : item.path) {
+  for (const call_hop& part : item.open->path) {
     const endpoint* engine = FindEndpoint(state, part.endpoint_id);
     if (engine == nullptr) continue;
     if (!last.empty() && last != engine->listed.zone) ++crossings;
@@ -110,6 +110,11 @@
   kApart,  // without those that run other suspects
 };
 
+// Where the open attempt entered, if there is one: its successor enters elsewhere.
+std::string_view HeadInUse(const call& item) {
+  return item.open ? std::string_view(item.open->path.front().endpoint_id) : std::string_view();
+}
+
 std::vector<size_t> ExcludedEngines(const gateway_state& state, const call& item,
                                     std::span<const pipeline::engine> engines, company company) {
   std::vector<size_t> out = IndexesOf(engines, item.avoided);
@@ -120,15 +125,16 @@
   return out;
 }
 
-// `reached`: endpoints that count as tried.
 pipeline_choice ChoosePipeline(gateway_state& state, const call& item,
-                               const catalog::service& service,
-                               const std::set<std::string>& reached, company company) {
+                               const catalog::service& service, company company) {
   const pipeline::model_spec& model = *service.pipelined;
   const std::vector<pipeline::engine> engines = ViewEngines(state, service, MonotonicNow());
-  const std::vector<size_t> excluded = ExcludedEngines(state, item, engines, company);
+  std::vector<size_t> excluded = ExcludedEngines(state, item, engines, company);
+  const auto in_use = std::ranges::find(engines, HeadInUse(item), &pipeline::engine::id);
+  if (in_use != engines.end()) excluded.push_back(static_cast<size_t>(in_use - engines.begin()));
   // A request that may not be sent to further endpoints begins again where it was.
   std::vector<size_t> heads;
+  const std::set<std::string> reached = CountedEndpoints(state, item);
   if (static_cast<int>(reached.size()) >= item.route->max_attempts) {
     heads = IndexesOf(engines, reached);
     if (heads.empty()) return {};
@@ -166,19 +172,19 @@
   return now < item.apart_until;
 }
 
-start_result TakePipeline(gateway_state& state, call& item, const catalog::service& service) {
-  item.committed_tokens = ExpectedTokens(item, *service.pipelined);
-  const std::set<std::string> reached = CountedEndpoints(state, item);
-  pipeline_choice choice = ChoosePipeline(state, item, service, reached, company::kAny);
+start_result TakePipeline(gateway_state& state, call& item, const catalog::service& service,
+                          attempt& made) {
+  made.committed_tokens = ExpectedTokens(item, *service.pipelined);
+  pipeline_choice choice = ChoosePipeline(state, item, service, company::kAny);
   if (choice.result == start_result::kStarted && item.suspect) {
-    pipeline_choice apart = ChoosePipeline(state, item, service, reached, company::kApart);
+    pipeline_choice apart = ChoosePipeline(state, item, service, company::kApart);
     if (apart.result == start_result::kStarted) {
       choice = std::move(apart);
     } else if (MayWaitApart(state, item)) {
       return start_result::kNoneApart;
     }
   }
-  if (choice.result == start_result::kStarted) item.path = std::move(choice.path);
+  if (choice.result == start_result::kStarted) made.path = std::move(choice.path);
   return choice.result;
 }
 
@@ -189,6 +195,7 @@
   double best_cost = 0;
   for (const auto& [id, candidate] : state.endpoints) {
     if (candidate.listed.service != item.service || item.avoided.contains(id)) continue;
+    if (id == HeadInUse(item)) continue;
     if (!IsUsable(state, candidate, now)) continue;
     if (company == company::kApart && HasSuspect(state, id)) continue;
     const double cost = candidate.own.sequences + candidate.peers.sequences +
@@ -203,130 +210,148 @@
   return best;
 }
 
-start_result TakePlain(gateway_state& state, call& item) {
+start_result TakePlain(gateway_state& state, const call& item, attempt& made) {
   const endpoint* best = item.suspect ? ChoosePlain(state, item, company::kApart) : nullptr;
   if (best == nullptr) best = ChoosePlain(state, item, company::kAny);
   if (best == nullptr) return start_result::kNoEndpoint;
-  item.committed_tokens = 0;
-  item.path = {{best->listed.id, best->listed.address, {}}};
+  made.path = {{best->listed.id, best->listed.address, {}}};
   return start_result::kStarted;
 }
 
-bool IsOpen(const call_ptr& item, uint32_t attempt) {
-  return item && item->upstream && item->attempt == attempt;
+// Whether it is the open attempt or its successor.
+bool IsCurrent(const call_ptr& item, const attempt_ptr& from) {
+  return item && from && from->upstream && (item->open == from || item->successor == from);
 }
 
-bool IsStreamAnswer(const call& item) { return item.route->streamed && item.head.status == 200; }
-
-bool IsForeign(const call& item) {
-  return !item.facts.request_id.empty() && item.facts.request_id != item.incoming.id;
+bool IsStreamAnswer(const call& item, const attempt& from) {
+  return item.route->streamed && from.head.status == 200;
 }
 
-// Whether the reply belongs to the request and is as the endpoint made it.
-bool IsOwnReply(const call& item) {
-  const bool success = item.head.status >= 200 && item.head.status < 300;
-  return !IsForeign(item) && !item.facts.encoded && (!success || item.facts.authentic);
+bool IsForeign(const call& item, const reply_facts& facts) {
+  return !facts.request_id.empty() && facts.request_id != item.incoming.id;
 }
 
-void Fail(gateway_state& state, const call_ptr& item, attempt_failure failure,
-          const attempt_events& events) {
-  events.on_failure(state, item, failure);
+// Whether the reply belongs to the request and is as the endpoint made it.
+bool IsOwnReply(const call& item, const attempt& from) {
+  const bool success = from.head.status >= 200 && from.head.status < 300;
+  return !IsForeign(item, from.facts) && !from.facts.encoded && (!success || from.facts.authentic);
 }
 
-void OnHead(gateway_state& state, const call_ptr& item, const net::reply_head& head,
-            const attempt_events& events) {
-  const uint32_t attempt = item->attempt;
-  item->head = head;
-  item->facts = state.wire.read_reply(head);
+void OnHead(gateway_state& state, const call_ptr& item, const attempt_ptr& from,
+            const net::reply_head& head, const attempt_events& events) {
+  from->head = head;
+  from->facts = state.wire.read_reply(head);
   // A reply of another request or endpoint says nothing about this one.
-  endpoint* target = IsForeign(*item) || head.status == 421
+  endpoint* target = IsForeign(*item, from->facts) || head.status == 421
                          ? nullptr
-                         : FindEndpoint(state, item->path.front().endpoint_id);
-  if (target != nullptr) ApplyFacts(state, *target, item->facts);
-  if (!IsOpen(item, attempt)) return;
-  if (item->facts.not_executed) return Fail(state, item, attempt_failure::kNotExecuted, events);
-  if (!IsOwnReply(*item)) return Fail(state, item, attempt_failure::kBroken, events);
-}
-
-void OnData(gateway_state& state, const call_ptr& item, std::string_view data,
-            const attempt_events& events) {
-  if (!IsStreamAnswer(*item)) {
-    item->reply_body += data;
-    if (item->reply_body.size() > kMaxReplyBytes) {
-      Fail(state, item, attempt_failure::kBroken, events);
+                         : FindEndpoint(state, from->path.front().endpoint_id);
+  if (target != nullptr) ApplyFacts(state, *target, from->facts);
+  if (!IsCurrent(item, from)) return;
+  if (from->facts.not_executed) {
+    return events.on_failure(state, item, from, attempt_failure::kNotExecuted);
+  }
+  if (!IsOwnReply(*item, *from)) {
+    return events.on_failure(state, item, from, attempt_failure::kBroken);
+  }
+}
+
+void OnData(gateway_state& state, const call_ptr& item, const attempt_ptr& from,
+            std::string_view data, const attempt_events& events) {
+  if (!IsStreamAnswer(*item, *from)) {
+    from->reply_body += data;
+    if (from->reply_body.size() > kMaxReplyBytes) {
+      events.on_failure(state, item, from, attempt_failure::kBroken);
     }
     return;
   }
-  const std::string whole = TakeWholeEvents(item->events, data);
-  if (item->events.partial.size() > kMaxEventBytes) {
-    return Fail(state, item, attempt_failure::kBroken, events);
+  const std::string whole = TakeWholeEvents(from->events, data);
+  if (from->events.partial.size() > kMaxEventBytes) {
+    return events.on_failure(state, item, from, attempt_failure::kBroken);
   }
   if (whole.empty()) return;
   const time_point now = MonotonicNow();
-  Learn(item->progressed ? state.pace.gap : state.pace.first, now - item->last_progress);
-  item->last_progress = now;
-  item->progressed = true;
-  ++item->outputs;
-  NoteOutput(state, *item);
-  events.on_output(state, item, whole);
+  Learn(from->progressed ? state.pace.gap : state.pace.first, now - from->last_progress);
+  from->last_progress = now;
+  from->progressed = true;
+  ++from->outputs;
+  events.on_output(state, item, from, whole);
 }
 
-void OnEnd(gateway_state& state, const call_ptr& item, const net::call_end& end,
-           const attempt_events& events) {
+void OnEnd(gateway_state& state, const call_ptr& item, const attempt_ptr& from,
+           const net::call_end& end, const attempt_events& events) {
+  const auto fail = [&](attempt_failure why) { events.on_failure(state, item, from, why); };
   switch (end.failure) {
     case net::call_failure::kConnect:
-      return Fail(state, item, attempt_failure::kNotSent, events);
+      return fail(attempt_failure::kNotSent);
     case net::call_failure::kTimeout:
-      return Fail(state, item, attempt_failure::kStalled, events);
+      return fail(attempt_failure::kStalled);
     case net::call_failure::kBroken:
-      item->cut = true;
-      return Fail(state, item, attempt_failure::kBroken, events);
+      from->cut = true;
+      return fail(attempt_failure::kBroken);
     case net::call_failure::kNone:
       break;
   }
-  const bool incomplete = IsStreamAnswer(*item) && !item->events.partial.empty();
-  if (incomplete) return Fail(state, item, attempt_failure::kBroken, events);
+  const bool incomplete = IsStreamAnswer(*item, *from) && !from->events.partial.empty();
+  if (incomplete) return fail(attempt_failure::kBroken);
   // An error cannot end an answer that has begun.
-  const bool misplaced = item->streaming && item->head.status != 200;
-  if (misplaced || item->head.status >= 500) {
-    return Fail(state, item, attempt_failure::kFailed, events);
-  }
-  events.on_answer(state, item);
+  const bool misplaced = item->streaming && from->head.status != 200;
+  if (misplaced || from->head.status >= 500) return fail(attempt_failure::kFailed);
+  events.on_answer(state, item, from);
 }
 
-attempt_spec MakeSpec(const call& item, const endpoint& target, duration time_left) {
+attempt_spec MakeSpec(const call& item, const attempt& made, duration time_left) {
   attempt_spec spec;
-  spec.address = target.listed.address;
-  spec.endpoint_id = target.listed.id;
+  spec.address = made.path.front().address;
+  spec.endpoint_id = made.path.front().endpoint_id;
   spec.time_left = time_left;
   spec.workspace = item.workspace;
   spec.priority = std::clamp(item.priority, 0, kMaxPriority);
-  if (item.path.front().range.Size() > 0) spec.path = WireHops(item.path);
+  if (IsPipelined(made)) spec.path = WireHops(made.path);
   spec.last_event_id =
-      item.events.last_id.empty() ? item.incoming.last_event_id : item.events.last_id;
+      made.events.last_id.empty() ? item.incoming.last_event_id : made.events.last_id;
   return spec;
 }
 
 net::client_callbacks MakeCallbacks(gateway_state& state, const call_ptr& item,
-                                    const attempt_events& events) {
+                                    const attempt_ptr& made, const attempt_events& events) {
   const std::weak_ptr<call> weak = item;
-  const uint32_t attempt = item->attempt;
+  const std::weak_ptr<attempt> weak_attempt = made;
   net::client_callbacks out;
-  out.on_headers = [&state, weak, attempt, events](const net::reply_head& head) {
+  out.on_headers = [&state, weak, weak_attempt, events](const net::reply_head& head) {
     const call_ptr held = weak.lock();
-    if (IsOpen(held, attempt)) OnHead(state, held, head, events);
+    const attempt_ptr from = weak_attempt.lock();
+    if (IsCurrent(held, from)) OnHead(state, held, from, head, events);
   };
-  out.on_data = [&state, weak, attempt, events](std::string_view data) {
+  out.on_data = [&state, weak, weak_attempt, events](std::string_view data) {
     const call_ptr held = weak.lock();
-    if (IsOpen(held, attempt)) OnData(state, held, data, events);
+    const attempt_ptr from = weak_attempt.lock();
+    if (IsCurrent(held, from)) OnData(state, held, from, data, events);
   };
-  out.on_end = [&state, weak, attempt, events](const net::call_end& end) {
+  out.on_end = [&state, weak, weak_attempt, events](const net::call_end& end) {
     const call_ptr held = weak.lock();
-    if (IsOpen(held, attempt)) OnEnd(state, held, end, events);
+    const attempt_ptr from = weak_attempt.lock();
+    if (IsCurrent(held, from)) OnEnd(state, held, from, end, events);
   };
   return out;
 }
 
+// The request counts as sent there from now on, since a byte of it may arrive at any time.
+void NoteSent(gateway_state& state, call& item, attempt& made) {
+  ++item.sends;
+  const std::string& id = made.path.front().endpoint_id;
+  made.first_there = !item.reached.contains(id);
+  item.reached[id] = FindEndpoint(state, id)->listed.incarnation;
+}
+
+// All engines that run the request, or may soon do.
+std::vector<call_hop> EnginesOf(const call& item) {
+  std::vector<call_hop> out;
+  for (const attempt_ptr& part : {item.open, item.successor}) {
+    if (part) out.insert(out.end(), part->path.begin(), part->path.end());
+  }
+  return out;
+}
+
 // A path that begins at the open attempt's head, engine number `head`. Full engines are used if
 // there are no others.
 pipeline::path_choice ChooseRest(const catalog::service& service,
@@ -334,9 +359,9 @@
                                  size_t head, const gateway_state& state, company company) {
   std::vector<size_t> excluded = ExcludedEngines(state, item, engines, company);
   std::erase(excluded, head);
-  pipeline::path_query query{.tokens = item.committed_tokens,
+  pipeline::path_query query{.tokens = item.open->committed_tokens,
                              .home_zone = state.config.zone,
-                             .head = pipeline::path_stage{head, item.path.front().range},
+                             .head = pipeline::path_stage{head, item.open->path.front().range},
                              .ignore_room = false,
                              .excluded = excluded};
   pipeline::path_choice choice = pipeline::ChoosePath(*service.pipelined, engines, query);
@@ -345,12 +370,13 @@
   return pipeline::ChoosePath(*service.pipelined, engines, query);
 }
 
-void AdoptPath(gateway_state& state, call& item, std::vector<call_hop> path) {
+void AdoptPath(gateway_state& state, const call& item, std::vector<call_hop> path) {
+  attempt& open = *item.open;
   PlaceAttempt(state, item, path);
-  AttachLoad(state, item, -1);
-  item.outputs = 0;
-  item.path = std::move(path);
-  AttachLoad(state, item, 1);
+  AttachLoad(state, open, -1);
+  open.outputs = 0;
+  open.path = std::move(path);
+  AttachLoad(state, open, 1);
 }
 
 // A refusal that names an engine is met with a path without it.
@@ -358,7 +384,7 @@
                       const attempt_events& events) {
   endpoint* fault =
       reply.status == 409 ? FindByAddress(state, state.wire.read_order_fault(reply.body)) : nullptr;
-  if (fault != nullptr && ++item->reroutes <= kMaxReroutes) {
+  if (fault != nullptr && ++item->open->reroutes <= kMaxReroutes) {
     item->avoided.insert(fault->listed.id);
     if (Reroute(state, item, false, events)) return;
   }
@@ -382,50 +408,51 @@
   return kFailureNames.at(static_cast<size_t>(failure));
 }
 
+bool HasPart(const attempt& item, std::string_view endpoint_id) {
+  return std::ranges::find(item.path, endpoint_id, &call_hop::endpoint_id) != item.path.end();
+}
+
+bool IsPipelined(const attempt& item) { return item.path.front().range.Size() > 0; }
+
+bool IsStalled(const gateway_state& state, const attempt& item, time_point now) {
+  const pace::estimate& usual = item.progressed ? state.pace.gap : state.pace.first;
+  return now - item.last_progress >= Patience(usual);
+}
+
 start_result StartAttempt(gateway_state& state, const call_ptr& item,
                           const attempt_events& events) {
   const catalog::service* service = ServiceOf(*item);
   if (service == nullptr) return start_result::kNoEndpoint;
-  const start_result chosen =
-      service->pipelined ? TakePipeline(state, *item, *service) : TakePlain(state, *item);
+  const auto made = std::make_shared<attempt>();
+  const start_result chosen = service->pipelined ? TakePipeline(state, *item, *service, *made)
+                                                 : TakePlain(state, *item, *made);
   if (chosen != start_result::kStarted) return chosen;
   const time_point now = MonotonicNow();
-  const endpoint& target = *FindEndpoint(state, item->path.front().endpoint_id);
-  ++item->attempt;
-  item->last_progress = now;
-  item->progressed = false;
-  item->outputs = 0;
-  item->cut = false;
-  item->rerouting = false;
-  item->reroutes = 0;
-  item->head = {};
-  item->facts = {};
-  item->reply_body.clear();
-  DropPartialEvent(item->events);
-  AttachLoad(state, *item, 1);
-  PlaceAttempt(state, *item, item->path);
-  net::client_request request = state.wire.write_attempt(item->incoming, item->body,
-                                                         MakeSpec(*item, target, item->due - now));
+  made->number = ++item->attempts;
+  made->last_progress = now;
+  made->events = item->events;
+  DropPartialEvent(made->events);
+  (item->open ? item->successor : item->open) = made;
+  NoteSent(state, *item, *made);
+  AttachLoad(state, *made, 1);
+  PlaceAttempt(state, *item, EnginesOf(*item));
+  net::client_request request =
+      state.wire.write_attempt(item->incoming, item->body, MakeSpec(*item, *made, item->due - now));
   request.header_timeout = item->due - now;
-  item->upstream = state.client->Send(std::move(request), MakeCallbacks(state, item, events));
+  made->upstream = state.client->Send(std::move(request), MakeCallbacks(state, item, made, events));
   return start_result::kStarted;
 }
 
 bool MayStartElsewhere(gateway_state& state, const call& item) {
   const catalog::service* service = ServiceOf(item);
-  if (service == nullptr || !service->pipelined) return false;
-  std::set<std::string> reached = CountedEndpoints(state, item);
-  reached.insert(item.path.front().endpoint_id);
-  return ChoosePipeline(state, item, *service, reached, company::kAny).result ==
-         start_result::kStarted;
+  if (service == nullptr) return false;
+  if (!service->pipelined) return ChoosePlain(state, item, company::kAny) != nullptr;
+  return ChoosePipeline(state, item, *service, company::kAny).result == start_result::kStarted;
 }
 
-void CloseAttempt(gateway_state& state, call& item) {
+void CloseAttempt(gateway_state& state, attempt& item) {
   if (!item.upstream) return;
-  EndAttempt(state, item, attempt_end::kClosed);
   AttachLoad(state, item, -1);
-  item.path.clear();
-  Cancel(state.loop.Timers(), item.try_timer);
   item.upstream->Cancel();
   item.upstream.reset();
 }
@@ -434,10 +461,11 @@
              const attempt_events& events) {
   const catalog::service* service = ServiceOf(*item);
   if (service == nullptr || !service->pipelined) return false;
-  if (item->rerouting) return true;
+  const attempt_ptr open = item->open;
+  if (open->rerouting) return true;
   const std::vector<pipeline::engine> engines = ViewEngines(state, *service, MonotonicNow());
   const auto head =
-      std::ranges::find(engines, item->path.front().endpoint_id, &pipeline::engine::id);
+      std::ranges::find(engines, open->path.front().endpoint_id, &pipeline::engine::id);
   if (head == engines.end()) return false;
   const auto index = static_cast<size_t>(head - engines.begin());
   pipeline::path_choice choice;
@@ -450,40 +478,42 @@
   if (crosses && !allow_crossings) return false;
   std::vector<call_hop> path = ToHops(choice.stages, engines);
   net::client_request order =
-      state.wire.write_reroute(item->path.front().address, item->incoming.id, WireHops(path));
+      state.wire.write_reroute(open->path.front().address, item->incoming.id, WireHops(path));
   order.header_timeout = kRerouteTimeout;
-  item->rerouting = true;
+  open->rerouting = true;
   // The new engines may begin before the reply is here.
-  std::vector<call_hop> both = item->path;
+  std::vector<call_hop> both = open->path;
   both.insert(both.end(), path.begin(), path.end());
   PlaceAttempt(state, *item, both);
   metrics::Increment(state.metrics.registry, state.metrics.rerouted);
   const std::weak_ptr<call> weak = item;
-  net::Fetch(*state.client, std::move(order),
-             [&state, weak, attempt = item->attempt, path = std::move(path),
-              events](const net::whole_reply& reply) {
-               const call_ptr held = weak.lock();
-               if (!IsOpen(held, attempt)) return;
-               held->rerouting = false;
-               if (endpoint* engine = FindEndpoint(state, path.front().endpoint_id)) {
-                 ApplyFacts(state, *engine, state.wire.read_reply(reply.head));
-               }
-               const bool done = reply.end.failure == net::call_failure::kNone &&
-                                 (reply.status == 200 || reply.status == 202);
-               log::Log(log::level::kInfo, "request rerouted",
-                        {{"request", held->incoming.id},
-                         {"attempt", attempt},
-                         {"head", path.front().endpoint_id},
-                         {"status", reply.status},
-                         {"detail", reply.end.detail}});
-               if (!done) {
-                 PlaceAttempt(state, *held, held->path);
-                 return OnRerouteRefused(state, held, reply, events);
-               }
-               held->reroutes = 0;
-               held->last_progress = MonotonicNow();
-               AdoptPath(state, *held, path);
-             });
+  const std::weak_ptr<attempt> weak_attempt = open;
+  net::Fetch(
+      *state.client, std::move(order),
+      [&state, weak, weak_attempt, path = std::move(path), events](const net::whole_reply& reply) {
+        const call_ptr held = weak.lock();
+        const attempt_ptr open = weak_attempt.lock();
+        if (!open || !held || held->open != open) return;
+        open->rerouting = false;
+        if (endpoint* engine = FindEndpoint(state, path.front().endpoint_id)) {
+          ApplyFacts(state, *engine, state.wire.read_reply(reply.head));
+        }
+        const bool done = reply.end.failure == net::call_failure::kNone &&
+                          (reply.status == 200 || reply.status == 202);
+        log::Log(log::level::kInfo, "request rerouted",
+                 {{"request", held->incoming.id},
+                  {"attempt", open->number},
+                  {"head", path.front().endpoint_id},
+                  {"status", reply.status},
+                  {"detail", reply.end.detail}});
+        if (!done) {
+          PlaceAttempt(state, *held, open->path);
+          return OnRerouteRefused(state, held, reply, events);
+        }
+        open->reroutes = 0;
+        open->last_progress = MonotonicNow();
+        AdoptPath(state, *held, path);
+      });
   return true;
 }
 
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -8,6 +8,8 @@
 #include "details/containment.h"
 #include "details/fleet.h"
 #include "details/monitor.h"
+#include "details/replacement.h"
+#include "details/retries.h"
 #include "log/log.h"
 
 namespace balsambay::gateway {
@@ -17,8 +19,6 @@
 
 // Bytes buffered for a slow caller before reading from the endpoint stops.
 constexpr size_t kMaxPendingBytes = size_t{256} * 1024;
-// A further attempt that would begin later than this before the deadline cannot succeed.
-constexpr duration kLeastTimeLeft = 20ms;
 // Callers that were refused for want of room return spread over this time: the first requests in
 // progress end within it.
 constexpr duration kRoomRetryAfter = 600ms;
@@ -31,37 +31,18 @@
 // Limits of age after which a copy of the configuration no longer counts as current: one for the
 // check and one for its answer.
 constexpr int kCurrentLimits = 2;
-// An idempotent plain call is tried elsewhere when the endpoint has not answered by then; multiples
-// of the route's latency goal.
-constexpr double kTryGoalParts = 1.0;
-constexpr duration kLeastTryTime = 100ms;
+// Status of an endpoint that is not the one that was meant.
+constexpr int kWrongEndpoint = 421;
 // A refusal counts against an endpoint for this long; by then the platform's list or a report tells
 // why.
 constexpr duration kRefusalHold = 700ms;
-// Refusals are proofs that nothing ran, so a request may meet a few.
-constexpr int kMaxSends = 5;
-
-// An engine is suspected when at least this part of the requests through it has stalled: those that
-// only share a path with a lost engine also run requests that go on.
-constexpr double kSuspectPart = 0.8;
-// Each check costs a connection. Enough for all engines of a path at once: the one that is lost
-// shows by its silence while the others answer.
-constexpr size_t kMaxChecksPerTick = 14;
-
-// Requests of this gateway through one engine.
-struct suspicion {
-  int calls = 0;
-  int stalled = 0;
-};
-
-// Requests move off an endpoint that leaves before it ends, which is 2 s after its notice or later.
-// By then most have ended, or another engine holds its layers, so that they move in place.
-constexpr duration kMoveLatest = 1800ms;
-constexpr duration kMoveRetry = 150ms;
-
 // Time between two looks of a request that waits for the quarantine.
 constexpr duration kHoldStep = 25ms;
 
+// A successor that was refused is followed by another one after this time: engines that refuse are
+// not chosen for as long.
+constexpr duration kRefusedPause = kRefusalHold;
+
 // Longest pause in a stream after which it is still worth continuing it, and the time between two
 // looks for an endpoint that can.
 constexpr duration kLongestPause = 1500ms;
@@ -126,9 +107,14 @@
 }
 
 void Retire(gateway_state& state, const call_ptr& item) {
-  CloseAttempt(state, *item);
+  if (item->open) EndAttempt(state, *item, attempt_end::kClosed);
+  for (const attempt_ptr& sent : {item->open, item->successor}) {
+    if (sent) CloseAttempt(state, *sent);
+  }
+  item->open = item->successor = nullptr;
   item->held = false;
   Cancel(state.loop.Timers(), item->try_timer);
+  Cancel(state.loop.Timers(), item->lost_timer);
   Cancel(state.loop.Timers(), item->due_timer);
   item->exchange->on_hangup = nullptr;
   item->exchange->on_drained = nullptr;
@@ -145,7 +131,8 @@
              {{"request", item->incoming.id},
               {"reason", why.reason},
               {"events", item->events.events},
-              {"attempt", item->attempt}});
+              {"attempt", item->attempts}});
+    if (item->open) item->exchange->Write(item->open->withheld);
     item->exchange->Abort();
     return Retire(state, item);
   }
@@ -157,10 +144,10 @@
             {"reason", why.reason},
             {"service", item->service},
             {"version", item->configuration->content.version},
-            {"attempts", item->attempt},
+            {"attempts", item->attempts},
             {"may_have_run", item->may_have_run},
             {"fingerprint", quarantine::ToString(item->fingerprint)},
-            {"tokens", item->committed_tokens},
+            {"tokens", item->open ? item->open->committed_tokens : 0},
             {"age_ms", WholeMilliseconds(MonotonicNow() - item->arrived)},
             {"open_requests", state.calls.size()}});
   SendRefusal(state, item->exchange, why);
@@ -195,15 +182,17 @@
             {"service", item.service},
             {"first_ms", WholeMilliseconds(first)},
             {"gap_ms", WholeMilliseconds(item.longest_gap)},
-            {"attempt", item.attempt},
-            {"endpoint", item.path.front().endpoint_id},
-            {"hops", item.path.size()}});
+            {"attempt", item.open->number},
+            {"endpoint", item.open->path.front().endpoint_id},
+            {"hops", item.open->path.size()}});
 }
 
-void OnAnswer(gateway_state& state, const call_ptr& item) {
+void OnAnswer(gateway_state& state, const call_ptr& item, const attempt_ptr& from) {
   const time_point now = MonotonicNow();
-  endpoint* target = FindEndpoint(state, item->path.front().endpoint_id);
-  if (target != nullptr) RecordOutcome(*target, item->head.status >= 500, now);
+  if (from == item->successor) TakeOver(state, item);
+  if (item->successor) DropSuccessor(state, item, "answered");
+  endpoint* target = FindEndpoint(state, from->path.front().endpoint_id);
+  if (target != nullptr) RecordOutcome(*target, from->head.status >= 500, now);
   metrics::Increment(state.metrics.registry, state.metrics.completed);
   metrics::Observe(state.metrics.registry, state.metrics.duration_seconds,
                    Seconds(now - item->arrived));
@@ -211,209 +200,180 @@
   if (item->streaming) {
     item->exchange->End();
   } else {
-    Answer(state, item->exchange, item->head.status, state.wire.reply_headers(item->head),
-           item->reply_body);
+    Answer(state, item->exchange, from->head.status, state.wire.reply_headers(from->head),
+           from->reply_body);
   }
-  const bool success = item->head.status >= 200 && item->head.status < 300;
+  const bool success = from->head.status >= 200 && from->head.status < 300;
   if (success) EndAttempt(state, *item, attempt_end::kAnswered);
   Retire(state, item);
 }
 
-void OnOutput(gateway_state& state, const call_ptr& item, std::string_view events) {
-  const time_point now = MonotonicNow();
-  if (item->streaming) item->longest_gap = std::max(item->longest_gap, now - item->last_output);
-  item->last_output = now;
-  if (!item->streaming) {
-    item->streaming = true;
-    item->first_output = now - item->arrived;
-    metrics::Observe(state.metrics.registry, state.metrics.first_output_seconds,
-                     Seconds(item->first_output));
-    std::vector<net::header> headers = state.wire.reply_headers(item->head);
-    if (state.unready) headers.push_back({"Connection", "close"});
-    item->exchange->BeginStream(item->head.status, headers);
+void OnOutput(gateway_state& state, const call_ptr& item, const attempt_ptr& from,
+              std::string_view events) {
+  if (from == item->successor) {
+    TakeOver(state, item);
+  } else if (item->successor && MustWithhold(*item, MonotonicNow())) {
+    from->withheld += events;
+    if (from->withheld.size() > kMaxPendingBytes) from->upstream->PauseReading();
+    return;
+  } else if (item->successor) {
+    from->withheld += events;
+    return DropSuccessor(state, item, "open attempt goes on");
   }
-  item->exchange->Write(events);
-  if (item->exchange->PendingBytes() > kMaxPendingBytes) item->upstream->PauseReading();
+  PassOn(state, item, events);
+  NoteOutput(state, *item);
 }
 
-bool IsIdempotent(const call& item) { return item.route->idempotent || item.route->resumable; }
-
-// Whether a further attempt may be sent, and if not, which limit forbids it.
-enum class permission : uint8_t {
-  kGranted,
-  kNoTime,
-  kQuarantined,
-  kMayHaveRun,
-  kSendsUsed,
-  kEndpointsUsed,
-  kBudgetUsed,
+// What a failed attempt says about its endpoints and the request.
+struct failed_attempt {
+  attempt_failure failure = attempt_failure::kBroken;
+  std::string endpoint_id;
+  std::string fault_id;  // of the engine that caused it, as far as it is known
 };
 
-std::string_view ToString(permission item) {
-  constexpr std::array<std::string_view, 7> kNames = {
-      "granted",    "no_time",        "quarantined", "may_have_run",
-      "sends_used", "endpoints_used", "budget_used"};
-  return kNames.at(static_cast<size_t>(item));
-}
-
-permission MayTryAgain(gateway_state& state, const call& item, attempt_failure failure,
-                       bool pipelined, time_point now) {
-  if (item.due - now < kLeastTimeLeft) return permission::kNoTime;
-  if (IsQuarantined(state, item)) return permission::kQuarantined;
-  if (item.may_have_run && !IsIdempotent(item)) return permission::kMayHaveRun;
-  if (failure == attempt_failure::kNotSent) return permission::kGranted;
-  if (item.sends >= kMaxSends) return permission::kSendsUsed;
-  // A pipelined request may go through a head again with other engines behind it.
-  const auto counted = static_cast<int>(CountedEndpoints(state, item).size());
-  const bool sent_out = counted >= item.route->max_attempts;
-  if (sent_out && !pipelined) return permission::kEndpointsUsed;
-  const bool within = MayRepeat(state.budget, item.service, now);
-  return within ? permission::kGranted : permission::kBudgetUsed;
-}
-
-// The inputs of MayTryAgain(), for a call that ends because of it.
-void LogDenied(gateway_state& state, const call& item, permission why, time_point now) {
-  metrics::Increment(state.metrics.registry, state.metrics.denied);
-  const budget_use used = UseOf(state.budget, item.service, now);
-  log::Log(log::level::kInfo, "further attempt denied",
+void LogFailure(const call& item, const attempt& from, const failed_attempt& what, time_point now) {
+  log::Log(log::level::kInfo, "attempt failed",
            {{"request", item.incoming.id},
-            {"limit", ToString(why)},
-            {"sends", item.sends},
-            {"endpoints", CountedEndpoints(state, item).size()},
-            {"endpoints_allowed", item.route->max_attempts},
-            {"repeats", used.repeats},
-            {"repeats_allowed", used.allowed},
-            {"left_ms", WholeMilliseconds(item.due - now)}});
-}
-
-void OnFailure(gateway_state& state, const call_ptr& item, attempt_failure failure) {
-  const time_point now = MonotonicNow();
-  const std::string target_id = item->path.front().endpoint_id;
-  std::string fault_id = target_id;
-  if (endpoint* named = FindByAddress(state, item->facts.fault_address)) {
-    fault_id = named->listed.id;
+            {"fingerprint", quarantine::ToString(item.fingerprint)},
+            {"attempt", from.number},
+            {"successor", &from == item.successor.get()},
+            {"endpoint", what.endpoint_id},
+            {"fault", what.fault_id},
+            {"reason", ToString(what.failure)},
+            {"status", from.head.status},
+            {"events", item.events.events},
+            {"silent_ms", WholeMilliseconds(now - from.last_progress)}});
+}
+
+failed_attempt NoteFailure(gateway_state& state, call& item, const attempt& from,
+                           attempt_failure failure, time_point now) {
+  failed_attempt out{failure, from.path.front().endpoint_id, from.path.front().endpoint_id};
+  if (const endpoint* named = FindByAddress(state, from.facts.fault_address)) {
+    out.fault_id = named->listed.id;
   }
-  // Otherwise the endpoint or the connection ended it.
-  const bool ended_by_gateway =
-      failure == attempt_failure::kMoved || failure == attempt_failure::kStalled;
-  log::Log(log::level::kInfo, "attempt failed",
-           {{"request", item->incoming.id},
-            {"fingerprint", quarantine::ToString(item->fingerprint)},
-            {"attempt", item->attempt},
-            {"endpoint", target_id},
-            {"fault", fault_id},
-            {"reason", ToString(failure)},
-            {"status", item->head.status},
-            {"events", item->events.events},
-            {"ended_by_gateway", ended_by_gateway},
-            {"silent_ms", WholeMilliseconds(now - item->last_progress)}});
-  if (ended_by_gateway) CountEndedRunning(state.metrics, ToString(failure));
-  endpoint* target = FindEndpoint(state, target_id);
-  endpoint* fault = FindEndpoint(state, fault_id);
-  if (failure != attempt_failure::kNotSent) ++item->sends;
-  const bool pipelined = item->path.front().range.Size() > 0;
-  if (failure != attempt_failure::kNotSent && target != nullptr) {
-    item->reached[target_id] = target->listed.incarnation;
+  LogFailure(item, from, out, now);
+  if (failure == attempt_failure::kNotSent) {
+    --item.sends;
+    if (from.first_there) item.reached.erase(out.endpoint_id);
+  } else if (failure != attempt_failure::kNotExecuted) {
+    item.may_have_run = true;
   }
-  if (fault != nullptr && failure == attempt_failure::kNotExecuted && pipelined) {
+  item.avoided.insert(out.fault_id);
+  endpoint* fault = FindEndpoint(state, out.fault_id);
+  if (fault != nullptr && failure == attempt_failure::kNotExecuted && IsPipelined(from)) {
     fault->refused_until = std::max(fault->refused_until, now + kRefusalHold);
   }
-  if (failure == attempt_failure::kBroken || failure == attempt_failure::kStalled ||
-      failure == attempt_failure::kFailed || failure == attempt_failure::kMoved) {
-    item->may_have_run = true;
+  endpoint* target = FindEndpoint(state, out.endpoint_id);
+  if (target != nullptr && failure != attempt_failure::kNotExecuted) {
+    RecordOutcome(*target, true, now);
   }
-  const bool blamed =
-      failure != attempt_failure::kNotExecuted && failure != attempt_failure::kMoved;
-  if (target != nullptr && blamed) RecordOutcome(*target, true, now);
-  if (failure != attempt_failure::kMoved) item->avoided.insert(fault_id);
-  // An answer of the endpoint is passed on when there is no better one to be had.
-  const bool has_answer = failure == attempt_failure::kFailed && !item->streaming;
-  const net::reply_head head = item->head;
-  const std::string body = item->reply_body;
-  const bool overloaded = failure == attempt_failure::kNotExecuted && item->head.status != 421;
-  if (item->cut && target != nullptr) NoteBroken(state, *item, *target);
-  CloseAttempt(state, *item);
-  if (fault != nullptr && failure == attempt_failure::kNotSent && !pipelined) {
+  return out;
+}
+
+// Finds out about the endpoint that caused a failure. May move requests off it.
+void ExamineFault(gateway_state& state, const failed_attempt& what, bool pipelined) {
+  endpoint* fault = FindEndpoint(state, what.fault_id);
+  if (fault == nullptr) return;
+  if (what.failure == attempt_failure::kNotSent && !pipelined) {
     MarkDown(state, *fault, "cannot be reached");
-  } else if (fault != nullptr && failure == attempt_failure::kNotSent) {
+  } else if (what.failure == attempt_failure::kNotSent) {
     AskEndpoint(state, *fault, "cannot be reached");
-  } else if (fault != nullptr && pipelined &&
-             (failure == attempt_failure::kBroken || failure == attempt_failure::kNotExecuted)) {
-    AskEndpoint(state, *fault, failure == attempt_failure::kNotExecuted ? "refused" : "broke off");
+  } else if (pipelined && what.failure == attempt_failure::kBroken) {
+    AskEndpoint(state, *fault, "broke off");
+  } else if (pipelined && what.failure == attempt_failure::kNotExecuted) {
+    AskEndpoint(state, *fault, "refused");
   }
-  if (!state.calls.contains(item->number)) return;
+}
+
+// The successor of an attempt that has failed goes on in its place, unless the quarantine is
+// against it.
+void Promote(gateway_state& state, const call_ptr& item) {
+  item->open = std::exchange(item->successor, nullptr);
+  item->withholding = false;
+  if (AskAgain(state, item)) {
+    PlaceAttempt(state, *item, item->open->path);
+    return WatchTry(state, item);
+  }
+  item->may_have_run = true;
+  CloseAttempt(state, *item->open);
+  item->open = nullptr;
+  Begin(state, item);
+}
+
+void ContinueLater(gateway_state& state, const call_ptr& item, const attempt_ptr& failed,
+                   attempt_failure failure);
+
+// After the last open attempt has failed.
+void Continue(gateway_state& state, const call_ptr& item, const attempt_ptr& failed,
+              attempt_failure failure) {
+  const time_point now = MonotonicNow();
+  const bool pipelined = IsPipelined(*failed);
   const permission allowed = MayTryAgain(state, *item, failure, pipelined, now);
   if (allowed == permission::kGranted) {
     if (failure != attempt_failure::kNotSent) CountRepeat(state.budget, item->service, now);
     CountRetry(state.metrics, ToString(failure));
     return Begin(state, item);
   }
+  const bool bears_pause = item->streaming && now - item->last_output <= kLongestPause;
+  if (allowed == permission::kBudgetUsed && bears_pause) {
+    // Repeats that are older than the window make room.
+    return ContinueLater(state, item, failed, failure);
+  }
   LogDenied(state, *item, allowed, now);
-  if (has_answer) {
+  // An answer of the endpoint is passed on when there is no better one to be had.
+  if (failure == attempt_failure::kFailed && !item->streaming) {
     metrics::Increment(state.metrics.registry, state.metrics.completed);
-    Answer(state, item->exchange, head.status, state.wire.reply_headers(head), body);
+    Answer(state, item->exchange, failed->head.status, state.wire.reply_headers(failed->head),
+           failed->reply_body);
     return Retire(state, item);
   }
   if (IsQuarantined(state, *item)) return GiveUpQuarantined(state, item);
+  const bool overloaded =
+      failure == attempt_failure::kNotExecuted && failed->head.status != kWrongEndpoint;
   GiveUp(state, item,
          {.status = 503,
           .reason = overloaded ? "endpoint_full" : "endpoint_failed",
           .retry_after = SpreadRetry(state)});
 }
 
-void OnRerouteFailed(gateway_state& state, const call_ptr& item);
-
-constexpr attempt_events kEvents{OnAnswer, OnFailure, OnOutput, OnRerouteFailed};
-
-// Begins the open attempt anew elsewhere. False when the request may not be sent again; the attempt
-// then goes on, since an engine that seemed lost may only be slow.
-bool Restart(gateway_state& state, const call_ptr& item, attempt_failure why) {
-  if (!IsIdempotent(*item)) return false;
-  const permission allowed = MayTryAgain(state, *item, why, true, MonotonicNow());
-  if (allowed != permission::kGranted) return false;
-  if (!MayStartElsewhere(state, *item)) return false;
-  OnFailure(state, item, why);
-  return true;
-}
-
-// Whether an engine of the open path cannot serve any more. One that only leaves still does.
-bool HasLostPart(gateway_state& state, const call& item) {
-  return std::ranges::any_of(item.path, [&](const call_hop& part) {
-    const endpoint* engine = FindEndpoint(state, part.endpoint_id);
-    return engine == nullptr || engine->down;
-  });
-}
-
-void OnRerouteFailed(gateway_state& state, const call_ptr& item) {
-  if (HasLostPart(state, *item)) Restart(state, item, attempt_failure::kMoved);
-}
-
-// Takes a request off an engine of its path. `last_chance`: also by ways that delay it.
-void MoveOff(gateway_state& state, const call_ptr& item, const std::string& endpoint_id,
-             bool last_chance, attempt_failure why) {
-  const bool is_head = item->path.front().endpoint_id == endpoint_id;
-  if (IsQuarantined(state, *item)) return;  // about to be ended
-  if (!is_head && Reroute(state, item, false, kEvents)) return;
-  if (!last_chance || Restart(state, item, why) || is_head) return;
-  Reroute(state, item, true, kEvents);
-}
-
-void WatchTry(gateway_state& state, const call_ptr& item) {
-  if (item->path.front().range.Size() > 0 || !item->route->idempotent) return;
-  const auto counted = static_cast<int>(CountedEndpoints(state, *item).size());
-  if (counted + 1 >= item->route->max_attempts) return;
-  const duration goal(static_cast<duration::rep>(
-      kTryGoalParts * static_cast<double>(item->route->latency_goal.count())));
+void ContinueLater(gateway_state& state, const call_ptr& item, const attempt_ptr& failed,
+                   attempt_failure failure) {
   const std::weak_ptr<call> weak = item;
-  item->try_timer =
-      Subscribe(state.loop.Timers(), MonotonicNow() + std::max<duration>(goal, kLeastTryTime),
-                [&state, weak, attempt = item->attempt](time_point) {
-                  const call_ptr held = weak.lock();
-                  if (!held || !held->upstream || held->attempt != attempt) return;
-                  OnFailure(state, held, attempt_failure::kStalled);
-                });
+  item->try_timer = Subscribe(state.loop.Timers(), MonotonicNow() + kEndpointWaitStep,
+                              [&state, weak, failed, failure](time_point) {
+                                const call_ptr held = weak.lock();
+                                if (held && !held->open) Continue(state, held, failed, failure);
+                              });
+}
+
+void OnFailure(gateway_state& state, const call_ptr& item, const attempt_ptr& from,
+               attempt_failure failure) {
+  const bool was_open = from == item->open;
+  const failed_attempt what = NoteFailure(state, *item, *from, failure, MonotonicNow());
+  endpoint* target = FindEndpoint(state, what.endpoint_id);
+  if (from->cut && target != nullptr) {
+    NoteBroken(state, *item, *target);
+  } else {
+    EndAttempt(state, *item, attempt_end::kClosed);
+  }
+  CloseAttempt(state, *from);
+  (was_open ? item->open : item->successor) = nullptr;
+  if (!was_open) {
+    if (AskAgain(state, item)) PlaceAttempt(state, *item, item->open->path);
+    GoOn(state, item, kRefusedPause);
+    return ExamineFault(state, what, IsPipelined(*from));
+  }
+  Cancel(state.loop.Timers(), item->try_timer);
+  if (item->successor) {
+    Promote(state, item);
+    return ExamineFault(state, what, IsPipelined(*from));
+  }
+  ExamineFault(state, what, IsPipelined(*from));
+  if (state.calls.contains(item->number)) Continue(state, item, from, failure);
 }
 
+constexpr attempt_events kEvents{OnAnswer, OnFailure, OnOutput, OnRerouteFailed};
+
 // A stream that has begun cannot be refused any more, so it waits a little for an endpoint: layers
 // come back within about a second, and callers bear a pause of two.
 bool WaitForEndpoint(gateway_state& state, const call_ptr& item) {
@@ -423,7 +383,7 @@
   item->try_timer =
       Subscribe(state.loop.Timers(), now + kEndpointWaitStep, [&state, weak](time_point) {
         const call_ptr held = weak.lock();
-        if (!held || held->upstream) return;
+        if (!held || held->open) return;
         // What failed may have recovered, and there is nothing else to wait for.
         held->avoided.clear();
         Begin(state, held);
@@ -479,7 +439,7 @@
 }
 
 void OnDue(gateway_state& state, const call_ptr& item) {
-  if (item->upstream) item->may_have_run = true;
+  if (item->open) item->may_have_run = true;
   GiveUp(state, item, {.status = item->may_have_run ? 504 : 503, .reason = "deadline"});
 }
 
@@ -499,40 +459,36 @@
   };
   item->exchange->on_drained = [weak] {
     const call_ptr held = weak.lock();
-    if (held && held->upstream) held->upstream->ResumeReading();
+    if (held && held->open) held->open->upstream->ResumeReading();
   };
   item->due_timer = Subscribe(state.loop.Timers(), item->due, [&state, weak](time_point) {
     if (const call_ptr held = weak.lock()) OnDue(state, held);
   });
 }
 
-bool HasPart(const call& item, std::string_view endpoint_id) {
-  return std::ranges::find(item.path, endpoint_id, &call_hop::endpoint_id) != item.path.end();
-}
+}  // namespace
+
+const attempt_events& CallEvents() { return kEvents; }
 
-// An endpoint that leaves goes on serving for a while. Most requests end in that time; the others
-// move one after the other, since those that move together wait for each other.
-void MoveLater(gateway_state& state, const call_ptr& item, const std::string& endpoint_id,
-               time_point latest) {
+void PassOn(gateway_state& state, const call_ptr& item, std::string_view events) {
   const time_point now = MonotonicNow();
-  const duration spread = std::max<duration>(latest - now, kMoveRetry);
-  const duration delay = std::min<duration>(
-      kMoveRetry + duration(static_cast<duration::rep>(UniformUnit(state.rng) *
-                                                       static_cast<double>(spread.count()) / 2)),
-      spread);
-  const std::weak_ptr<call> weak = item;
-  Subscribe(state.loop.Timers(), now + delay, [&state, weak, endpoint_id, latest](time_point at) {
-    const call_ptr held = weak.lock();
-    if (!held || !held->upstream || !HasPart(*held, endpoint_id)) return;
-    const bool last_chance = at + kMoveRetry >= latest;
-    MoveOff(state, held, endpoint_id, last_chance, attempt_failure::kMoved);
-    // The order to move may still be refused.
-    if (!last_chance) MoveLater(state, held, endpoint_id, latest);
-  });
+  const attempt& from = *item->open;
+  if (item->streaming) item->longest_gap = std::max(item->longest_gap, now - item->last_output);
+  item->last_output = now;
+  item->events = from.events;
+  if (!item->streaming) {
+    item->streaming = true;
+    item->first_output = now - item->arrived;
+    metrics::Observe(state.metrics.registry, state.metrics.first_output_seconds,
+                     Seconds(item->first_output));
+    std::vector<net::header> headers = state.wire.reply_headers(from.head);
+    if (state.unready) headers.push_back({"Connection", "close"});
+    item->exchange->BeginStream(from.head.status, headers);
+  }
+  item->exchange->Write(events);
+  if (item->exchange->PendingBytes() > kMaxPendingBytes) from.upstream->PauseReading();
 }
 
-}  // namespace
-
 void AcceptCall(gateway_state& state, const net::exchange_ptr& exchange) {
   auto item = std::make_shared<call>();
   item->incoming = state.wire.read_call(*exchange);
@@ -567,23 +523,6 @@
   Begin(state, item);
 }
 
-void MoveCallsOff(gateway_state& state, const std::string& endpoint_id, bool lost) {
-  const time_point now = MonotonicNow();
-  std::vector<call_ptr> affected;
-  for (const auto& [number, item] : state.calls) {
-    if (item->upstream && HasPart(*item, endpoint_id)) affected.push_back(item);
-  }
-  for (const call_ptr& item : affected) {
-    if (!item->upstream || !HasPart(*item, endpoint_id)) continue;
-    if (item->path.front().range.Size() == 0) continue;
-    if (lost) {
-      MoveOff(state, item, endpoint_id, true, attempt_failure::kStalled);
-    } else {
-      MoveLater(state, item, endpoint_id, now + kMoveLatest);
-    }
-  }
-}
-
 namespace {
 
 std::vector<call_ptr> CallsLike(const gateway_state& state, const quarantine::fingerprint& key) {
@@ -599,8 +538,8 @@
 void EndQuarantined(gateway_state& state, const quarantine::fingerprint& key) {
   for (const call_ptr& item : CallsLike(state, key)) {
     if (!IsQuarantined(state, *item)) return;
-    if (item->upstream && HasShownProgress(*item)) continue;
-    if (item->upstream) item->may_have_run = true;
+    if (HasShownProgress(*item)) continue;
+    if (item->open) item->may_have_run = true;
     GiveUpQuarantined(state, item);
   }
 }
@@ -613,41 +552,12 @@
   }
 }
 
-void CheckProgress(gateway_state& state) {
-  const time_point now = MonotonicNow();
-  std::map<std::string_view, suspicion> seen;
-  for (const auto& [number, item] : state.calls) {
-    if (!item->upstream || item->path.front().range.Size() == 0 || item->rerouting) continue;
-    const duration patience = Patience(item->progressed ? state.pace.gap : state.pace.first);
-    const bool stalled = now - item->last_progress >= patience;
-    for (const call_hop& part : item->path) {
-      suspicion& entry = seen[part.endpoint_id];
-      ++entry.calls;
-      if (stalled) ++entry.stalled;
-    }
-  }
-  std::vector<std::pair<std::string_view, suspicion>> suspects;
-  std::ranges::copy_if(seen, std::back_inserter(suspects), [&](const auto& entry) {
-    const suspicion& counts = entry.second;
-    if (counts.stalled == 0 || counts.stalled < kSuspectPart * counts.calls) return false;
-    const endpoint* suspect = FindEndpoint(state, entry.first);
-    return suspect != nullptr && MayAsk(*suspect, now);
-  });
-  std::ranges::stable_sort(suspects, std::greater<>(),
-                           [](const auto& entry) { return entry.second.stalled; });
-  if (suspects.size() > kMaxChecksPerTick) suspects.resize(kMaxChecksPerTick);
-  for (const auto& [id, counts] : suspects) {
-    endpoint* suspect = FindEndpoint(state, id);
-    if (suspect != nullptr) AskEndpoint(state, *suspect, kNoProgress);
-  }
-}
-
 int CutCalls(gateway_state& state) {
   std::vector<call_ptr> open;
   std::ranges::transform(state.calls, std::back_inserter(open),
                          [](const auto& entry) { return entry.second; });
   for (const call_ptr& item : open) {
-    item->may_have_run = item->may_have_run || item->upstream != nullptr;
+    item->may_have_run = item->may_have_run || item->open != nullptr;
     GiveUp(state, item, {.status = 503, .reason = "stopping", .retry_after = kStartRetryAfter});
   }
   return static_cast<int>(open.size());
--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "details/attempt.h"
 #include "details/calls.h"
 #include "details/fleet.h"
 #include "details/monitor.h"
@@ -148,30 +149,34 @@
 time_point AliveUntil(const gateway_state& state, const endpoint& item, time_point now) {
   time_point last{};
   for (const auto& [number, active] : state.calls) {
-    const bool served = active->upstream && active->outputs > 0 &&
-                        std::ranges::find(active->path, item.listed.id, &call_hop::endpoint_id) !=
-                            active->path.end();
-    if (served) last = std::max(last, active->last_progress);
+    const attempt_ptr& open = active->open;
+    const bool served = open && open->outputs > 0 && HasPart(*open, item.listed.id);
+    if (served) last = std::max(last, open->last_progress);
   }
   return now - last < kSignLifetime ? std::max(last, item.answered_at) : kNever;
 }
 
+void LogRequestOn(gateway_state& state, const call& active, const attempt& sent,
+                  const endpoint& item) {
+  const auto part = std::ranges::find(sent.path, item.listed.id, &call_hop::endpoint_id);
+  if (part == sent.path.end()) return;
+  metrics::Increment(state.metrics.registry, state.metrics.on_lost);
+  log::Log(log::level::kInfo, "request was on a lost endpoint",
+           {{"request", active.incoming.id},
+            {"fingerprint", quarantine::ToString(active.fingerprint)},
+            {"endpoint", item.listed.id},
+            {"incarnation", item.listed.incarnation},
+            {"part", part - sent.path.begin()},
+            {"parts", sent.path.size()},
+            {"attempt", sent.number},
+            {"outputs", sent.outputs},
+            {"age_ms", WholeMilliseconds(MonotonicNow() - active.arrived)}});
+}
+
 void LogRequestsOn(gateway_state& state, const endpoint& item) {
-  const time_point now = MonotonicNow();
   for (const auto& [number, active] : state.calls) {
-    const auto part = std::ranges::find(active->path, item.listed.id, &call_hop::endpoint_id);
-    if (!active->upstream || part == active->path.end()) continue;
-    metrics::Increment(state.metrics.registry, state.metrics.on_lost);
-    log::Log(log::level::kInfo, "request was on a lost endpoint",
-             {{"request", active->incoming.id},
-              {"fingerprint", quarantine::ToString(active->fingerprint)},
-              {"endpoint", item.listed.id},
-              {"incarnation", item.listed.incarnation},
-              {"part", part - active->path.begin()},
-              {"parts", active->path.size()},
-              {"attempt", active->attempt},
-              {"outputs", active->outputs},
-              {"age_ms", WholeMilliseconds(now - active->arrived)}});
+    if (active->open) LogRequestOn(state, *active, *active->open, item);
+    if (active->successor) LogRequestOn(state, *active, *active->successor, item);
   }
 }
 
@@ -216,6 +221,10 @@
   return decided;
 }
 
+quarantine::verdict WouldRun(const gateway_state& state, const call& item) {
+  return quarantine::Foresee(state.quarantine, item.fingerprint, MonotonicNow());
+}
+
 bool IsQuarantined(const gateway_state& state, const call& item) {
   return IsRefused(state, item.fingerprint);
 }
@@ -225,7 +234,7 @@
   return found == state.quarantine.entries.end() ? time_point() : found->second.loss_expires;
 }
 
-bool HasShownProgress(const call& item) { return item.outputs >= kProofOutputs; }
+bool HasShownProgress(const call& item) { return item.open && item.open->outputs >= kProofOutputs; }
 
 bool HasSuspect(const gateway_state& state, std::string_view endpoint_id) {
   return quarantine::HasSuspect(state.quarantine, endpoint_id);
@@ -245,7 +254,7 @@
 }
 
 void NoteOutput(gateway_state& state, const call& item) {
-  if (item.outputs != kProofOutputs) return;
+  if (!item.open || item.open->outputs != kProofOutputs) return;
   quarantine::outputs out;
   quarantine::Progress(state.quarantine, item.number, MonotonicNow(), out);
   Process(state, out, recorder::kThis);
--- a/libs/gateway/src/details/attempt.h
+++ b/libs/gateway/src/details/attempt.h
@@ -9,24 +9,15 @@
 
 namespace balsambay::gateway {
 
-// Why an attempt produced no answer.
-enum class attempt_failure : uint8_t {
-  kNotSent,      // the endpoint could not be reached; nothing was sent
-  kNotExecuted,  // the endpoint or an engine on its path refused before it began
-  kBroken,       // connection broken, malformed or foreign reply
-  kStalled,      // no answer for too long, or an engine on the path was lost
-  kFailed,       // the endpoint answered with an error of its own
-  kMoved,        // the endpoint is about to leave; the request goes on elsewhere
-};
-
 std::string_view ToString(attempt_failure failure);
 
-// What the attempt reports to the request that owns it. Each has no effect for attempts that are
-// not the open one.
+// What an attempt reports to the request that owns it, while it is the open one or its successor.
 struct attempt_events {
-  void (*on_answer)(gateway_state& state, const call_ptr& item);
-  void (*on_failure)(gateway_state& state, const call_ptr& item, attempt_failure failure);
-  void (*on_output)(gateway_state& state, const call_ptr& item, std::string_view events);
+  void (*on_answer)(gateway_state& state, const call_ptr& item, const attempt_ptr& from);
+  void (*on_failure)(gateway_state& state, const call_ptr& item, const attempt_ptr& from,
+                     attempt_failure failure);
+  void (*on_output)(gateway_state& state, const call_ptr& item, const attempt_ptr& from,
+                    std::string_view events);
   // The engines of the open attempt could not be replaced; it goes on as it is.
   void (*on_reroute_failed)(gateway_state& state, const call_ptr& item);
 };
@@ -38,10 +29,11 @@
   kNoneApart,  // a suspect should wait for engines without others
 };
 
-// Chooses an endpoint or path and sends the request there.
+// Chooses an endpoint or path and sends the request there: as the open attempt, or as its successor
+// if there is one. A successor enters at another endpoint than the open attempt.
 start_result StartAttempt(gateway_state& state, const call_ptr& item, const attempt_events& events);
 
-// Whether the request could go on elsewhere if its open attempt ended now.
+// Whether a successor of the open attempt could be sent somewhere now.
 bool MayStartElsewhere(gateway_state& state, const call& item);
 
 // Endpoints that count against the attempts that the route allows: the request was sent there, and
@@ -49,8 +41,16 @@
 // engine's.
 std::set<std::string> CountedEndpoints(gateway_state& state, const call& item);
 
-// Cancels the open attempt and releases its load.
-void CloseAttempt(gateway_state& state, call& item);
+// Cancels the attempt and releases its load. No effect if it is closed.
+void CloseAttempt(gateway_state& state, attempt& item);
+
+// Whether an endpoint takes part in the attempt.
+bool HasPart(const attempt& item, std::string_view endpoint_id);
+
+bool IsPipelined(const attempt& item);
+
+// Whether the attempt has made no output for unusually long.
+bool IsStalled(const gateway_state& state, const attempt& item, time_point now);
 
 // Replaces the engines after the head of the open attempt. False when no path can be had; paths
 // that cross more zones than the present one count only with `allow_crossings`: new engines read
--- a/libs/gateway/src/details/calls.h
+++ b/libs/gateway/src/details/calls.h
@@ -4,15 +4,18 @@
 #include <string>
 #include <string_view>
 
+#include "details/attempt.h"
 #include "details/state.h"
 
 namespace balsambay::gateway {
 
 void AcceptCall(gateway_state& state, const net::exchange_ptr& exchange);
 
-// Moves requests off an endpoint. `lost`: it does not answer, so requests that entered there start
-// again elsewhere; otherwise it finishes those and only the rest of their paths changes.
-void MoveCallsOff(gateway_state& state, const std::string& endpoint_id, bool lost);
+// What attempts of requests report to.
+const attempt_events& CallEvents();
+
+// Passes events of the open attempt on to the caller.
+void PassOn(gateway_state& state, const call_ptr& item, std::string_view events);
 
 // Ends the open requests with this fingerprint, but for those that go well.
 void EndQuarantined(gateway_state& state, const quarantine::fingerprint& key);
@@ -20,9 +23,6 @@
 // Requests that were held because of what was looked into go on.
 void ResumeHeld(gateway_state& state, const quarantine::fingerprint& key);
 
-// Looks for requests without progress and asks their heads for the reason.
-void CheckProgress(gateway_state& state);
-
 // Ends all requests that are still open; returns how many.
 int CutCalls(gateway_state& state);
 
--- a/libs/gateway/src/details/containment.h
+++ b/libs/gateway/src/details/containment.h
@@ -19,6 +19,9 @@
 // EndAttempt.
 quarantine::decision AskToRun(gateway_state& state, const call& item);
 
+// What AskToRun() would answer now, without effect.
+quarantine::verdict WouldRun(const gateway_state& state, const call& item);
+
 bool IsQuarantined(const gateway_state& state, const call& item);
 
 // When it may come back, if it is quarantined.
@@ -30,10 +33,10 @@
 // Whether a request that is suspected of crashing endpoints runs there.
 bool HasSuspect(const gateway_state& state, std::string_view endpoint_id);
 
-// The engines of the attempt that is about to be sent, or to which it is about to change.
+// All engines of the request's attempts, before one of them is sent or changes.
 void PlaceAttempt(gateway_state& state, const call& item, std::span<const call_hop> path);
 
-// Call for each output.
+// Call for each output of a request that has no successor under way.
 void NoteOutput(gateway_state& state, const call& item);
 
 // The connection of the attempt broke. The endpoint is asked whether it lives.
--- a/libs/gateway/src/details/fleet.h
+++ b/libs/gateway/src/details/fleet.h
@@ -55,7 +55,7 @@
 void RecordOutcome(endpoint& item, bool failed, time_point now);
 double FailureRate(const endpoint& item, time_point now);
 
-// Adds or removes the load of a call's open path.
-void AttachLoad(gateway_state& state, const call& item, int sign);
+// Adds or removes the load of an attempt's path.
+void AttachLoad(gateway_state& state, const attempt& item, int sign);
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -94,6 +94,37 @@
   pipeline::layer_range range;
 };
 
+// One sending of a request to an endpoint or a path of engines.
+struct attempt {
+  uint32_t number = 0;         // from 1, within the call
+  std::vector<call_hop> path;  // one entry for plain services
+  double committed_tokens = 0;
+  std::shared_ptr<net::client_call> upstream;  // null: closed
+  net::reply_head head;
+  reply_facts facts;
+  std::string reply_body;  // answers that are sent whole
+  event_splitter events;   // all of the stream so far, those of earlier attempts included
+  std::string withheld;    // whole events that are not passed on yet
+  time_point last_progress;
+  bool progressed = false;   // has produced output
+  int outputs = 0;           // since the engines last changed
+  bool first_there = false;  // no earlier attempt was sent to its endpoint
+  bool cut = false;          // the connection broke
+  bool rerouting = false;
+  int reroutes = 0;  // refused ones, in a row
+};
+using attempt_ptr = std::shared_ptr<attempt>;
+
+// Why an attempt produced no answer, or is to be replaced.
+enum class attempt_failure : uint8_t {
+  kNotSent,      // the endpoint could not be reached; nothing was sent
+  kNotExecuted,  // the endpoint or an engine on its path refused before it began
+  kBroken,       // connection broken, malformed or foreign reply
+  kStalled,      // no answer for too long, or an engine on the path was lost
+  kFailed,       // the endpoint answered with an error of its own
+  kMoved,        // the endpoint is about to leave; the request goes on elsewhere
+};
+
 // One request of a caller. Owned by gateway_state::calls from acceptance to its final answer;
 // callbacks hold weak pointers, so that nothing acts on a request that has ended.
 struct call {
@@ -110,36 +141,33 @@
   time_point arrived;
   time_point due;  // the final answer is given by then
 
-  // The open attempt.
-  uint32_t attempt = 0;
-  std::vector<call_hop> path;  // one entry for plain services
-  double committed_tokens = 0;
-  std::shared_ptr<net::client_call> upstream;
-  net::reply_head head;
-  reply_facts facts;
-  std::string reply_body;  // answers that are sent whole
-  time_point last_progress;
-  bool progressed = false;  // the open attempt has produced output
-  int outputs = 0;          // of the open attempt, since its engines last changed
-  bool suspect = false;     // the open attempt is one of a suspected request
-  bool cut = false;         // the connection of the open attempt broke
-  bool rerouting = false;
-  int reroutes = 0;  // refused ones of the open attempt, in a row
-
-  // Over all attempts.
-  int sends = 0;                            // attempts that reached an endpoint
+  // Attempts. Invariants: `successor` is set only while `open` is, and has made no output; with its
+  // first output it becomes the open one. Only output of `open` reaches the caller.
+  attempt_ptr open;
+  attempt_ptr successor;
+  attempt_failure replaced_for = attempt_failure::kMoved;  // why there is a successor
+  bool withholding = false;                 // output of `open` waits for the outcome of `successor`
+  time_point seek_after{};                  // no successor is sent before
+  time_point reroute_after{};               // no order to reroute is sent before
+  uint32_t attempts = 0;                    // begun so far
+  int sends = 0;                            // of these, sent
   std::map<std::string, uint64_t> reached;  // endpoints that they were sent to, with incarnations
-  bool may_have_run = false;
+  std::set<std::string> avoided;            // endpoint ids that failed for this request
+  bool suspect = false;                     // suspected of crashing endpoints
+  bool may_have_run = false;                // some attempt that has ended
+
+  // The reply to the caller.
+  bool streaming = false;    // has begun
+  event_splitter events;     // as of the last output that was passed on
   duration first_output{0};  // after arrival
   duration longest_gap{0};   // between outputs
   time_point last_output;
-  bool streaming = false;  // the reply to the caller has begun
-  event_splitter events;
-  std::set<std::string> avoided;  // endpoint ids that failed for this request
-  bool held = false;              // waits for what the quarantine finds
-  time_point apart_until{};       // a suspect waits this long for engines without others
+
+  bool held = false;         // waits for what the quarantine finds
+  time_point apart_until{};  // a suspect waits this long for engines without others
   timer_id due_timer = 0;
-  timer_id try_timer = 0;
+  timer_id try_timer = 0;   // next look at an attempt that is waited for, or at a missing one
+  timer_id lost_timer = 0;  // next look at lost engines of the open attempt
 };
 
 // State of the orders to one engine, at the gateway that places layers.
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -4,9 +4,9 @@
 #include <algorithm>
 #include <cmath>
 
-#include "details/calls.h"
 #include "details/containment.h"
 #include "details/monitor.h"
+#include "details/replacement.h"
 #include "log/log.h"
 
 namespace balsambay::gateway {
@@ -291,7 +291,7 @@
   item.failure_at = now;
 }
 
-void AttachLoad(gateway_state& state, const call& item, int sign) {
+void AttachLoad(gateway_state& state, const attempt& item, int sign) {
   for (size_t i = 0; i < item.path.size(); ++i) {
     endpoint* target = FindEndpoint(state, item.path[i].endpoint_id);
     if (target == nullptr) continue;
--- a/libs/gateway/src/monitor.cc
+++ b/libs/gateway/src/monitor.cc
@@ -4,9 +4,9 @@
 #include <algorithm>
 #include <cmath>
 
-#include "details/calls.h"
 #include "details/containment.h"
 #include "details/fleet.h"
+#include "details/replacement.h"
 #include "details/watch.h"
 #include "log/log.h"
 
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -224,6 +224,9 @@
 // when the table is full of suspects.
 decision Start(table& state, run_id id, const fingerprint& key, time_point now, outputs& out);
 
+// With trial::kShared: what Start() would decide now, without effect.
+verdict Foresee(const table& state, const fingerprint& key, time_point now);
+
 // The endpoints that the run uses, before it is sent to them, and again when they change. Those
 // that stay keep what the run has done there.
 void Place(table& state, run_id id, std::span<const endpoint_life> route, outputs& out,
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -95,8 +95,12 @@
 }
 
 // A repeat waits only while the losses that are being looked into could be the last ones.
+bool MustWait(const table& state, const entry& item, time_point now) {
+  return !item.pending.empty() && !MayRiskOne(state, item, now);
+}
+
 decision StartShared(table& state, run_id id, const fingerprint& key, entry& item, time_point now) {
-  if (!item.pending.empty() && !MayRiskOne(state, item, now)) {
+  if (MustWait(state, item, now)) {
     return Hold(item, item.pending.front().since + state.config.confirm_within);
   }
   return Begin(state, id, key, item, item.state == fingerprint_state::kSuspected);
@@ -320,6 +324,15 @@
   return Begin(state, id, key, item, false);
 }
 
+verdict Foresee(const table& state, const fingerprint& key, time_point now) {
+  const auto found = state.entries.find(key);
+  if (found == state.entries.end()) return verdict::kAllow;
+  const entry& item = found->second;
+  if (item.state == fingerprint_state::kQuarantined) return verdict::kRefuse;
+  if (MustWait(state, item, now)) return verdict::kHold;
+  return item.state == fingerprint_state::kSuspected ? verdict::kAllowAlone : verdict::kAllow;
+}
+
 void Place(table& state, run_id id, std::span<const endpoint_life> route, outputs& out,
            time_point now) {
   const auto found = state.runs.find(id);
