Gateway: an endpoint that is only silent has not ended

Cause: an engine that misses a report by 100 ms was taken for lost in every respect. The quarantine held the loss against all requests on it, so that two silent engines made a request refused and ended; the engine no longer counted against the attempts that a route allows; and a successor on it was dropped, although the open attempt could still be refused.

Now silence takes an endpoint out of use, as before, but counts as its end only with proof: a refused connection, another incarnation, a zone that is cut off, or 2 s of silence. Until then the quarantine keeps the loss as pending, as it does for broken connections, and holds back repeats that could lose another endpoint; an answer of the endpoint clears it.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -394,12 +394,11 @@
 }  // namespace
 
 std::set<std::string> CountedEndpoints(gateway_state& state, const call& item) {
+  const time_point now = MonotonicNow();
   std::set<std::string> out;
   for (const auto& [id, incarnation] : item.reached) {
     const endpoint* engine = FindEndpoint(state, id);
-    const bool ended =
-        engine == nullptr || engine->down || engine->listed.incarnation != incarnation;
-    if (!ended) out.insert(id);
+    if (engine != nullptr && !HasEnded(*engine, incarnation, now)) out.insert(id);
   }
   return out;
 }
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -275,7 +275,7 @@
   endpoint* fault = FindEndpoint(state, what.fault_id);
   if (fault == nullptr) return;
   if (what.failure == attempt_failure::kNotSent && !pipelined) {
-    MarkDown(state, *fault, "cannot be reached");
+    MarkDown(state, *fault, "cannot be reached", loss_evidence::kProof);
   } else if (what.failure == attempt_failure::kNotSent) {
     AskEndpoint(state, *fault, "cannot be reached");
   } else if (pipelined && what.failure == attempt_failure::kBroken) {
--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -34,6 +34,8 @@
 constexpr duration kLeastNotice = 100ms;
 // Outputs that are older than this say nothing about when an endpoint was lost.
 constexpr duration kSignLifetime = 1000ms;
+// From the end of the longest silence of a sound endpoint until its loss is noted.
+constexpr duration kSilenceGrace = 200ms;
 // Gateways that learn of a refusal from others leave its record to them for this long.
 constexpr duration kRecordGrace = 1500ms;
 constexpr duration kRecordRetry = 1000ms;
@@ -156,6 +158,12 @@
   return now - last < kSignLifetime ? std::max(last, item.answered_at) : kNever;
 }
 
+// Requests that were sent to the endpoint later met it dead, if it is.
+time_point LastSign(const gateway_state& state, const endpoint& item, time_point silent_since,
+                    time_point now) {
+  return std::min({AliveUntil(state, item, now), silent_since, now - kLeastNotice});
+}
+
 void LogRequestOn(gateway_state& state, const call& active, const attempt& sent,
                   const endpoint& item) {
   const auto part = std::ranges::find(sent.path, item.listed.id, &call_hop::endpoint_id);
@@ -276,11 +284,18 @@
   Process(state, out, recorder::kThis);
 }
 
+void NoteSilent(gateway_state& state, const endpoint& item, time_point silent_since) {
+  const time_point now = MonotonicNow();
+  quarantine::outputs out;
+  quarantine::Silent(state.quarantine, LifeOf(item), now, now + kLongestSilence + kSilenceGrace,
+                     out, LastSign(state, item, silent_since, now));
+  Process(state, out, recorder::kThis);
+}
+
 void NoteLost(gateway_state& state, const endpoint& item, time_point silent_since) {
   LogRequestsOn(state, item);
   const time_point now = MonotonicNow();
-  const time_point alive_until =
-      std::min({AliveUntil(state, item, now), silent_since, now - kLeastNotice});
+  const time_point alive_until = LastSign(state, item, silent_since, now);
   quarantine::outputs out;
   quarantine::Lost(state.quarantine, LifeOf(item), now, out, alive_until);
   Process(state, out, recorder::kThis);
--- a/libs/gateway/src/details/containment.h
+++ b/libs/gateway/src/details/containment.h
@@ -47,6 +47,10 @@
 // No effect for attempts that have ended.
 void EndAttempt(gateway_state& state, const call& item, attempt_end how);
 
+// The endpoint has not answered since `silent_since` and may go on. Call before requests move
+// elsewhere, and NoteLost() or NoteAlive() once it is known.
+void NoteSilent(gateway_state& state, const endpoint& item, time_point silent_since);
+
 // Holds the loss against the requests on the endpoint, but for those that were sent there later
 // than `silent_since`. Call before they move elsewhere.
 void NoteLost(gateway_state& state, const endpoint& item, time_point silent_since = kNever);
--- a/libs/gateway/src/details/fleet.h
+++ b/libs/gateway/src/details/fleet.h
@@ -23,10 +23,28 @@
 
 void ReplaceEndpoints(gateway_state& state, std::span<const listed_endpoint> listed);
 
+// A sound endpoint may be silent for about a second; one that is silent for twice as long has
+// ended.
+inline constexpr duration kLongestSilence = std::chrono::milliseconds(2000);
+
+// What shows that an endpoint is out of use.
+enum class loss_evidence : uint8_t {
+  kSilence,  // it does not answer, but may go on after a while
+  kProof,    // it refuses connections, or its zone is cut off
+};
+
 // Takes an endpoint out of use until it answers again. Requests on it move elsewhere.
 // `silent_since`: it has not answered since then; kNever: it may have been lost just now.
-void MarkDown(gateway_state& state, endpoint& item, std::string_view reason,
+void MarkDown(gateway_state& state, endpoint& item, std::string_view reason, loss_evidence evidence,
               time_point silent_since = kNever);
+
+// An endpoint that is out of use has ended: it refuses connections, was started again or has been
+// silent for long. What was on it is held against the requests.
+void NoteEnded(gateway_state& state, endpoint& item);
+
+// Whether what ran on this incarnation of an endpoint has ended. An endpoint that has only fallen
+// silent may still run it.
+bool HasEnded(const endpoint& item, uint64_t incarnation, time_point now);
 // Takes it back into use.
 void MarkBack(gateway_state& state, endpoint& item, std::string_view reason);
 
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -71,6 +71,7 @@
   bool down = false;        // did not answer; not used until it does
   bool found_down = false;  // by this gateway itself
   time_point down_since;    // when it last went down
+  bool ended = false;       // down, and has refused a connection or its zone is cut off
   time_point next_probe;    // while down
   bool probing = false;     // a report is under way
   time_point answered_at;   // last report to this gateway
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -33,8 +33,10 @@
 
 void Update(gateway_state& state, endpoint& item, const listed_endpoint& listed) {
   const bool restarted = item.listed.incarnation != listed.incarnation;
-  const bool unnoticed = restarted && !item.listed.id.empty() && !item.listed.leaving && !item.down;
-  if (unnoticed) NoteLost(state, item);
+  if (restarted && !item.listed.id.empty() && !item.listed.leaving) {
+    if (!item.down) NoteLost(state, item);
+    NoteEnded(state, item);
+  }
   const bool now_leaving = listed.leaving && !item.listed.leaving;
   // Within one incarnation, leaving is final.
   const bool leaving = listed.leaving || (!restarted && item.listed.leaving);
@@ -52,7 +54,7 @@
     item.listed_at = MonotonicNow();
     item.accepted_orders = 0;
     item.busy = false;
-    item.down = item.found_down = false;
+    item.down = item.found_down = item.ended = false;
     item.failure_rate = 0;
     item.refused_until = {};
     item.reported = {};
@@ -111,6 +113,18 @@
   item.listed.leaving = left;
 }
 
+// One that goes on being silent has ended.
+void AwaitEnd(gateway_state& state, const endpoint& item) {
+  Subscribe(state.loop.Timers(), item.down_since + kLongestSilence,
+            [&state, id = item.listed.id, incarnation = item.listed.incarnation,
+             since = item.down_since](time_point) {
+              endpoint* held = FindEndpoint(state, id);
+              const bool same = held != nullptr && held->listed.incarnation == incarnation &&
+                                held->down && held->down_since == since;
+              if (same) NoteEnded(state, *held);
+            });
+}
+
 void ForgetDeparted(gateway_state& state, time_point now) {
   std::erase_if(state.departed,
                 [&](const auto& entry) { return now - entry.second.left_at > kDepartedLifetime; });
@@ -202,7 +216,7 @@
 
 void MarkBack(gateway_state& state, endpoint& item, std::string_view reason) {
   if (!item.down) return;
-  item.down = item.found_down = false;
+  item.down = item.found_down = item.ended = false;
   item.missed_reports = 0;
   state.endpoints_changed = MonotonicNow();
   log::Log(log::level::kInfo, "endpoint back in use",
@@ -222,15 +236,40 @@
   state.endpoints_changed = MonotonicNow();
 }
 
-void MarkDown(gateway_state& state, endpoint& item, std::string_view reason,
+void NoteEnded(gateway_state& state, endpoint& item) {
+  if (!item.down || std::exchange(item.ended, true)) return;
+  log::Log(log::level::kInfo, "endpoint has ended",
+           {{"endpoint", item.listed.id},
+            {"incarnation", item.listed.incarnation},
+            {"out_of_use_ms", WholeMilliseconds(MonotonicNow() - item.down_since)}});
+  NoteLost(state, item, item.silent_since);
+  MoveCallsOff(state, item.listed.id, true);
+}
+
+bool HasEnded(const endpoint& item, uint64_t incarnation, time_point now) {
+  if (item.listed.incarnation != incarnation) return true;
+  return item.down && (item.ended || now - item.down_since >= kLongestSilence);
+}
+
+void MarkDown(gateway_state& state, endpoint& item, std::string_view reason, loss_evidence evidence,
               time_point silent_since) {
   if (item.down) return;
   item.down = true;
+  item.ended = evidence == loss_evidence::kProof;
   item.down_since = MonotonicNow();
   item.next_probe = item.down_since + kFirstProbeDelay;
   log::Log(log::level::kWarning, "endpoint out of use",
-           {{"endpoint", item.listed.id}, {"address", item.listed.address}, {"reason", reason}});
-  NoteLost(state, item, silent_since);
+           {{"endpoint", item.listed.id},
+            {"address", item.listed.address},
+            {"reason", reason},
+            {"proved", item.ended}});
+  item.silent_since = silent_since;
+  if (item.ended) {
+    NoteLost(state, item, silent_since);
+  } else {
+    NoteSilent(state, item, silent_since);
+    AwaitEnd(state, item);
+  }
   MoveCallsOff(state, item.listed.id, true);
 }
 
--- a/libs/gateway/src/monitor.cc
+++ b/libs/gateway/src/monitor.cc
@@ -72,13 +72,17 @@
 
 void OnNoReport(gateway_state& state, endpoint& item, bool refused, std::string_view why,
                 time_point asked) {
-  if (item.down) return;
+  if (item.down) {
+    if (refused) NoteEnded(state, item);
+    return;
+  }
   if (item.missed_reports++ == 0) item.silent_since = asked;
   if (!refused && why != kNoProgress && item.missed_reports < kMissedReports) {
     return Ask(state, item, why, CheckTimeout(state));
   }
   item.found_down = true;
   MarkDown(state, item, "no report, asked because: " + std::string(why),
+           refused ? loss_evidence::kProof : loss_evidence::kSilence,
            refused ? kNever : item.silent_since);
   TellNews(state, exchange::news_kind::kDown, item);
 }
@@ -106,7 +110,10 @@
     return;
   }
   // Started again before anything was missed.
-  if (report.value().incarnation > item->listed.incarnation && !item->down) NoteLost(state, *item);
+  if (report.value().incarnation > item->listed.incarnation) {
+    if (!item->down) NoteLost(state, *item);
+    NoteEnded(state, *item);
+  }
   ApplyReport(state, *item, report.value());
   NoteAlive(state, *item, report.value().incarnation, asked);
   AskStalled(state, report.value());
@@ -134,7 +141,7 @@
   item->probing = false;
   const bool timely = MonotonicNow() < asked + kReportTimeout;
   if (reply.end.failure == net::call_failure::kConnect && timely) {
-    MarkDown(state, *item, "refuses connections");
+    MarkDown(state, *item, "refuses connections", loss_evidence::kProof);
   } else if (reply.end.failure == net::call_failure::kNone) {
     NoteAlive(state, *item, item->listed.incarnation, asked);
   }
@@ -237,7 +244,7 @@
              {{"zone", zone}, {"silent_ms", WholeMilliseconds(now - last)}});
     for (auto& [id, item] : state.endpoints) {
       if (item.listed.zone == zone && IsEngine(state, item)) {
-        MarkDown(state, item, "zone cut off", last);
+        MarkDown(state, item, "zone cut off", loss_evidence::kProof, last);
       }
     }
   }
--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -370,7 +370,7 @@
   const bool answered =
       item.answered_at != time_point() && MonotonicNow() - item.answered_at < kOwnEvidence;
   if (answered) return AskEndpoint(state, item, kToldByPeer);
-  MarkDown(state, item, "told by " + from.address.id);
+  MarkDown(state, item, "told by " + from.address.id, loss_evidence::kSilence);
   if (!from.in_cell) TellNews(state, news_kind::kDown, item);
 }
 
--- a/libs/gateway/src/replacement.cc
+++ b/libs/gateway/src/replacement.cc
@@ -46,12 +46,19 @@
   int stalled = 0;
 };
 
-// Whether an engine of the open path cannot serve any more. One that only leaves still does.
+// Whether an engine of the open path is taken for lost. One that only leaves still serves.
 bool IsLost(gateway_state& state, const call_hop& part) {
   const endpoint* engine = FindEndpoint(state, part.endpoint_id);
   return engine == nullptr || engine->down;
 }
 
+bool HasEndedPart(gateway_state& state, const attempt& item) {
+  return std::ranges::any_of(item.path, [&](const call_hop& part) {
+    const endpoint* engine = FindEndpoint(state, part.endpoint_id);
+    return engine != nullptr && engine->ended;
+  });
+}
+
 bool HasLostPart(gateway_state& state, const attempt& item) {
   return std::ranges::any_of(item.path, [&](const call_hop& part) { return IsLost(state, part); });
 }
@@ -144,7 +151,8 @@
 void MoveOffLost(gateway_state& state, const call_ptr& item) {
   const time_point now = MonotonicNow();
   if (!HasLostPart(state, *item->open) || IsQuarantined(state, *item)) return;
-  if (!IsStalled(state, *item->open, now)) return WatchLost(state, item, kLostRetry);
+  const bool goes_on = !IsStalled(state, *item->open, now) && !HasEndedPart(state, *item->open);
+  if (goes_on) return WatchLost(state, item, kLostRetry);
   WatchLost(state, item, kMoveRetry);
   if (item->successor || item->open->rerouting) return;
   const bool head_lost = IsLost(state, item->open->path.front());
@@ -259,8 +267,8 @@
     if (item->open && IsPipelined(*item->open)) affected.push_back(item);
   }
   for (const call_ptr& item : affected) {
-    if (lost && item->successor && HasPart(*item->successor, endpoint_id)) {
-      DropSuccessor(state, item, "endpoint lost");
+    if (lost && item->successor && HasEndedPart(state, *item->successor)) {
+      DropSuccessor(state, item, "endpoint has ended");
     }
     if (!item->open || !HasPart(*item->open, endpoint_id)) continue;
     if (lost) {
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -152,6 +152,7 @@
 struct pending_loss {
   endpoint_life life;
   time_point since;
+  time_point until;         // when it expires without an answer of the endpoint
   bool alone = false;       // the run was a suspect
   bool progressed = false;  // on this endpoint; only with trial::kShared
 };
@@ -257,6 +258,12 @@
 void Lost(table& state, const endpoint_life& life, time_point now, outputs& out,
           time_point alive_until = kNever);
 
+// The endpoint has fallen silent: it may be lost, or go on after a while. What ran on it is
+// suspected until Lost() or Alive() tells, at most until `until`; repeats that could lose another
+// endpoint wait. Only with trial::kShared. `alive_until`: as for Lost().
+void Silent(table& state, const endpoint_life& life, time_point now, time_point until, outputs& out,
+            time_point alive_until = kNever);
+
 // The endpoint has answered in the same incarnation a question of the time `asked`, so a broken
 // connection was no loss; with trial::kShared, neither was what counted as a loss before that time.
 void Alive(table& state, const endpoint_life& life, time_point asked, outputs& out);
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -101,7 +101,7 @@
 
 decision StartShared(table& state, run_id id, const fingerprint& key, entry& item, time_point now) {
   if (MustWait(state, item, now)) {
-    return Hold(item, item.pending.front().since + state.config.confirm_within);
+    return Hold(item, std::ranges::min(item.pending, {}, &pending_loss::until).until);
   }
   return Begin(state, id, key, item, item.state == fingerprint_state::kSuspected);
 }
@@ -215,7 +215,7 @@
   const std::vector<pending_loss> pending = item.pending;
   bool any = false;
   for (const pending_loss& one : pending) {
-    if (now - one.since < state.config.confirm_within) continue;
+    if (now < one.until) continue;
     any = true;
     if (IsShared(state)) {
       ErasePending(item, one.life);
@@ -394,7 +394,8 @@
     EndCompleted(state, key, item, alone && IsShared(state), now, out);
   } else if (how == run_end::kBroken) {
     CheckInvariant(broken.has_value(), "quarantine: a broken run names its endpoint");
-    EndBroken(state, key, item, {*broken, now, alone, progressed_there}, now, out);
+    EndBroken(state, key, item,
+              {*broken, now, now + state.config.confirm_within, alone, progressed_there}, now, out);
   } else {
     EndFailed(state, key, item, alone, now, out);
   }
@@ -409,6 +410,15 @@
   }
 }
 
+void Silent(table& state, const endpoint_life& life, time_point now, time_point until, outputs& out,
+            time_point alive_until) {
+  for (const auto& [key, loss] : details::PendingOf(state, life, now, until, alive_until)) {
+    entry& item = details::Touch(state, key);
+    item.pending.push_back(loss);
+    details::Reassess(state, key, item, out);
+  }
+}
+
 void Alive(table& state, const endpoint_life& life, time_point asked, outputs& out) {
   const auto lost = std::ranges::find(state.recent, life, &lost_life::life);
   const bool refuted = IsShared(state) && lost != state.recent.end() && lost->at < asked;
