Quarantine: losses that count half are merged for unknown fingerprints

Callers could reach engines through a gateway that had not met a request itself, after the others together had seen enough losses to refuse it.

Cause: Merge() took an update that holds only losses that count half for one that says nothing, and dropped it when the receiver had no entry. Updates that hold other losses, a claim or a verdict are not affected. A verdict that a gateway reaches by adding up what it is told is not sent on, so the receiver learned of it only from a later repetition.

The test tells a gateway two such losses each from two peers: clear before, refused now.

--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -415,8 +415,8 @@
 }
 
 bool Merge(table& state, const update& from, time_point now, outputs& out) {
-  const bool says_something =
-      from.claim != claim_kind::kNone || !from.losses.empty() || from.condemned;
+  const bool says_something = from.claim != claim_kind::kNone || !from.losses.empty() ||
+                              !from.half.empty() || from.condemned;
   if (!says_something && details::Find(state, from.key) == nullptr) return false;
   entry& item = details::Touch(state, from.key);
   const std::vector<endpoint_life> cleared = item.cleared;
--- a/libs/quarantine/tests/shared_test.cc
+++ b/libs/quarantine/tests/shared_test.cc
@@ -228,6 +228,26 @@
   }
 }
 
+// Guards against a gateway that does not add up what the others tell it about a request that it has
+// not met itself.
+TEST_CASE("losses after progress that peers tell add up for a request that is not known yet") {
+  table state(settings{.daemon = "g1", .trial = trial::kShared});
+  outputs out;
+  const fingerprint key = MakeFingerprint("w", "x");
+  for (const char* peer : {"g2", "g3"}) {
+    CHECK(StateOf(state, key) == fingerprint_state::kClear);
+    const std::string name = peer;
+    const update told{.daemon = name,
+                      .key = key,
+                      .losses = {},
+                      .cleared = {},
+                      .endpoints = {},
+                      .half = {{name + " e1", 1}, {name + " e2", 1}}};
+    Merge(state, told, time_point(10s), out);
+  }
+  CHECK(StateOf(state, key) == fingerprint_state::kQuarantined);
+}
+
 // Guards against a quarantine that comes back with a peer's message from before it was withdrawn.
 TEST_CASE("a verdict that was withdrawn does not return with an older message") {
   fixture f;
