Quarantine: a copy vouches for others only if it goes further than they did

An engine on which one copy had progressed and another had just come counted as a loss of the new copy, and was cleared when that progressed elsewhere.

Now a loss after progress counts at once unless a copy that progressed before the lost one still goes on. Then it is decided after `confirm_within`, when the loss of that copy would be known: it counts if the copy has not gone on undisturbed. Copies that crash after the same number of outputs cannot outlast each other, so the one that began first always counts. Gateways tell how long the copies that they lost had gone on (`lost_after_ms`, optional); a peer ignores the losses only for a copy that has gone on for longer than that and `confirm_within`. Of several copies on an engine the progressed one counts.

Tried and left: the longest time before any loss as the measure for all later ones (harmless copies hit the same), completions only of answers from one path (popular contents refused while engines crash every 100 to 300 ms).

--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -72,7 +72,8 @@
   // - A run that was on a lost endpoint without having progressed there is suspected of it: the
   //   loss counts in full.
   // - It counts half for a suspect that shared the endpoint with another suspect, and for a run
-  //   that had progressed, unless other copies go well.
+  //   that had progressed, unless another copy that progressed before goes on: a request that
+  //   crashes endpoints after some outputs goes as far with each copy, and no further.
   // - Of several endpoints of one route that are lost, one counts, until the run is placed anew.
   // - While many endpoints are lost that the fingerprint was not on, one more loss is needed.
   kShared,
@@ -126,6 +127,7 @@
   claim_kind claim = claim_kind::kNone;
   std::vector<std::string> endpoints;  // where the sender runs it as a suspect
   std::vector<endpoint_life> half{};   // losses that count half
+  duration lost_after{};  // the longest that a run had gone on for when it met one of these
   bool operator==(const update&) const = default;
 };
 
@@ -152,8 +154,18 @@
 struct pending_loss {
   endpoint_life life;
   time_point since;
-  bool alone = false;       // the run was a suspect
-  bool progressed = false;  // on this endpoint; only with trial::kShared
+  bool alone = false;        // the run was a suspect
+  bool progressed = false;   // on this endpoint; only with trial::kShared
+  time_point going_since{};  // see `run`
+};
+
+// A loss after progress that does not count if a copy which progressed before the lost one still
+// goes on when its own loss would be known.
+struct disputed_loss {
+  endpoint_life life;
+  time_point at;
+  time_point going_since;  // see `run`
+  bool alone = false;
 };
 
 struct entry {
@@ -165,6 +177,8 @@
   bool condemned = false;
   bool restored = false;              // condemned by a record, not by losses
   std::vector<pending_loss> pending;  // broken connections, to be confirmed
+  std::vector<disputed_loss> disputed;
+  duration lost_after{};  // the longest that a run had gone on for when it met one of `half`
   std::map<std::string, peer_claim> peers;
   std::optional<time_point> claimed_at;  // own claim
   bool has_waiters = false;
@@ -191,6 +205,7 @@
   std::vector<run_part> route;
   bool alone = false;
   bool progressed = false;
+  time_point going_since{};  // when it progressed, on the last route on which it has
 };
 
 struct lost_life {
--- a/libs/quarantine/src/details/blame.cc
+++ b/libs/quarantine/src/details/blame.cc
@@ -44,9 +44,19 @@
          });
 }
 
-// Losses after progress do not count while other copies go well: `progressing` of them.
-void AddGraded(const fingerprint& key, const finding& loss, int progressing, findings& out) {
-  if (!loss.progressed || progressing == 0) out.emplace(key, loss);
+// Of several copies on the endpoint, those that had progressed show that it was not lost by what
+// they began with, and of these the one that had gone on for longest may have crashed it.
+bool SaysMore(const finding& one, const finding& other) {
+  if (one.progressed != other.progressed) return one.progressed;
+  return one.progressed && other.disputed && !one.disputed;
+}
+
+// A loss after progress is disputed by copies other than `active` that have gone on for longer.
+void AddGraded(const table& state, const fingerprint& key, const entry& item, const run* active,
+               finding loss, findings& out) {
+  loss.disputed = loss.progressed && GoesOnSince(state, key, item, active, loss.going_since);
+  const auto [place, added] = out.emplace(key, loss);
+  if (!added && SaysMore(loss, place->second)) place->second = loss;
 }
 
 void GradeRun(table& state, run& active, const endpoint_life& life, time_point alive_until,
@@ -59,8 +69,8 @@
   const bool progressed = part->progressed;
   for (run_part& other : active.route) other.settled = true;
   const bool shared = active.alone && HadOtherSuspect(state, active.key, life);
-  const int others = item.runs - item.fresh - (active.progressed ? 1 : 0);
-  AddGraded(active.key, {life, progressed || shared, active.alone, progressed}, others, out);
+  AddGraded(state, active.key, item, &active,
+            {life, progressed || shared, active.alone, progressed, active.going_since}, out);
 }
 
 void GradePending(table& state, const fingerprint& key, const endpoint_life& life, findings& out) {
@@ -68,8 +78,8 @@
   for (const pending_loss& one : item.pending) {
     if (one.life != life) continue;
     const bool shared = one.alone && HadOtherSuspect(state, key, life);
-    AddGraded(key, {life, one.progressed || shared, one.alone, one.progressed},
-              item.runs - item.fresh, out);
+    AddGraded(state, key, item, nullptr,
+              {life, one.progressed || shared, one.alone, one.progressed, one.going_since}, out);
   }
 }
 
--- a/libs/quarantine/src/details/entries.cc
+++ b/libs/quarantine/src/details/entries.cc
@@ -103,7 +103,7 @@
   const fingerprint_state before = item.state;
   Raise(item, Assessment(item));
   const bool marked = item.state != fingerprint_state::kClear || item.claimed_at.has_value() ||
-                      !item.pending.empty();
+                      !item.pending.empty() || !item.disputed.empty();
   if (marked != item.marked) MoveToFront(state, item, marked);
   if (std::exchange(item.has_waiters, false)) out.wake.push_back(key);
   if (before == item.state) return;
@@ -136,6 +136,17 @@
   return unrelated >= kManyLosses ? usual + kHalfLoss : usual;
 }
 
+bool GoesOnSince(const table& state, const fingerprint& key, const entry& item, const run* except,
+                 time_point since) {
+  // Most requests have no copy, so that this takes no search.
+  const bool any = item.runs - item.fresh > (except != nullptr && except->progressed ? 1 : 0);
+  return any && std::ranges::any_of(state.runs, [&](const auto& entry) {
+           const run& active = entry.second;
+           return &active != except && active.key == key && active.progressed &&
+                  active.going_since <= since;
+         });
+}
+
 bool HasCompleted(const entry& item, time_point now) {
   return now < item.completed_until && item.completions > 0;
 }
@@ -159,6 +170,7 @@
   }
   std::erase(item.half, loss.life);
   (loss.half ? item.half : item.losses).push_back(loss.life);
+  if (loss.progressed) item.lost_after = std::max(item.lost_after, now - loss.going_since);
   item.condemned = condemns;
   item.loss_expires = now + state.config.loss_lifetime;
   return true;
@@ -167,6 +179,7 @@
 bool MoveToCleared(entry& item, const endpoint_life& life) {
   const bool counted = std::erase(item.losses, life) + std::erase(item.half, life) > 0;
   if (item.losses.empty() && !item.restored) item.condemned = false;
+  if (item.half.empty()) item.lost_after = duration(0);
   if (Contains(item.cleared, life)) return counted;
   Remember(item.cleared, life);
   return counted;
@@ -180,6 +193,7 @@
   std::vector<endpoint_life> lives = item.losses;
   lives.insert(lives.end(), item.half.begin(), item.half.end());
   item.condemned = item.restored = false;
+  item.disputed.clear();
   for (const endpoint_life& life : lives) MoveToCleared(item, life);
 }
 
@@ -224,7 +238,8 @@
              .condemned = item.state == fingerprint_state::kQuarantined,
              .claim = OwnClaim(item),
              .endpoints = SuspectEndpoints(state, key),
-             .half = item.half};
+             .half = item.half,
+             .lost_after = item.lost_after};
   const bool shared = state.config.trial == trial::kShared;
   if (shared && !out.endpoints.empty()) out.claim = claim_kind::kHolding;
   return out;
--- a/libs/quarantine/src/details/entries.h
+++ b/libs/quarantine/src/details/entries.h
@@ -26,6 +26,8 @@
   bool half = false;
   bool alone = false;  // it ran as a suspect
   bool progressed = false;
+  time_point going_since{};  // see `run`
+  bool disputed = false;     // see disputed_loss
 };
 
 bool HasLoss(const entry& item, const endpoint_life& life);
@@ -38,6 +40,11 @@
 // The same, more while something else takes endpoints down.
 int ScoreToCondemn(const table& state, const entry& item, time_point now);
 
+// Whether a copy other than `except` progressed at `since` or before, on its present route, and
+// goes on. Cost: O(runs).
+bool GoesOnSince(const table& state, const fingerprint& key, const entry& item, const run* except,
+                 time_point since);
+
 // Whether copies that completed lately still outweigh losses: each of them does one.
 bool HasCompleted(const entry& item, time_point now);
 
--- a/libs/quarantine/src/message.cc
+++ b/libs/quarantine/src/message.cc
@@ -8,12 +8,15 @@
 namespace {
 
 using nlohmann::json;
+using std::chrono_literals::operator""h;
 
 // More than any daemon keeps of one fingerprint.
 constexpr size_t kMaxLives = 64;
 // Of the engines of one path.
 constexpr size_t kMaxEndpoints = 256;
 constexpr size_t kMaxIdBytes = 200;
+// Longer than any run goes on.
+constexpr uint64_t kMaxLostAfterMs = std::chrono::milliseconds(24h).count();
 
 json Describe(const std::vector<endpoint_life>& lives) {
   json out = json::array();
@@ -67,6 +70,8 @@
   put("cleared", Describe(item.cleared));
   put("endpoints", item.endpoints);
   if (item.condemned) out["condemned"] = true;
+  const auto lost_after = std::chrono::ceil<std::chrono::milliseconds>(item.lost_after);
+  if (lost_after.count() > 0) out["lost_after_ms"] = static_cast<uint64_t>(lost_after.count());
   return out;
 }
 
@@ -90,7 +95,9 @@
                 .condemned = value.value("condemned", json()) == json(true),
                 .claim = static_cast<claim_kind>(claim),
                 .endpoints = *std::move(endpoints),
-                .half = *std::move(half)};
+                .half = *std::move(half),
+                .lost_after = std::chrono::milliseconds(
+                    std::min(ReadNumber(value, "lost_after_ms", 0), kMaxLostAfterMs))};
 }
 
 }  // namespace balsambay::quarantine
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -157,6 +157,10 @@
 void Confirm(table& state, const fingerprint& key, entry& item, const details::finding& loss,
              time_point now, outputs& out) {
   const bool was_pending = ErasePending(item, loss.life);
+  if (loss.disputed) {
+    item.disputed.push_back({loss.life, now, loss.going_since, loss.alone});
+    return details::Reassess(state, key, item, out);
+  }
   const bool added = details::AddLoss(state, item, loss, now);
   if (!added && !was_pending) return;
   if (item.condemned) details::ReleaseClaim(item);
@@ -183,6 +187,14 @@
   return from.condemned && score >= details::UsualScore(state);
 }
 
+// Whether a copy goes well here, further than those of the sender that were lost after progress. A
+// loss of the copy here may not be known yet.
+bool GoesWell(const table& state, const entry& item, const update& from, time_point now) {
+  const duration after =
+      from.half.empty() ? duration(0) : from.lost_after + state.config.confirm_within;
+  return details::GoesOnSince(state, from.key, item, nullptr, now - after);
+}
+
 bool MergeLosses(const table& state, entry& item, const update& from, time_point now) {
   bool changed = false;
   for (const endpoint_life& life : from.cleared) changed |= details::MoveToCleared(item, life);
@@ -190,14 +202,19 @@
     const details::finding loss{.life = life, .half = false, .alone = from.condemned};
     changed |= details::AddLoss(state, item, loss, now);
   }
+  const bool goes_well = GoesWell(state, item, from, now);
   for (const endpoint_life& life : from.half) {
-    const details::finding loss{.life = life, .half = true, .alone = from.condemned};
-    changed |= details::AddLoss(state, item, loss, now);
+    const details::finding loss{.life = life,
+                                .half = true,
+                                .alone = from.condemned,
+                                .progressed = true,
+                                .going_since = now - from.lost_after};
+    if (!goes_well) changed |= details::AddLoss(state, item, loss, now);
   }
   if (!IsShared(state)) return changed;
   if (!from.cleared.empty()) details::Reconsider(state, item);
-  const bool goes_well = details::HasCompleted(item, now) || item.runs > item.fresh;
-  if (!item.condemned && !goes_well && IsSupported(state, item, from)) {
+  if (!item.condemned && !goes_well && !details::HasCompleted(item, now) &&
+      IsSupported(state, item, from)) {
     changed = item.condemned = true;
     item.loss_expires = now + state.config.loss_lifetime;
   }
@@ -223,6 +240,21 @@
   return any;
 }
 
+// Decides about losses once the losses of the copies that dispute them would be known.
+void SettleDisputed(table& state, const fingerprint& key, time_point now, outputs& out) {
+  entry& item = state.entries.find(key)->second;
+  const std::vector<disputed_loss> disputed = item.disputed;
+  for (const disputed_loss& one : disputed) {
+    if (now - one.at < state.config.confirm_within) continue;
+    std::erase_if(item.disputed, [&](const auto& other) { return other.life == one.life; });
+    if (details::GoesOnSince(state, key, item, nullptr, one.going_since)) {
+      details::Reassess(state, key, item, out);
+    } else {
+      Confirm(state, key, item, {one.life, true, one.alone, true, one.going_since}, now, out);
+    }
+  }
+}
+
 bool ExpireClaims(table& state, entry& item, time_point now) {
   bool any =
       std::erase_if(item.peers, [&](const auto& peer) { return now >= peer.second.expires; }) > 0;
@@ -246,6 +278,7 @@
 void Expire(table& state, const fingerprint& key, time_point now, outputs& out) {
   entry& item = state.entries.find(key)->second;
   ExpirePending(state, key, item, now, out);
+  SettleDisputed(state, key, now, out);
   const bool had_claim = item.claimed_at.has_value();
   bool any = ExpireClaims(state, item, now);
   any |= ExpireLosses(item, now);
@@ -345,6 +378,7 @@
   if (found == state.runs.end() || found->second.progressed) return;
   run& active = found->second;
   active.progressed = true;
+  active.going_since = now;
   for (run_part& part : active.route) part.progressed = true;
   entry& item = details::Touch(state, active.key);
   item.fresh -= 1;
@@ -370,6 +404,7 @@
   const fingerprint key = found->second.key;
   const bool alone = found->second.alone;
   const bool fresh = !found->second.progressed;
+  const time_point going_since = found->second.going_since;
   const bool progressed_there =
       IsShared(state) && broken && details::HasProgressed(found->second, *broken);
   state.runs.erase(found);
@@ -381,7 +416,7 @@
     EndCompleted(state, key, item, alone && IsShared(state), now, out);
   } else if (how == run_end::kBroken) {
     CheckInvariant(broken.has_value(), "quarantine: a broken run names its endpoint");
-    EndBroken(state, key, item, {*broken, now, alone, progressed_there}, now, out);
+    EndBroken(state, key, item, {*broken, now, alone, progressed_there, going_since}, now, out);
   } else {
     EndFailed(state, key, item, alone, now, out);
   }
@@ -404,6 +439,7 @@
     entry& item = state.entries.find(key)->second;
     const bool was_pending = ErasePending(item, life);
     const bool was_loss = refuted && details::HasLoss(item, life);
+    if (refuted) std::erase_if(item.disputed, [&](const auto& one) { return one.life == life; });
     if (!was_pending && !was_loss) continue;
     if (was_loss) {
       details::MoveToCleared(item, life);
--- a/libs/quarantine/tests/shared_test.cc
+++ b/libs/quarantine/tests/shared_test.cc
@@ -2,8 +2,11 @@
 #include <rapidcheck/catch.h>
 
 #include <catch2/catch.hpp>
+#include <limits>
+#include <nlohmann/json.hpp>
 
 #include "fleet_model.h"
+#include "quarantine/message.h"
 
 namespace balsambay::quarantine {
 namespace {
@@ -63,8 +66,8 @@
   });
 }
 
-// Guards against copies of such a request that make each other look well. Fails: KNOWN-RED.txt.
-TEST_CASE("copies that crash engines after some outputs are refused together", "[.late_copies]") {
+// Guards against copies of such a request that make each other look well.
+TEST_CASE("copies that crash engines after some outputs are refused together", "[late_copies]") {
   rc::prop("three copies, crash after ten outputs", [&](uint64_t seed) {
     const auto fleet = RunFleet(seed, {.crashers = 1, .crash_after = 10, .crasher_copies = 3});
     RC_ASSERT(MostLatePlacements(*fleet, kContact) <= kAllowedRetries);
@@ -204,6 +207,122 @@
   }
 }
 
+// Two copies on one engine each; the one with the id 1 progressed first.
+struct copies_fixture : fixture {
+  static constexpr duration kNotice = 500ms;
+
+  copies_fixture() {
+    state.config.confirm_within = kNotice;
+    for (const run_id id : {1, 2}) {
+      Run(id, {LifeOf(id)});
+      Progress(state, id, now, out);
+      now += 10ms;
+    }
+  }
+  static endpoint_life LifeOf(run_id id) { return {"e" + std::to_string(id), 1}; }
+  void LoseEngineOf(run_id id) {
+    Lost(state, LifeOf(id), now, out);
+    End(state, id, run_end::kFailed, std::nullopt, now, out);
+  }
+  void Pass(duration time) {
+    now += time;
+    Tick(state, now, out);
+  }
+  size_t CountHalf() const { return state.entries.at(key).half.size(); }
+};
+
+// Guards against copies of a request that crashes engines late, each of which goes on until it
+// crashes its own.
+TEST_CASE("a loss after progress counts beside a copy that has not gone further") {
+  copies_fixture f;
+  SECTION("the copy that progressed first is lost first") {
+    f.LoseEngineOf(1);
+    CHECK(f.CountHalf() == 1);
+    f.LoseEngineOf(2);
+    CHECK(f.CountHalf() == 2);
+  }
+  SECTION("it is lost soon after the other one") {
+    f.LoseEngineOf(2);
+    CHECK(f.CountHalf() == 0);
+    f.Pass(100ms);
+    f.LoseEngineOf(1);
+    CHECK(f.CountHalf() == 1);
+    f.Pass(copies_fixture::kNotice);
+    CHECK(f.CountHalf() == 2);
+  }
+  SECTION("it goes on, but from another engine") {
+    f.LoseEngineOf(2);
+    Place(f.state, 1, std::vector<endpoint_life>{{"e3", 1}}, f.out, f.now);
+    Progress(f.state, 1, f.now, f.out);
+    f.Pass(copies_fixture::kNotice);
+    CHECK(f.CountHalf() == 1);
+  }
+}
+
+// Guards against blame for engines that are lost for other reasons.
+TEST_CASE("a loss after progress does not count beside a copy that goes further") {
+  copies_fixture f;
+  f.LoseEngineOf(2);
+  SECTION("the copy goes on") {
+    f.Pass(copies_fixture::kNotice);
+    CHECK(f.CountHalf() == 0);
+  }
+  SECTION("the copy is lost as well, but the other one's engine was not") {
+    Alive(f.state, copies_fixture::LifeOf(2), f.now + 1ms, f.out);
+    f.LoseEngineOf(1);
+    f.Pass(copies_fixture::kNotice);
+    CHECK(f.CountHalf() == 1);
+  }
+}
+
+// Guards against gateways that refute each other's losses with copies that have not gone as far.
+TEST_CASE("a loss after progress that a peer tells counts unless a copy has gone further") {
+  copies_fixture f;
+  update told{.daemon = "g2",
+              .key = f.key,
+              .losses = {},
+              .cleared = {},
+              .endpoints = {},
+              .half = {{"e8", 1}, {"e9", 1}},
+              .lost_after = 1s};
+  f.now += told.lost_after;
+  SECTION("the copies may be lost, too, which would not be known yet") {
+    Merge(f.state, told, f.now, f.out);
+    CHECK(f.CountHalf() == 2);
+  }
+  SECTION("they have gone further") {
+    f.now += copies_fixture::kNotice;
+    Merge(f.state, told, f.now, f.out);
+    CHECK(f.CountHalf() == 0);
+  }
+  SECTION("as a message") {
+    const auto read = ReadUpdate(told.daemon, Describe(told));
+    REQUIRE(read.has_value());
+    CHECK(*read == told);
+  }
+  SECTION("a peer that says no sensible time") {
+    nlohmann::json message = Describe(told);
+    message["lost_after_ms"] = std::numeric_limits<uint64_t>::max();
+    const auto read = ReadUpdate(told.daemon, message);
+    REQUIRE(read.has_value());
+    Merge(f.state, *read, f.now, f.out);
+    CHECK(f.CountHalf() == 2);
+  }
+}
+
+// Guards against a copy that comes to an engine when another one crashes it: that the engine's loss
+// is not held against the new one must not clear the other.
+TEST_CASE("of copies on one engine, the one that had progressed counts") {
+  fixture f;
+  f.Run(1, {{"e1", 1}});
+  f.Run(2, {{"e1", 1}});
+  Progress(f.state, 1, f.now, f.out);
+  Lost(f.state, {"e1", 1}, f.now, f.out);
+  Place(f.state, 2, std::vector<endpoint_life>{{"e2", 1}}, f.out, f.now);
+  Progress(f.state, 2, f.now, f.out);
+  CHECK(f.state.entries.at(f.key).half.size() == 1);
+}
+
 // Guards against a verdict that only the gateway that came to it knows while the store is away.
 TEST_CASE("a verdict by losses after progress is told, and repeated for lost messages") {
   fixture f;
