--- a/libs/quarantine/tests/shared_test.cc
+++ b/libs/quarantine/tests/shared_test.cc
@@ -124,6 +124,15 @@
     REQUIRE(Start(state, id, key, now, out).answer != verdict::kRefuse);
     Place(state, id, route, out, now);
   }
+  // Runs of which each loses its endpoint before it progresses.
+  void LoseTwo() {
+    for (run_id id = 1; id <= 2; ++id) {
+      const endpoint_life life{"e" + std::to_string(id), 1};
+      Run(id, {life});
+      Lost(state, life, now, out);
+      End(state, id, run_end::kFailed, std::nullopt, now, out);
+    }
+  }
   bool IsRefused() const { return StateOf(state, key) == fingerprint_state::kQuarantined; }
 };
 
@@ -370,12 +379,7 @@
 // Guards against a quarantine that comes back with a peer's message from before it was withdrawn.
 TEST_CASE("a verdict that was withdrawn does not return with an older message") {
   fixture f;
-  for (run_id id = 1; id <= 2; ++id) {
-    const endpoint_life life{"e" + std::to_string(id), 1};
-    f.Run(id, {life});
-    Lost(f.state, life, f.now, f.out);
-    End(f.state, id, run_end::kFailed, std::nullopt, f.now, f.out);
-  }
+  f.LoseTwo();
   REQUIRE(f.IsRefused());
   update older = f.out.publish.back();
   REQUIRE(older.condemned);
@@ -390,12 +394,7 @@
 // Guards against quarantine for engines that were out of reach for a while.
 TEST_CASE("a loss is withdrawn when the endpoint answers in the same incarnation") {
   fixture f;
-  for (run_id id = 1; id <= 2; ++id) {
-    const endpoint_life life{"e" + std::to_string(id), 1};
-    f.Run(id, {life});
-    Lost(f.state, life, f.now, f.out);
-    End(f.state, id, run_end::kFailed, std::nullopt, f.now, f.out);
-  }
+  f.LoseTwo();
   CHECK(f.IsRefused());
   SECTION("a question from before the loss says nothing") {
     Alive(f.state, {"e1", 1}, f.now - 1ms, f.out);
