Own mode: a silent attempt stays open until its successor answers

Callers lost streams whose engine was sound and only fell silent for some seconds: 503 or an error event with retry_budget, endpoint_failed, or uncovered_model, within 1.3 to 2 s of the silence. Streams that may not repeat were told "unknown" although their engine went on to answer.

Cause: after 1 s without a token and one unanswered status request, or after 2 s, HandleAttemptFailure closed the running attempt. Only then the retry decision, the quarantine, the route and the next engine were asked, and each of them could say no.

The daemon now ends an attempt only when another one has delivered a token, or when the request ends. HandleSilence decides first: a request that may not repeat, a fingerprint under suspicion, no other route or no budget leave the attempt as it is, and the question is asked again later. A successor that is refused or breaks leaves the others open.

Why it holds: a second attempt is opened only for a request that may repeat, so at most once is unchanged. Each successor is paid from the same budget and counts in max_attempts. For the quarantine all open attempts are one run, on the endpoints of all of them; a fingerprint that is suspected later gets no second endpoint. Only the run's own endpoints are no obstacle for its successor's route.

Ruled out: a larger budget, since a refusal of the engine loses the stream as well; a longer patience, since it only moves the limit.

Cost: where there is no other route, or no repeat is allowed, a stream on an engine that never comes back ends at its deadline instead of after 2 s.

--- a/libs/router/src/details/dispatch.h
+++ b/libs/router/src/details/dispatch.h
@@ -9,9 +9,10 @@
 // Starts the next attempt. Precondition: phase kReady.
 void Dispatch(router_state& state, const request_ptr& item);
 
-// Marks the attempt as open on item->route and returns its number. False when a non-repeatable
-// request may no longer be dispatched; then it has been given up.
-bool BeginDispatch(router_state& state, const request_ptr& item);
+// Opens the next attempt on `route`, beside those that are open. Null when a non-repeatable request
+// may no longer be dispatched; then it has been given up.
+open_attempt* BeginDispatch(router_state& state, const request_ptr& item,
+                            std::vector<net::run_stage> route);
 
 struct attempt_error {
   attempts::attempt_failure failure;
@@ -21,14 +22,22 @@
   bool endpoint_lost = false;  // `endpoint` does not answer at all
 };
 
-// Closes the attempt and retries or gives up.
+// Closes an attempt that has ended. Retries or gives up when no other one is open.
 void HandleAttemptFailure(router_state& state, const request_ptr& item, uint32_t attempt,
                           const attempt_error& error);
 
-// Cancels what runs for the open attempt, if any, and frees its places on the endpoints.
-void CloseAttempt(router_state& state, request& item);
+// Opens a successor beside the silent attempts when the endpoints, the quarantine and the retry
+// budget allow one. What is open goes on in any case, because a sound endpoint may fall silent for
+// a while, and whether the successor is accepted is not known yet.
+void HandleSilence(router_state& state, const request_ptr& item, const attempt_error& error);
 
-// Counts the attempt on the endpoints of its route; `delta` is 1 or -1.
-void CountInFlight(router_state& state, const request& item, int delta);
+// The open attempt with this number, or null.
+open_attempt* FindOpen(request& item, uint32_t attempt);
+
+// Closes all attempts but this one, which has delivered a token.
+void CloseOthers(router_state& state, request& item, uint32_t attempt);
+
+// Cancels all that runs for the request, and frees its places on the endpoints.
+void CloseAttempts(router_state& state, request& item);
 
 }  // namespace balsambay::router
--- a/libs/router/src/details/model_attempt.h
+++ b/libs/router/src/details/model_attempt.h
@@ -8,4 +8,8 @@
 // Starts the next attempt of a model request.
 void DispatchModelRequest(router_state& state, const request_ptr& item);
 
+// Starts an attempt of a model request on `route`.
+void StartModelAttempt(router_state& state, const request_ptr& item,
+                       std::vector<net::run_stage> route);
+
 }  // namespace balsambay::router
--- a/libs/router/src/details/planning.h
+++ b/libs/router/src/details/planning.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <nlohmann/json.hpp>
+#include <span>
 
 #include "details/state.h"
 
@@ -24,6 +25,9 @@
 // in item.excluded are used only when there is no other way.
 std::vector<net::run_stage> ChooseRoute(router_state& state, const request& item);
 
+// As ChooseRoute, on endpoints that are not in item.excluded. Empty when there are none.
+std::vector<net::run_stage> ChooseOtherRoute(router_state& state, const request& item);
+
 // A usable endpoint of the service, or nullptr.
 const inventory::endpoint* ChooseServiceEndpoint(router_state& state, const request& item);
 
@@ -45,7 +49,8 @@
 // Bound, limiting cut and routes of a model for operators; null when the model does not exist.
 nlohmann::json DescribePlan(const router_state& state, const std::string& model);
 
-// The route of the request has answered: its endpoints now hold the prompt in their caches.
-void OnRouteSucceeded(router_state& state, const request& item);
+// The route has answered the request: its endpoints now hold the prompt in their caches.
+void OnRouteSucceeded(router_state& state, const request& item,
+                      std::span<const net::run_stage> route);
 
 }  // namespace balsambay::router
--- a/libs/router/src/details/quarantine_driver.h
+++ b/libs/router/src/details/quarantine_driver.h
@@ -18,9 +18,14 @@
 // OnRunEnded or OnRunBroken.
 run_permission AskToRun(router_state& state, const request_ptr& item);
 
+// Whether a successor may be opened beside the open attempts now. A fingerprint that came under
+// suspicion after they were placed gets no second endpoint.
+bool MayRunBeside(const router_state& state, const request& item);
+
 // Whether a request that may crash endpoints runs on this one.
 bool HasSuspectRun(const router_state& state, std::string_view endpoint);
 
+// The open attempts have changed. They are one run, on the endpoints of all of them.
 void OnRunPlaced(router_state& state, const request& item);
 void OnRunProgress(router_state& state, const request& item);
 void OnRunEnded(router_state& state, const request& item, bool completed);
@@ -28,6 +33,10 @@
 // The attempt ended because `endpoint` broke its connection or another stage reported its loss.
 void OnRunBroken(router_state& state, const request& item, std::string_view endpoint);
 
+// The same for one of several attempts. The others go on, and are registered again if the
+// fingerprint may still run.
+void OnAttemptBroken(router_state& state, request& item, std::string_view endpoint);
+
 // The endpoint refuses connections.
 void OnEndpointRefused(router_state& state, std::string_view endpoint);
 
--- a/libs/router/src/details/state.h
+++ b/libs/router/src/details/state.h
@@ -34,6 +34,17 @@
 
 namespace balsambay::router {
 
+// An attempt that may still deliver. Cancelled when it is closed.
+struct open_attempt {
+  uint32_t number = 0;
+  std::vector<net::run_stage> route;  // one stage for services
+  time_point started;
+  std::shared_ptr<net::engine_run> run = nullptr;
+  std::shared_ptr<net::client_call> call = nullptr;
+  // Endpoints of the route that are taken for the cause of its silence; empty while it delivers.
+  std::set<std::string, std::less<>> silent = {};
+};
+
 // One request of a caller. Owned by router_state::requests from acceptance to its final answer;
 // timers and callbacks hold weak pointers, so that nothing acts on a request that has ended.
 struct request {
@@ -62,15 +73,12 @@
   std::optional<ledger::submission> submission;
   std::string claim_owner;  // daemon that was asked last
 
-  // The open attempt.
-  std::vector<net::run_stage> route;
-  std::shared_ptr<net::engine_run> run;
-  std::shared_ptr<net::client_call> call;
-  bool permitted = false;  // the quarantine knows of the attempt
+  // Oldest first. Those before the last one are silent and kept until an attempt delivers.
+  std::vector<open_attempt> open;
+  bool permitted = false;  // the quarantine knows of the attempts
   bool alone = false;      // must avoid endpoints with other suspects
   bool reading_paused = false;
-  bool progressed = false;  // the open attempt has delivered a token
-  time_point attempt_started;
+  bool progressed = false;  // an attempt has delivered a token since the last one was opened
   time_point last_progress;
   std::set<std::string, std::less<>> excluded;  // endpoints that failed for this request
 
--- a/libs/router/src/details/telemetry.h
+++ b/libs/router/src/details/telemetry.h
@@ -16,6 +16,7 @@
   metrics::registry registry;
   std::map<std::string, metrics::counter_id, std::less<>> refusals;  // by reason
   std::map<std::string, metrics::counter_id, std::less<>> retries;   // by reason
+  std::map<std::string, metrics::counter_id, std::less<>> kept;      // by reason
   metrics::counter_id accepted;
   metrics::counter_id completed;
   metrics::counter_id cancelled;
@@ -33,5 +34,7 @@
 
 void CountRefusal(telemetry& out, std::string_view reason);
 void CountRetry(telemetry& out, std::string_view reason);
+// A silent attempt got no successor.
+void CountKept(telemetry& out, std::string_view reason);
 
 }  // namespace balsambay::router
--- a/libs/router/src/dispatch.cc
+++ b/libs/router/src/dispatch.cc
@@ -21,12 +21,12 @@
 using health::evidence_kind;
 
 // Avoids what failed. A stall does not tell which stage is slow, so the whole route is avoided.
-void Exclude(request& item, std::string_view endpoint) {
+void Exclude(request& item, std::span<const net::run_stage> route, std::string_view endpoint) {
   if (!endpoint.empty()) {
     item.excluded.emplace(endpoint);
     return;
   }
-  std::ranges::for_each(item.route,
+  std::ranges::for_each(route,
                         [&](const net::run_stage& stage) { item.excluded.insert(stage.endpoint); });
 }
 
@@ -59,30 +59,54 @@
   }
 }
 
-void ReportFailure(router_state& state, const request& item, const attempt_error& error) {
+void ReportFailure(router_state& state, std::span<const net::run_stage> route,
+                   const attempt_error& error) {
   const auto kind = EvidenceOf(error);
   if (!kind) return;
   if (!error.endpoint.empty()) return ReportEvidence(state, error.endpoint, *kind);
-  std::ranges::for_each(item.route, [&](const net::run_stage& stage) {
-    ReportEvidence(state, stage.endpoint, *kind);
+  std::ranges::for_each(
+      route, [&](const net::run_stage& stage) { ReportEvidence(state, stage.endpoint, *kind); });
+}
+
+void NoteLoss(router_state& state, const attempt_error& error) {
+  if (!IsLoss(error)) return;
+  admission::OnEndpointLost(state.retry_budget, error.endpoint, state.in_flight[error.endpoint],
+                            MonotonicNow());
+}
+
+void CountInFlight(router_state& state, const open_attempt& attempt, int delta) {
+  std::ranges::for_each(attempt.route, [&](const net::run_stage& stage) {
+    state.in_flight[stage.endpoint] += delta;
   });
 }
 
+void Close(router_state& state, const open_attempt& attempt) {
+  CountInFlight(state, attempt, -1);
+  if (attempt.run) attempt.run->Cancel();
+  if (attempt.call) attempt.call->Cancel();
+}
+
+// Tells the quarantine of an attempt that has ended and is no longer among the open ones.
 void EndPermission(router_state& state, request& item, const attempt_error& error) {
-  item.permitted = false;
   if (error.reason == retry_reason::kConnectFailed) OnEndpointRefused(state, error.endpoint);
   const bool broken =
       error.reason == retry_reason::kStageLost || error.reason == retry_reason::kReset;
-  if (broken && !error.endpoint.empty()) return OnRunBroken(state, item, error.endpoint);
+  const bool names_endpoint = broken && !error.endpoint.empty();
+  if (!item.open.empty()) {
+    if (names_endpoint) return OnAttemptBroken(state, item, error.endpoint);
+    return OnRunPlaced(state, item);
+  }
+  item.permitted = false;
+  if (names_endpoint) return OnRunBroken(state, item, error.endpoint);
   OnRunEnded(state, item, false);
 }
 
-admission::retry_decision Decide(router_state& state, const request& item, attempts::next_step step,
+admission::retry_decision Decide(router_state& state, const request& item, bool may_have_run,
                                  const attempt_error& error, time_point now) {
   const admission::failed_attempt failed{.workspace = item.workspace,
                                          .reason = error.reason,
                                          .repeatable = item.answer.repeatable,
-                                         .may_have_run = step == attempts::next_step::kGiveUp,
+                                         .may_have_run = may_have_run,
                                          .attempts = static_cast<int>(item.answer.attempt),
                                          .deadline = item.deadline,
                                          .service_time = duration::zero(),
@@ -101,6 +125,47 @@
       });
 }
 
+// A stall does not tell which stage is slow, so it is the whole route.
+void NoteSilent(open_attempt& attempt, std::string_view endpoint) {
+  attempt.silent.clear();
+  if (!endpoint.empty()) {
+    attempt.silent.emplace(endpoint);
+    return;
+  }
+  for (const net::run_stage& stage : attempt.route) attempt.silent.insert(stage.endpoint);
+}
+
+void ExcludeSilent(request& item) {
+  for (const open_attempt& attempt : item.open)
+    item.excluded.insert(attempt.silent.begin(), attempt.silent.end());
+}
+
+// A route that avoids what is silent now. Endpoints that failed for the request before are used
+// when there is no other.
+std::vector<net::run_stage> ChooseSuccessorRoute(router_state& state, request& item) {
+  ExcludeSilent(item);
+  auto route = ChooseOtherRoute(state, item);
+  if (!route.empty()) return route;
+  item.excluded.clear();
+  ExcludeSilent(item);
+  return ChooseOtherRoute(state, item);
+}
+
+void LogSilence(const request& item, const attempt_error& error, std::string_view decision) {
+  log::Log(log::level::kInfo, "attempt is silent",
+           {{"request", item.id},
+            {"attempt", item.open.back().number},
+            {"endpoint", error.endpoint},
+            {"detail", error.detail},
+            {"decision", decision}});
+}
+
+void KeepSilent(router_state& state, const request& item, const attempt_error& error,
+                std::string_view reason) {
+  CountKept(state.metrics, reason);
+  LogSilence(item, error, "kept: " + std::string(reason));
+}
+
 }  // namespace
 
 void Dispatch(router_state& state, const request_ptr& item) {
@@ -112,36 +177,63 @@
   DispatchModelRequest(state, item);
 }
 
-bool BeginDispatch(router_state& state, const request_ptr& item) {
-  if (!TryDispatchClaim(*item)) {
-    item->route.clear();
+open_attempt* BeginDispatch(router_state& state, const request_ptr& item,
+                            std::vector<net::run_stage> route) {
+  if (item->open.empty() && !TryDispatchClaim(*item)) {
     GiveUp(state, item, "ledger_unavailable", "the grant to run has expired",
            std::chrono::seconds(1));
-    return false;
+    return nullptr;
   }
   attempts::Advance(item->phase, attempts::phase_event::kDispatched);
-  attempts::BeginAttempt(item->answer);
-  item->attempt_started = MonotonicNow();
-  CountInFlight(state, *item, 1);
+  const uint32_t number = item->open.empty() ? attempts::BeginAttempt(item->answer)
+                                             : attempts::BeginSuccessor(item->answer);
+  item->open.push_back({.number = number, .route = std::move(route), .started = MonotonicNow()});
+  item->progressed = false;
+  CountInFlight(state, item->open.back(), 1);
   OnRunPlaced(state, *item);
-  return true;
+  return &item->open.back();
 }
 
-void CountInFlight(router_state& state, const request& item, int delta) {
-  std::ranges::for_each(
-      item.route, [&](const net::run_stage& stage) { state.in_flight[stage.endpoint] += delta; });
+open_attempt* FindOpen(request& item, uint32_t attempt) {
+  const auto it = std::ranges::find(item.open, attempt, &open_attempt::number);
+  return it == item.open.end() ? nullptr : &*it;
+}
+
+void CloseOthers(router_state& state, request& item, uint32_t attempt) {
+  if (item.open.size() <= 1) return;
+  for (const open_attempt& other : item.open) {
+    if (other.number != attempt) Close(state, other);
+  }
+  std::erase_if(item.open, [&](const open_attempt& other) { return other.number != attempt; });
+  OnRunPlaced(state, item);
 }
 
-void CloseAttempt(router_state& state, request& item) {
-  CountInFlight(state, item, -1);
-  item.route.clear();
-  if (item.run) item.run->Cancel();
-  if (item.call) item.call->Cancel();
-  item.run.reset();
-  item.call.reset();
+void CloseAttempts(router_state& state, request& item) {
+  for (const open_attempt& attempt : item.open) Close(state, attempt);
+  item.open.clear();
   item.reading_paused = false;
 }
 
+void HandleSilence(router_state& state, const request_ptr& item, const attempt_error& error) {
+  open_attempt& latest = item->open.back();
+  NoteLoss(state, error);
+  // A slow route is reported once for each of its silences, as a failed one would be.
+  if (latest.silent.empty() || error.endpoint_lost) ReportFailure(state, latest.route, error);
+  NoteSilent(latest, error.endpoint);
+  if (!attempts::MayHaveSuccessor(item->answer))
+    return KeepSilent(state, *item, error, "may_not_repeat");
+  if (!MayRunBeside(state, *item)) return KeepSilent(state, *item, error, "suspected");
+  auto route = ChooseSuccessorRoute(state, *item);
+  if (route.empty()) return KeepSilent(state, *item, error, "no_other_route");
+  // The delay of the decision is not waited for: a silence took longer than any of them.
+  const auto decision = Decide(state, *item, false, error, MonotonicNow());
+  if (!decision.retry)
+    return KeepSilent(state, *item, error, admission::ToString(decision.give_up));
+  CountRetry(state.metrics, admission::ToString(error.reason));
+  LogSilence(*item, error, "successor");
+  StartModelAttempt(state, item, std::move(route));
+}
+
 void HandleAttemptFailure(router_state& state, const request_ptr& item, uint32_t attempt,
                           const attempt_error& error) {
   const auto step = attempts::OnAttemptFailed(item->answer, attempt, error.failure);
@@ -151,18 +243,23 @@
             {"attempt", attempt},
             {"endpoint", error.endpoint},
             {"reason", admission::ToString(error.reason)},
-            {"detail", error.detail}});
+            {"detail", error.detail},
+            {"others_open", step == attempts::next_step::kWait}});
+  const auto ended = std::ranges::find(item->open, attempt, &open_attempt::number);
+  CheckInvariant(ended != item->open.end(), "an open attempt of the answer is one of the request");
+  const open_attempt closed = std::move(*ended);
+  item->open.erase(ended);
   EndPermission(state, *item, error);
-  if (IsLoss(error)) {
-    admission::OnEndpointLost(state.retry_budget, error.endpoint, state.in_flight[error.endpoint],
-                              MonotonicNow());
-  }
-  ReportFailure(state, *item, error);
-  Exclude(*item, error.endpoint);
-  CloseAttempt(state, *item);
+  NoteLoss(state, error);
+  ReportFailure(state, closed.route, error);
+  Exclude(*item, closed.route, error.endpoint);
+  Close(state, closed);
+  if (step == attempts::next_step::kWait) return;
+  item->reading_paused = false;
   if (!item->answer.maybe_ran) ClaimNotStarted(*item);
   attempts::Advance(item->phase, attempts::phase_event::kAttemptFailed);
-  const auto decision = Decide(state, *item, step, error, MonotonicNow());
+  const auto decision =
+      Decide(state, *item, step == attempts::next_step::kGiveUp, error, MonotonicNow());
   if (!decision.retry) {
     return GiveUp(state, item, admission::ToString(decision.give_up), error.detail,
                   decision.retry_after);
--- a/libs/router/src/model_attempt.cc
+++ b/libs/router/src/model_attempt.cc
@@ -38,9 +38,13 @@
   return {attempt_failure::kBroken, retry_reason::kReset};
 }
 
-attempt_error ProtocolError(const request& item, std::string detail) {
-  return {attempt_failure::kBroken, retry_reason::kReset, item.route.front().endpoint,
-          std::move(detail)};
+void HandleProtocolError(router_state& state, const request_ptr& item, uint32_t attempt,
+                         std::string detail) {
+  const open_attempt* const from = FindOpen(*item, attempt);
+  if (from == nullptr) return;
+  const std::string head = from->route.front().endpoint;
+  HandleAttemptFailure(state, item, attempt,
+                       {attempt_failure::kBroken, retry_reason::kReset, head, std::move(detail)});
 }
 
 duration ProgressLimit(const router_state& state, const request& item) {
@@ -49,27 +53,28 @@
 
 void WatchProgress(router_state& state, const request_ptr& item);
 
-// A stage that does not answer a status request either is lost; its requests go on elsewhere beyond
-// the retry budget. When all stages answer, they are slow, and a retry would only add load.
+// A stage that does not answer a status request either may be lost; its requests get a successor
+// beyond the retry budget. When all stages answer, they are slow, and a successor would only add
+// load.
 void OnStageStatus(router_state& state, const request_ptr& item, uint32_t attempt,
                    const std::string& endpoint, const net::whole_reply& reply) {
-  const bool current = item->phase == attempts::phase::kRunning && item->answer.attempt == attempt;
+  const bool latest = !item->open.empty() && item->open.back().number == attempt;
   const bool stalled = MonotonicNow() - item->last_progress >= ProgressLimit(state, *item);
-  if (!current || !stalled || reply.status == 200) return;
-  HandleAttemptFailure(
-      state, item, attempt,
+  if (!latest || !stalled || reply.status == 200) return;
+  HandleSilence(
+      state, item,
       {attempt_failure::kStalled, retry_reason::kStalled, endpoint, "stage does not answer", true});
 }
 
 void AskStages(router_state& state, const request_ptr& item) {
   const std::weak_ptr<request> weak = item;
-  for (const net::run_stage& stage : item->route) {
+  for (const net::run_stage& stage : item->open.back().route) {
     net::client_request call;
     call.method = "GET";
     call.url = "http://" + stage.address + "/v1/status";
     call.header_timeout = kStageStatusTimeout;
     net::Fetch(*state.client, std::move(call),
-               [&state, weak, attempt = item->answer.attempt,
+               [&state, weak, attempt = item->open.back().number,
                 endpoint = stage.endpoint](const net::whole_reply& reply) {
                  if (const auto held = weak.lock())
                    OnStageStatus(state, held, attempt, endpoint, reply);
@@ -77,19 +82,19 @@
   }
 }
 
-// Asks the stages after one time without a token, and fails the attempt after two. The time while
-// the caller does not read is not counted.
+// Asks the stages after each time without a token. After two, the attempt is silent even if they
+// answer. The time while the caller does not read is not counted.
 void CheckProgress(router_state& state, const request_ptr& item, time_point now) {
-  if (item->phase != attempts::phase::kRunning) return;
+  if (item->open.empty()) return;
   if (item->reading_paused) item->last_progress = now;
   const duration limit = ProgressLimit(state, *item);
-  const duration waited = now - item->last_progress;
-  if (waited >= 2 * limit) {
-    return HandleAttemptFailure(
-        state, item, item->answer.attempt,
-        {attempt_failure::kStalled, retry_reason::kStalled, "", "no token in time"});
+  const uint32_t latest = item->open.back().number;
+  if (now - item->last_progress >= 2 * limit) {
+    HandleSilence(state, item,
+                  {attempt_failure::kStalled, retry_reason::kStalled, "", "no token in time"});
   }
-  if (waited >= limit) AskStages(state, item);
+  const bool same = item->open.back().number == latest;
+  if (same && now - item->last_progress >= limit) AskStages(state, item);
   WatchProgress(state, item);
 }
 
@@ -97,9 +102,9 @@
   const std::weak_ptr<request> weak = item;
   Cancel(state.loop.Timers(), item->progress_timer);
   const duration limit = ProgressLimit(state, *item);
-  const bool asked = MonotonicNow() - item->last_progress >= limit;
-  const time_point deadline = item->last_progress + (asked ? 2 * limit : limit);
-  item->progress_timer = Subscribe(state.loop.Timers(), deadline, [&state, weak](time_point now) {
+  const duration waited = MonotonicNow() - item->last_progress;
+  const time_point due = item->last_progress + limit * (1 + waited / limit);
+  item->progress_timer = Subscribe(state.loop.Timers(), due, [&state, weak](time_point now) {
     if (const auto held = weak.lock()) CheckProgress(state, held, now);
   });
 }
@@ -115,7 +120,8 @@
   if (item->exchange->PendingBytes() < state.config.max_pending_bytes || item->reading_paused)
     return;
   item->reading_paused = true;
-  item->run->PauseReading();
+  // The attempt that has just delivered is the only one.
+  item->open.front().run->PauseReading();
   const std::weak_ptr<request> weak = item;
   Cancel(state.loop.Timers(), item->backoff_timer);
   item->backoff_timer =
@@ -128,7 +134,9 @@
     if (!held || !held->reading_paused) return;
     held->reading_paused = false;
     held->last_progress = MonotonicNow();
-    if (held->run) held->run->ResumeReading();
+    for (const open_attempt& attempt : held->open) {
+      if (attempt.run) attempt.run->ResumeReading();
+    }
   };
 }
 
@@ -145,8 +153,7 @@
   for (const std::string& token : tokens) {
     const auto verdict = attempts::OnToken(item->answer, attempt, index++, token);
     if (verdict == attempts::token_verdict::kGap) {
-      return HandleAttemptFailure(state, item, attempt,
-                                  ProtocolError(*item, "token index out of order"));
+      return HandleProtocolError(state, item, attempt, "token index out of order");
     }
     if (verdict != attempts::token_verdict::kDeliver) {
       metrics::Increment(state.metrics.registry, state.metrics.stale_messages);
@@ -154,6 +161,8 @@
   }
   const size_t delivered = item->answer.tokens.size() - before;
   if (delivered == 0) return;
+  CloseOthers(state, *item, attempt);
+  item->open.front().silent.clear();
   item->last_progress = MonotonicNow();
   if (before == 0) OnFirstToken(state, item, item->last_progress);
   if (!std::exchange(item->progressed, true)) OnRunProgress(state, *item);
@@ -165,23 +174,25 @@
 void OnEnd(router_state& state, const request_ptr& item, uint32_t attempt, uint32_t count,
            std::string_view finish_reason) {
   if (attempts::OnEnd(item->answer, attempt, count) != attempts::end_verdict::kComplete) {
-    return HandleAttemptFailure(state, item, attempt,
-                                ProtocolError(*item, "end mark does not match the tokens"));
+    return HandleProtocolError(state, item, attempt, "end mark does not match the tokens");
   }
-  std::ranges::for_each(item->route, [&](const net::run_stage& stage) {
+  CloseOthers(state, *item, attempt);
+  const std::vector<net::run_stage> route = item->open.front().route;
+  std::ranges::for_each(route, [&](const net::run_stage& stage) {
     ReportEvidence(state, stage.endpoint, health::evidence_kind::kSuccess);
   });
-  OnRouteSucceeded(state, *item);
+  OnRouteSucceeded(state, *item, route);
   SendCompletion(*item, finish_reason);
   Complete(state, item, item->submission ? EncodeModelResult(*item, finish_reason) : "");
 }
 
-net::run_request MakeRun(const router_state& state, const request& item) {
+net::run_request MakeRun(const router_state& state, const request& item,
+                         const open_attempt& attempt) {
   net::run_request run;
   run.run_id = item.id;
-  run.attempt = item.answer.attempt;
+  run.attempt = attempt.number;
   run.model = item.model;
-  run.stages = item.route;
+  run.stages = attempt.route;
   run.prompt = item.prompt;
   run.delivered = item.answer.tokens;
   run.max_tokens = item.max_tokens;
@@ -217,16 +228,22 @@
 }  // namespace
 
 void DispatchModelRequest(router_state& state, const request_ptr& item) {
-  item->route = ChooseRoute(state, *item);
-  if (item->route.empty()) {
+  auto route = ChooseRoute(state, *item);
+  if (route.empty()) {
     return GiveUp(state, item, "uncovered_model", DescribeUncovered(state, item->model),
                   kUncoveredComeBack);
   }
-  if (!BeginDispatch(state, item)) return;
-  item->progressed = false;
+  StartModelAttempt(state, item, std::move(route));
+}
+
+void StartModelAttempt(router_state& state, const request_ptr& item,
+                       std::vector<net::run_stage> route) {
+  open_attempt* const attempt = BeginDispatch(state, item, std::move(route));
+  if (attempt == nullptr) return;
   item->last_progress = MonotonicNow();
   WatchProgress(state, item);
-  item->run = net::StartRun(*state.client, MakeRun(state, *item), MakeEvents(state, item));
+  attempt->run =
+      net::StartRun(*state.client, MakeRun(state, *item, *attempt), MakeEvents(state, item));
 }
 
 }  // namespace balsambay::router
--- a/libs/router/src/planning.cc
+++ b/libs/router/src/planning.cc
@@ -107,6 +107,13 @@
   return it == state.plans.end() ? nullptr : it->second.get();
 }
 
+bool IsOnRoute(const request& item, std::string_view endpoint) {
+  return std::ranges::any_of(item.open, [&](const open_attempt& attempt) {
+    return std::ranges::find(attempt.route, endpoint, &net::run_stage::endpoint) !=
+           attempt.route.end();
+  });
+}
+
 std::vector<planner::endpoint_index> ExcludedIndices(const router_state& state,
                                                      const request& item) {
   std::vector<planner::endpoint_index> out;
@@ -116,7 +123,8 @@
   }
   if (!item.alone) return out;
   for (const auto& [id, position] : state.plan_index) {
-    if (HasSuspectRun(state, id)) out.push_back(position.index);
+    // Where the request itself runs, the suspect is the request.
+    if (HasSuspectRun(state, id) && !IsOnRoute(item, id)) out.push_back(position.index);
   }
   return out;
 }
@@ -208,7 +216,10 @@
   view.report_age = duration::zero();
 }
 
-std::vector<net::run_stage> ChooseRoute(router_state& state, const request& item) {
+namespace {
+
+// With `must_avoid`, excluded endpoints are not used even when there is no other way.
+std::vector<net::run_stage> Choose(router_state& state, const request& item, bool must_avoid) {
   const auto it = state.plans.find(item.model);
   if (it == state.plans.end()) return {};
   model_plan& planned = *it->second;
@@ -220,7 +231,7 @@
   wanted.excluded = excluded;
   constexpr auto kPolicy = routing::policy::kWeighted;
   auto choice = routing::ChooseRoute(planned.router, wanted, planned.views, kPolicy, state.rng);
-  if (choice.has_error() && !excluded.empty()) {
+  if (choice.has_error() && !excluded.empty() && !must_avoid) {
     wanted.excluded = {};
     choice = routing::ChooseRoute(planned.router, wanted, planned.views, kPolicy, state.rng);
   }
@@ -230,6 +241,16 @@
   return ToStages(state, planned, choice.value().stages);
 }
 
+}  // namespace
+
+std::vector<net::run_stage> ChooseRoute(router_state& state, const request& item) {
+  return Choose(state, item, false);
+}
+
+std::vector<net::run_stage> ChooseOtherRoute(router_state& state, const request& item) {
+  return Choose(state, item, true);
+}
+
 const inventory::endpoint* ChooseServiceEndpoint(router_state& state, const request& item) {
   const inventory::endpoint* best = nullptr;
   int best_load = 0;
@@ -298,10 +319,11 @@
           {"routes", routes}};
 }
 
-void OnRouteSucceeded(router_state& state, const request& item) {
+void OnRouteSucceeded(router_state& state, const request& item,
+                      std::span<const net::run_stage> route) {
   const auto hashes = routing::HashPrefixBlocks(item.prompt, PrefixSalt(item.model));
   const time_point now = MonotonicNow();
-  for (const net::run_stage& stage : item.route) {
+  for (const net::run_stage& stage : route) {
     const auto it = state.plan_index.find(stage.endpoint);
     if (it == state.plan_index.end()) continue;
     for (const uint64_t hash : hashes)
--- a/libs/router/src/quarantine_driver.cc
+++ b/libs/router/src/quarantine_driver.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "details/logging.h"
 #include "details/peers.h"
@@ -114,11 +115,28 @@
   return quarantine::HasSuspect(state.quarantine, endpoint);
 }
 
+bool MayRunBeside(const router_state& state, const request& item) {
+  if (!item.permitted) return false;
+  switch (quarantine::StateOf(state.quarantine, FingerprintOf(item))) {
+    case quarantine::fingerprint_state::kClear:
+      return true;
+    case quarantine::fingerprint_state::kSuspected:
+      return item.alone;
+    case quarantine::fingerprint_state::kQuarantined:
+      break;
+  }
+  return false;
+}
+
 void OnRunPlaced(router_state& state, const request& item) {
+  if (!item.permitted) return;
+  std::set<std::string_view> endpoints;
+  for (const open_attempt& attempt : item.open) {
+    for (const net::run_stage& stage : attempt.route) endpoints.insert(stage.endpoint);
+  }
   std::vector<quarantine::endpoint_life> route;
-  std::ranges::transform(item.route, std::back_inserter(route), [&](const net::run_stage& stage) {
-    return LifeOf(state, stage.endpoint);
-  });
+  std::ranges::transform(endpoints, std::back_inserter(route),
+                         [&](std::string_view id) { return LifeOf(state, id); });
   quarantine::outputs out;
   quarantine::Place(state.quarantine, item.number, route, out);
   Process(state, out);
@@ -144,6 +162,18 @@
   Process(state, out);
 }
 
+void OnAttemptBroken(router_state& state, request& item, std::string_view endpoint) {
+  OnRunBroken(state, item, endpoint);
+  quarantine::outputs out;
+  const auto decision =
+      quarantine::Start(state.quarantine, item.number, FingerprintOf(item), MonotonicNow(), out);
+  Process(state, out);
+  item.alone = decision.answer == quarantine::verdict::kAllowAlone;
+  item.permitted = item.alone || decision.answer == quarantine::verdict::kAllow;
+  item.progressed = false;
+  OnRunPlaced(state, item);
+}
+
 void OnEndpointRefused(router_state& state, std::string_view endpoint) {
   quarantine::outputs out;
   quarantine::Lost(state.quarantine, LifeOf(state, endpoint), MonotonicNow(), out);
--- a/libs/router/src/requests.cc
+++ b/libs/router/src/requests.cc
@@ -84,7 +84,7 @@
 
 void Retire(router_state& state, request_ptr item) {
   if (!attempts::Advance(item->phase, phase_event::kFinished)) return;
-  CloseAttempt(state, *item);
+  CloseAttempts(state, *item);
   if (std::exchange(item->permitted, false)) OnRunEnded(state, *item, item->answer.complete);
   CloseClaim(state, *item, false, "");
   CancelTimers(state, *item);
--- a/libs/router/src/service_calls.cc
+++ b/libs/router/src/service_calls.cc
@@ -29,9 +29,11 @@
 
 void FinishCall(router_state& state, const request_ptr& item, uint32_t attempt,
                 const service_reply& reply) {
+  const open_attempt* const from = FindOpen(*item, attempt);
+  if (from == nullptr) return;
   attempts::OnEnd(item->answer, attempt, 0);
-  ReportEvidence(state, item->route.front().endpoint, health::evidence_kind::kSuccess,
-                 MonotonicNow() - item->attempt_started);
+  ReportEvidence(state, from->route.front().endpoint, health::evidence_kind::kSuccess,
+                 MonotonicNow() - from->started);
   const std::string type = reply.content_type.empty() ? "application/json" : reply.content_type;
   const std::array<net::header, 3> headers = {net::header{"Content-Type", type},
                                               net::header{"Balsambay-Outcome", "ran"},
@@ -65,17 +67,19 @@
                 const service_reply& reply, const net::call_end& end) {
   auto error = ErrorOf(reply, end);
   if (!error) return FinishCall(state, item, attempt, reply);
-  error->endpoint = item->route.front().endpoint;
+  const open_attempt* const from = FindOpen(*item, attempt);
+  if (from == nullptr) return;
+  error->endpoint = from->route.front().endpoint;
   HandleAttemptFailure(state, item, attempt, *error);
 }
 
-net::client_request MakeCall(const request& item, time_point now) {
+net::client_request MakeCall(const request& item, const open_attempt& attempt) {
   net::client_request call;
-  call.url = "http://" + item.route.front().address + "/v1/call/" + item.service;
+  call.url = "http://" + attempt.route.front().address + "/v1/call/" + item.service;
   call.headers = {{"Balsambay-Request-Id", item.id}};
   call.body = item.body.empty() ? "{}" : item.body;
   // A service may take as long as its caller waits.
-  call.header_timeout = item.deadline - now;
+  call.header_timeout = item.deadline - attempt.started;
   return call;
 }
 
@@ -108,10 +112,9 @@
     return GiveUp(state, item, "no_route", "no endpoint of service " + item->service + " is usable",
                   kNoRouteComeBack);
   }
-  item->route = {{chosen->id, chosen->address, 0, 0}};
-  if (!BeginDispatch(state, item)) return;
-  item->call =
-      state.client->Send(MakeCall(*item, item->attempt_started), MakeCallbacks(state, item));
+  open_attempt* const attempt = BeginDispatch(state, item, {{chosen->id, chosen->address, 0, 0}});
+  if (attempt == nullptr) return;
+  attempt->call = state.client->Send(MakeCall(*item, *attempt), MakeCallbacks(state, item));
 }
 
 }  // namespace balsambay::router
--- a/libs/router/src/telemetry.cc
+++ b/libs/router/src/telemetry.cc
@@ -2,6 +2,7 @@
 #include "details/telemetry.h"
 
 #include <algorithm>
+#include <array>
 
 #include "admission/reason.h"
 
@@ -10,6 +11,12 @@
 
 constexpr std::string_view kRefusalHelp = "Requests refused or given up, by reason.";
 constexpr std::string_view kRetryHelp = "Attempts repeated, by reason.";
+constexpr std::string_view kKeptHelp =
+    "Times that a silent attempt was kept without a successor, by reason.";
+
+// In HandleSilence; the last three come from the retry decision.
+constexpr std::array<std::string_view, 6> kKeptReasons = {
+    "may_not_repeat", "suspected", "no_other_route", "endpoint_failed", "deadline", "retry_budget"};
 
 metrics::counter_id AddReason(metrics::registry& registry, std::string_view name,
                               std::string_view help, std::string_view reason) {
@@ -59,6 +66,10 @@
     retries[std::string(reason)] =
         AddReason(registry, "balsambay_retries_total", kRetryHelp, reason);
   }
+  for (const std::string_view reason : kKeptReasons) {
+    kept[std::string(reason)] =
+        AddReason(registry, "balsambay_silent_attempts_kept_total", kKeptHelp, reason);
+  }
 }
 
 void CountRefusal(telemetry& out, std::string_view reason) {
@@ -75,4 +86,9 @@
   if (it != out.retries.end()) metrics::Increment(out.registry, it->second);
 }
 
+void CountKept(telemetry& out, std::string_view reason) {
+  const auto it = out.kept.find(reason);
+  if (it != out.kept.end()) metrics::Increment(out.registry, it->second);
+}
+
 }  // namespace balsambay::router
