Own mode: an engine that has taken a run has until the deadline to answer

Callers lost streams of an engine that fell silent before its reply headers: 503 retry_budget after first_token_timeout (5 s).

Cause: that time was also the header timeout of the run's connection, so libs/net ended the attempt by itself, past the decision about silent attempts.

A call now has two limits: connect_timeout until the first byte is written, which still ends it early and with the proof that nothing was sent, and header_timeout until the reply's headers. A run has until its deadline for the latter, and CheckProgress judges its silence like any other.

Ruled out: a longer first_token_timeout, since it also bounds how long an engine that cannot be reached holds a request.

--- a/libs/net/include/net/engine_client.h
+++ b/libs/net/include/net/engine_client.h
@@ -32,6 +32,7 @@
   uint32_t max_tokens = 0;
   int priority = 0;
   bool repeatable = true;
+  duration connect_timeout = std::chrono::seconds(10);  // until the first byte is written
   duration header_timeout = std::chrono::seconds(10);
 };
 
--- a/libs/net/include/net/http_client.h
+++ b/libs/net/include/net/http_client.h
@@ -20,6 +20,8 @@
   std::vector<header> headers;
   std::string body;  // sent as application/json unless `headers` name a Content-Type
   duration header_timeout = std::chrono::seconds(10);  // until the reply's headers
+  // Until the first byte is written; nothing has reached the peer before.
+  duration connect_timeout = duration::max();
 };
 
 // Head of a reply, in the order received.
--- a/libs/net/src/direct_call.cc
+++ b/libs/net/src/direct_call.cc
@@ -7,6 +7,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <string>
 
@@ -69,10 +70,8 @@
   void Start(const client_request& request) {
     is_head_ = request.method == "HEAD";
     output_ = RenderRequest(request);
-    const std::weak_ptr<direct_call> weak = weak_from_this();
-    timer_ = Subscribe(timers_, MonotonicNow() + request.header_timeout, [weak](time_point) {
-      if (const auto self = weak.lock()) self->TimeOut();
-    });
+    header_deadline_ = MonotonicNow() + request.header_timeout;
+    WaitUntil(MonotonicNow() + std::min(request.connect_timeout, request.header_timeout));
     self_ = shared_from_this();
     GSocketAddress* address = ParseAddress(SplitUrl(request.url).address);
     if (address == nullptr) return FailLater("invalid URL " + request.url);
@@ -156,7 +155,15 @@
     });
   }
 
-  void TimeOut() {
+  void WaitUntil(time_point due) {
+    const std::weak_ptr<direct_call> weak = weak_from_this();
+    timer_ = Subscribe(timers_, due, [weak](time_point now) {
+      if (const auto self = weak.lock()) self->TimeOut(now);
+    });
+  }
+
+  void TimeOut(time_point now) {
+    if (written_ > 0 && now < header_deadline_) return WaitUntil(header_deadline_);
     Finish({written_ > 0 ? call_failure::kTimeout : call_failure::kConnect,
             "no reply headers in time"});
   }
@@ -288,6 +295,7 @@
   GSource* source_ = nullptr;
   std::shared_ptr<direct_call> self_;  // until the call has ended
   timer_id timer_ = 0;
+  time_point header_deadline_;
   std::string output_;
   size_t written_ = 0;
   reply_head head_;
--- a/libs/net/src/engine_client.cc
+++ b/libs/net/src/engine_client.cc
@@ -49,6 +49,7 @@
     client_request call;
     call.url = "http://" + request_.stages.front().address + "/v1/runs";
     call.body = EncodeRun(request_);
+    call.connect_timeout = request_.connect_timeout;
     call.header_timeout = request_.header_timeout;
     const auto self = shared_from_this();
     client_callbacks callbacks;
--- a/libs/router/src/model_attempt.cc
+++ b/libs/router/src/model_attempt.cc
@@ -197,7 +197,9 @@
   run.delivered = item.answer.tokens;
   run.max_tokens = item.max_tokens;
   run.repeatable = item.answer.repeatable;
-  run.header_timeout = state.config.first_token_timeout;
+  run.connect_timeout = state.config.first_token_timeout;
+  // Once the request is sent, silence is judged by CheckProgress.
+  run.header_timeout = item.deadline - attempt.started;
   const auto workspace = state.inventory.workspaces.find(item.workspace);
   if (workspace != state.inventory.workspaces.end()) run.priority = workspace->second.priority;
   return run;
--- a/tests/system/silent_endpoint_test.cc
+++ b/tests/system/silent_endpoint_test.cc
@@ -67,6 +67,17 @@
   for (int i = 0; i < 8; ++i) CHECK(StartsOf(journals, Prompt(i)) == 1);
 }
 
+TEST_CASE("streams of an engine that is silent before the first token") {
+  cluster c("silent-first-token");
+  c.AddEngine("e1");
+  c.AddDaemon("d1", "z1", {"--first_token_timeout_ms=1000"});
+  c.Start();
+  c.Endpoint("e1").process->Signal(SIGSTOP);
+  const auto pending = SendStreams(c, 8);
+  Silence(c, {"e1"});
+  CheckWhole(c, pending);
+}
+
 TEST_CASE("streams of two engines that are silent at the same time") {
   cluster c("silent-both");
   c.AddEngine("e1");
