silent_endpoint_test tells an endpoint that died from a silent one

One of ten runs of the test failed in a case with one engine: 8 of 8 streams ended with retry_budget. The test did not say whether the engine still ran. Each case now checks that its endpoints live, and names how they ended.

--- a/tests/system/silent_endpoint_test.cc
+++ b/tests/system/silent_endpoint_test.cc
@@ -34,9 +34,18 @@
   }));
 }
 
+// An endpoint that has died is another fault than the one that is looked for here.
+void CheckAlive(cluster& c, const std::vector<std::string>& endpoints) {
+  for (const auto& id : endpoints) {
+    INFO(id << " ended: " << c.Endpoint(id).process->Wait(0));
+    CHECK(c.Endpoint(id).process->Running());
+  }
+}
+
 void Silence(cluster& c, const std::vector<std::string>& endpoints) {
   for (const auto& id : endpoints) c.Endpoint(id).process->Signal(SIGSTOP);
   c.RunFor(kSilenceMs);
+  CheckAlive(c, endpoints);
   for (const auto& id : endpoints) c.Endpoint(id).process->Signal(SIGCONT);
 }
 
@@ -62,6 +71,7 @@
   WaitForTokens(c, pending);
   Silence(c, {"e1"});
   CheckWhole(c, pending);
+  CheckAlive(c, {"e1"});
   // Nowhere else to go, so nothing was sent again.
   const auto journals = c.AllJournals();
   for (int i = 0; i < 8; ++i) CHECK(StartsOf(journals, Prompt(i)) == 1);
@@ -76,6 +86,7 @@
   const auto pending = SendStreams(c, 8);
   Silence(c, {"e1"});
   CheckWhole(c, pending);
+  CheckAlive(c, {"e1"});
 }
 
 TEST_CASE("streams of two engines that are silent at the same time") {
@@ -88,6 +99,7 @@
   WaitForTokens(c, pending);
   Silence(c, {"e1", "e2"});
   CheckWhole(c, pending);
+  CheckAlive(c, {"e1", "e2"});
 }
 
 // Takes all places of an engine, so that it refuses what a daemon sends to it.
@@ -118,6 +130,7 @@
   c.RunFor(200);
   Silence(c, {"e1"});
   CheckWhole(c, pending);
+  CheckAlive(c, {"e1"});
 }
 
 TEST_CASE("service calls that may repeat, on a silent endpoint") {
