Test programs: a port is reserved for one program on all addresses

FreePort() looked at 127.0.0.1 only, while gateways listen on 127.0.0.2 and up, and a port whose endpoint was down for a moment, or whose process had not started yet, counted as free; the ranges of programs with neighbouring ids overlap after two sites.

--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -20,17 +20,22 @@
 namespace balsambay::system_test {
 namespace {
 
-bool CanBind(int port) {
+// Takes a port on all addresses of the machine, if nobody else has it on any of them. Those who
+// listen with SO_REUSEADDR, as all programs here do, can still use it.
+bool Reserve(int port) {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int reuse = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<uint16_t>(port));
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  const bool ok = bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
-  close(fd);
-  return ok;
+  address.sin_addr.s_addr = htonl(INADDR_ANY);
+  if (bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0) {
+    close(fd);
+    return false;
+  }
+  const int reuse = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof reuse);
+  // Open until the process ends, so that other test programs get other ports.
+  return true;
 }
 
 }  // namespace
@@ -51,7 +56,7 @@
   static int next = 20000 + static_cast<int>(getpid() * 61 % 11000);
   for (int tries = 0; tries < 5000; ++tries) {
     next = next >= 32000 ? 20000 : next + 1;
-    if (CanBind(next)) return next;
+    if (Reserve(next)) return next;
   }
   throw std::runtime_error("no free port");
 }
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -11,7 +11,8 @@
 // Path of a program of this build.
 std::string ProgramPath(const std::string& target);
 
-// A TCP port below the ephemeral range that nothing listens on at the moment.
+// A TCP port below the ephemeral range that is free on all addresses. No other program that asks
+// here gets it until this process ends, whether something listens on it or not.
 int FreePort();
 
 // One child process. Killed when the object goes away.
