--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -112,7 +112,8 @@
 
 // Where the open attempt entered, if there is one: its successor enters elsewhere.
 std::string_view HeadInUse(const call& item) {
-  return item.open ? std::string_view(item.open->path.front().endpoint_id) : std::string_view();
+  if (!item.open) return {};
+  return item.open->path.front().endpoint_id;
 }
 
 std::vector<size_t> ExcludedEngines(const gateway_state& state, const call& item,
--- a/libs/quarantine/src/details/blame.cc
+++ b/libs/quarantine/src/details/blame.cc
@@ -122,7 +122,8 @@
                                               time_point now, time_point until,
                                               time_point alive_until) {
   std::map<fingerprint, pending_loss> out;
-  for (const auto& [id, active] : state.runs) {
+  for (const auto& [id, found] : state.runs) {
+    const run& active = found;  // a lambda cannot capture the binding
     const auto part = std::ranges::find(active.route, life, &run_part::life);
     if (part == active.route.end() || part->settled || part->since > alive_until) continue;
     const entry& item = state.entries.find(active.key)->second;
