Quarantine: an endpoint is one pending loss

An endpoint that falls silent and then breaks a connection stood in the pending losses twice, as two lost endpoints. Repeats of requests on it were held, and the gateway ended a successor that ran elsewhere. The shorter wait for the broken connection also ended the wait for the silent endpoint, so its loss was held against nobody.

--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -123,12 +123,24 @@
   }
 }
 
+// With trial::kShared, an endpoint is one pending loss, however it came under suspicion.
+void AddPending(const table& state, entry& item, const pending_loss& loss) {
+  const auto known = std::ranges::find(item.pending, loss.life, &pending_loss::life);
+  if (!IsShared(state) || known == item.pending.end()) {
+    item.pending.push_back(loss);
+    return;
+  }
+  known->until = std::max(known->until, loss.until);
+  known->alone = known->alone || loss.alone;
+  known->progressed = known->progressed && loss.progressed;
+}
+
 void EndBroken(table& state, const fingerprint& key, entry& item, const pending_loss& broken,
                time_point now, outputs& out) {
   const bool decided =
       details::Contains(item.losses, broken.life) || details::Contains(item.cleared, broken.life);
   if (!decided) {
-    item.pending.push_back(broken);
+    AddPending(state, item, broken);
     if (!item.claimed_at && !IsShared(state)) item.claimed_at = now;
   } else {
     YieldClaim(state, item, now);
@@ -414,7 +426,7 @@
             time_point alive_until) {
   for (const auto& [key, loss] : details::PendingOf(state, life, now, until, alive_until)) {
     entry& item = details::Touch(state, key);
-    item.pending.push_back(loss);
+    AddPending(state, item, loss);
     details::Reassess(state, key, item, out);
   }
 }
--- a/libs/quarantine/tests/shared_test.cc
+++ b/libs/quarantine/tests/shared_test.cc
@@ -274,6 +274,29 @@
   }
 }
 
+// Guards against an endpoint that counts twice while it is not known whether it was lost: the
+// requests on it would be held back as if they had lost two.
+TEST_CASE("an endpoint that falls silent and then breaks off is one pending loss") {
+  fixture f;
+  f.Run(1, {{"e1", 1}});
+  Silent(f.state, {"e1", 1}, f.now, f.now + 2s, f.out);
+  End(f.state, 1, run_end::kBroken, endpoint_life{"e1", 1}, f.now + 300ms, f.out);
+  CHECK(Start(f.state, 2, f.key, f.now + 300ms, f.out).answer != verdict::kHold);
+}
+
+// Guards against a silent endpoint that is no longer suspected because a connection to it broke,
+// which is looked into for a shorter time.
+TEST_CASE("a broken connection does not end the wait for a silent endpoint") {
+  fixture f;
+  f.state.config.confirm_within = 500ms;
+  f.Run(1, {{"e1", 1}});
+  Silent(f.state, {"e1", 1}, f.now, f.now + 2s, f.out);
+  End(f.state, 1, run_end::kBroken, endpoint_life{"e1", 1}, f.now + 300ms, f.out);
+  Tick(f.state, f.now + 1s, f.out);
+  Lost(f.state, {"e1", 1}, f.now + 1900ms, f.out, f.now);
+  CHECK(StateOf(f.state, f.key) == fingerprint_state::kSuspected);
+}
+
 // Guards against a repeat that goes out before it is known whether the last one crashed its
 // endpoint.
 TEST_CASE("a repeat waits while a broken connection could be the last loss") {
