Quarantine: what goes well elsewhere does not wait for silent endpoints

Since silent endpoints are pending for 2.2 s, two of them held all new copies of a content that many callers send, although the losses would not have counted: AddLoss() trusts what goes well. Now a copy waits only for losses that could count.

Before: the test fails (held). After: it passes; the other tests of the quarantine pass in one run.

--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -96,7 +96,10 @@
 
 // A repeat waits only while the losses that are being looked into could be the last ones.
 bool MustWait(const table& state, const entry& item, time_point now) {
-  return !item.pending.empty() && !MayRiskOne(state, item, now);
+  if (item.pending.empty() || MayRiskOne(state, item, now)) return false;
+  // Losses of endpoints where no copy progressed do not count while other copies go well.
+  const bool goes_well = item.runs > item.fresh;
+  return !goes_well || std::ranges::any_of(item.pending, &pending_loss::progressed);
 }
 
 decision StartShared(table& state, run_id id, const fingerprint& key, entry& item, time_point now) {
--- a/libs/quarantine/tests/shared_test.cc
+++ b/libs/quarantine/tests/shared_test.cc
@@ -297,6 +297,18 @@
   CHECK(StateOf(f.state, f.key) == fingerprint_state::kSuspected);
 }
 
+// Guards against a content that many callers send and that waits for silent endpoints, although
+// their loss would not count against it.
+TEST_CASE("what goes well elsewhere does not wait for silent endpoints") {
+  fixture f;
+  f.Run(1, {{"e1", 1}});
+  Progress(f.state, 1, f.now, f.out);
+  f.Run(2, {{"e2", 1}});
+  f.Run(3, {{"e3", 1}});
+  for (const char* id : {"e2", "e3"}) Silent(f.state, {id, 1}, f.now, f.now + 2s, f.out);
+  CHECK(Start(f.state, 4, f.key, f.now, f.out).answer != verdict::kHold);
+}
+
 // Guards against a repeat that goes out before it is known whether the last one crashed its
 // endpoint.
 TEST_CASE("a repeat waits while a broken connection could be the last loss") {
