Gateway: a successor moves off an engine that leaves before its first output

Requests were moved off a leaving engine only if it had a part in their open attempt at the time of the notice. A successor that was under way there became the open attempt and stayed until the engine ended, which costs another repeat and a pause.

--- a/libs/gateway/src/replacement.cc
+++ b/libs/gateway/src/replacement.cc
@@ -63,6 +63,12 @@
   return std::ranges::any_of(item.path, [&](const call_hop& part) { return IsLost(state, part); });
 }
 
+// Whether an endpoint takes part in the open attempt, or in the successor that may take over.
+bool RunsOn(const call& item, std::string_view endpoint_id) {
+  return (item.open && HasPart(*item.open, endpoint_id)) ||
+         (item.successor && HasPart(*item.successor, endpoint_id));
+}
+
 // Sends a successor of the open attempt. False when none may be sent or can be had now.
 bool SeekSuccessor(gateway_state& state, const call_ptr& item, attempt_failure why) {
   const time_point now = MonotonicNow();
@@ -127,8 +133,10 @@
   const std::weak_ptr<call> weak = item;
   Subscribe(state.loop.Timers(), now + delay, [&state, weak, endpoint_id, latest](time_point at) {
     const call_ptr held = weak.lock();
-    if (!held || !held->open || !HasPart(*held->open, endpoint_id)) return;
-    MoveOff(state, held, endpoint_id, at + kMoveRetry >= latest);
+    if (!held || !RunsOn(*held, endpoint_id)) return;
+    if (HasPart(*held->open, endpoint_id)) {
+      MoveOff(state, held, endpoint_id, at + kMoveRetry >= latest);
+    }
     // The order to move may still be refused.
     MoveLater(state, held, endpoint_id, latest);
   });
@@ -270,11 +278,11 @@
     if (lost && item->successor && HasEndedPart(state, *item->successor)) {
       DropSuccessor(state, item, "endpoint has ended");
     }
-    if (!item->open || !HasPart(*item->open, endpoint_id)) continue;
-    if (lost) {
-      MoveOffLost(state, item);
-    } else {
+    if (!RunsOn(*item, endpoint_id)) continue;
+    if (!lost) {
       MoveLater(state, item, endpoint_id, now + kMoveLatest);
+    } else if (HasPart(*item->open, endpoint_id)) {
+      MoveOffLost(state, item);
     }
   }
 }
--- a/tests/system/lost_streams_test.cc
+++ b/tests/system/lost_streams_test.cc
@@ -240,5 +240,46 @@
   }
 }
 
+constexpr duration kServesLong = 10s;  // more than a stream lasts
+
+// Guards against a successor that stays on an engine that has begun to leave before its first
+// output: the stream then breaks off with the engine.
+TEST_CASE("a stream moves off an engine that leaves while its successor begins there") {
+  constexpr int kEvents = 86;
+  constexpr duration kMoved = 2400ms;  // after the notice, with the time until the first output
+  platform_site site({.engines_per_stage = 3,
+                      .read_time = 400ms,
+                      .event_pause = kLongPause,
+                      .events = kEvents,
+                      .takes_place_orders = false,
+                      .attempts = 3});
+  REQUIRE(site.Start());
+  load streams{.events = kEvents};
+  SendInTurn(site, streams);
+  site.Pause(200ms);
+  streams.stopped = true;
+  site.Pause(300ms);
+  site.Leave(site.Endpoint("e0-0"), {.noticed = true, .serves = kServesLong});
+  std::string chosen;
+  const bool sent = site.RunUntil(
+      [&] {
+        for (const std::string id : {"e0-1", "e0-2"}) {
+          const std::string line = "\"endpoint\":\"" + id + "\",\"open_attempt\"";
+          if (site.CountLogLines(line) > 0) chosen = id;
+        }
+        return !chosen.empty();
+      },
+      3s);
+  REQUIRE(sent);
+  site_endpoint& second = site.Endpoint(chosen);
+  site.Leave(second, {.noticed = true, .serves = kServesLong});
+  const bool moved = site.RunUntil([&] { return site.StreamsThrough(second) == 0; }, kMoved);
+  INFO(site.StreamsThrough(second) << " streams stay");
+  AwaitAll(site, streams);
+  INFO(Describe(streams) << DescribeLogs(site));
+  CHECK(moved);
+  CHECK(Count(streams).whole == streams.replies.size());
+}
+
 }  // namespace
 }  // namespace balsambay::system_test
