Gateway: an engine that left the list without notice counts while it may serve

The attempts that a route allows did not count engines that are no longer listed, although they may run the request on. Two engines that left without notice one after the other let a request run on three with two allowed.

Such an engine now counts until a connection to it breaks, as engines that are only silent do. One that was out of use or leaving when its entry went counts as ended, as before.

--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -259,6 +259,8 @@
     item.may_have_run = true;
   }
   item.avoided.insert(out.fault_id);
+  // An endpoint that has left the list breaks its connections when it ends.
+  if (from.cut || failure == attempt_failure::kNotSent) state.unlisted.erase(out.endpoint_id);
   endpoint* fault = FindEndpoint(state, out.fault_id);
   if (fault != nullptr && failure == attempt_failure::kNotExecuted && IsPipelined(from)) {
     fault->refused_until = std::max(fault->refused_until, now + kRefusalHold);
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -188,7 +188,7 @@
   time_point lost_at;  // min(): in use
 };
 
-// An endpoint that was leaving when its entry went.
+// An endpoint whose entry went.
 struct departed_endpoint {
   uint64_t incarnation = 0;
   time_point left_at;
@@ -236,7 +236,9 @@
   time_point list_back_at;        // when the list could last be followed again
   std::set<std::string> missing;  // endpoints that lapsed while the list could not be followed
   std::map<std::string, departed_endpoint> departed;  // by id, for a limited time
-  std::map<std::string, endpoint> endpoints;          // by id
+  // Left the list without notice and may go on serving for a while; by id, for a limited time.
+  std::map<std::string, departed_endpoint> unlisted;
+  std::map<std::string, endpoint> endpoints;  // by id
   std::unordered_map<std::string, std::string> id_by_address;
   std::unordered_map<uint32_t, std::string> endpoint_names;  // id by name in messages
   std::map<std::string, peer> peers;                         // by id, without this gateway
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -69,6 +69,8 @@
   const auto found = state.endpoints.find(id);
   if (found->second.listed.leaving) {
     state.departed[id] = {found->second.listed.incarnation, MonotonicNow()};
+  } else if (!found->second.down) {
+    state.unlisted[id] = {found->second.listed.incarnation, MonotonicNow()};
   }
   log::Log(log::level::kInfo, "endpoint left the list", {{"endpoint", id}});
   const auto by_address = state.id_by_address.find(found->second.listed.address);
@@ -126,8 +128,11 @@
 }
 
 void ForgetDeparted(gateway_state& state, time_point now) {
-  std::erase_if(state.departed,
-                [&](const auto& entry) { return now - entry.second.left_at > kDepartedLifetime; });
+  const auto is_old = [&](const auto& entry) {
+    return now - entry.second.left_at > kDepartedLifetime;
+  };
+  std::erase_if(state.departed, is_old);
+  std::erase_if(state.unlisted, is_old);
 }
 
 }  // namespace
@@ -192,6 +197,7 @@
     state.missing.erase(entry.id);
     const auto [found, added] = state.endpoints.try_emplace(entry.id);
     if (added) Introduce(state, found->second, entry);
+    if (added) state.unlisted.erase(entry.id);
     if (added || found->second.listed != entry) {
       state.endpoints_changed = MonotonicNow();
       Update(state, found->second, entry);
--- a/tests/system/lost_streams_test.cc
+++ b/tests/system/lost_streams_test.cc
@@ -240,8 +240,32 @@
   }
 }
 
+// Streams that last longer than the gateways need for two moves.
+constexpr int kSlowEvents = 100;
+constexpr duration kSecondLeaves = 2300ms;
 constexpr duration kServesLong = 10s;  // more than a stream lasts
 
+// Guards against more engines per request than the route allows, because an engine that has left
+// the list, but still runs the request, no longer counts.
+TEST_CASE("engines that left the list and still serve count against the attempts") {
+  platform_site site({.engines_per_stage = 3,
+                      .event_pause = kLongPause,
+                      .events = kSlowEvents,
+                      .takes_place_orders = false});
+  REQUIRE(site.Start());
+  load streams{.events = kSlowEvents};
+  SendInTurn(site, streams);
+  site.Pause(300ms);
+  streams.stopped = true;
+  site.Leave(site.Endpoint("e0-0"), {.noticed = false, .serves = kServesLong});
+  site.Pause(kSecondLeaves);
+  site.Leave(site.Endpoint("e0-1"), {.noticed = false, .serves = kServesLong});
+  AwaitAll(site, streams);
+  INFO(Describe(streams) << DescribeLogs(site));
+  CHECK(Count(streams).whole == streams.replies.size());
+  CHECK(site.MostEndpointsRun() <= kAttempts);
+}
+
 // Guards against a successor that stays on an engine that has begun to leave before its first
 // output: the stream then breaks off with the engine.
 TEST_CASE("a stream moves off an engine that leaves while its successor begins there") {
