Gateway: the attempt after a successor that the quarantine ends is a repeat

When the open attempt failed and the quarantine held the request back, its successor was ended and another attempt sent without a look at the limits and without counting it. It now goes through the same decision as all others.

--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -287,21 +287,6 @@
   }
 }
 
-// The successor of an attempt that has failed goes on in its place, unless the quarantine is
-// against it.
-void Promote(gateway_state& state, const call_ptr& item) {
-  item->open = std::exchange(item->successor, nullptr);
-  item->withholding = false;
-  if (AskAgain(state, item)) {
-    PlaceAttempt(state, *item, item->open->path);
-    return WatchTry(state, item);
-  }
-  item->may_have_run = true;
-  CloseAttempt(state, *item->open);
-  item->open = nullptr;
-  Begin(state, item);
-}
-
 void ContinueLater(gateway_state& state, const call_ptr& item, const attempt_ptr& failed,
                    attempt_failure failure);
 
@@ -348,6 +333,22 @@
                               });
 }
 
+// The successor of an attempt that has failed goes on in its place, unless the quarantine is
+// against it.
+void Promote(gateway_state& state, const call_ptr& item) {
+  item->open = std::exchange(item->successor, nullptr);
+  item->withholding = false;
+  if (AskAgain(state, item)) {
+    PlaceAttempt(state, *item, item->open->path);
+    return WatchTry(state, item);
+  }
+  item->may_have_run = true;
+  const attempt_ptr ended = std::exchange(item->open, nullptr);
+  CloseAttempt(state, *ended);
+  // The next one is another repeat.
+  Continue(state, item, ended, item->replaced_for);
+}
+
 void OnFailure(gateway_state& state, const call_ptr& item, const attempt_ptr& from,
                attempt_failure failure) {
   const bool was_open = from == item->open;
--- a/tests/system/lost_streams_test.cc
+++ b/tests/system/lost_streams_test.cc
@@ -305,5 +305,25 @@
   CHECK(Count(streams).whole == streams.replies.size());
 }
 
+// Guards against a successor that is ended, and a repeat that is not counted, when the silent
+// engine of the open attempt turns out to be lost: one loss does not count as two.
+TEST_CASE("a successor goes on when the silent engine that it replaces crashes") {
+  platform_site site({.read_time = 600ms, .event_pause = kLongPause, .restart_empty = false});
+  REQUIRE(site.Start());
+  load streams;
+  SendInTurn(site, streams);
+  site.Pause(300ms);
+  streams.stopped = true;
+  site_endpoint& lost = site.Endpoint("e0-0");
+  site.Silence(lost, 5s);
+  REQUIRE(site.RunUntil([&] { return site.CountLogLines("\"successor sent\"") > 0; }, 3s));
+  site.Crash(lost, "");
+  AwaitAll(site, streams);
+  INFO(Describe(streams) << DescribeLogs(site));
+  CHECK(Count(streams).whole == streams.replies.size());
+  // The request ran at the lost engine and at one other.
+  for (const std::string& body : streams.bodies) CHECK(site.ArrivalsOf(body) <= 2);
+}
+
 }  // namespace
 }  // namespace balsambay::system_test
