--- a/tests/system/lost_streams_test.cc
+++ b/tests/system/lost_streams_test.cc
@@ -315,10 +315,13 @@
   site.Pause(300ms);
   streams.stopped = true;
   site_endpoint& lost = site.Endpoint("e0-0");
-  site.Silence(lost, 5s);
+  constexpr duration kLongSilence = 2500ms;
+  site.Silence(lost, kLongSilence);
   REQUIRE(site.RunUntil([&] { return site.CountLogLines("\"successor sent\"") > 0; }, 3s));
   site.Crash(lost, "");
   AwaitAll(site, streams);
+  // The endpoint still holds requests that came in the silence.
+  site.Pause(kLongSilence);
   INFO(Describe(streams) << DescribeLogs(site));
   CHECK(Count(streams).whole == streams.replies.size());
   // The request ran at the lost engine and at one other.
