HTTP server: an exchange may outlive its server

The limits of a request kept a pointer to their server and used it when the message went. An exchange that is held longer than the server, as the site stand-in does for an endpoint that crashes while it is silent, read freed memory (valgrind: DeleteIntake).

--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -212,7 +212,8 @@
 
 // Limits of one request before it reaches the handler. Owned by the message.
 struct intake {
-  server_state* server = nullptr;
+  server_state* server = nullptr;  // gone when an exchange outlives its server
+  timer_service* timers = nullptr;
   SoupServerMessage* message = nullptr;
   timer_id timer = 0;
   size_t received = 0;
@@ -221,7 +222,7 @@
 
 void DeleteIntake(gpointer data) {
   auto* state = static_cast<intake*>(data);
-  Cancel(*state->server->timers, state->timer);
+  Cancel(*state->timers, state->timer);
   delete state;
 }
 
@@ -291,7 +292,7 @@
   // Small pieces of a stream must not wait for the acknowledgement of earlier ones.
   GSocket* socket = soup_server_message_get_socket(message);
   if (socket != nullptr) g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, TRUE, nullptr);
-  auto* state = new intake{server, message};
+  auto* state = new intake{server, server->timers, message};
   g_object_set_data_full(G_OBJECT(message), kExchangeKey, state, DeleteIntake);
   state->timer = Subscribe(*server->timers, MonotonicNow() + server->limits.idle_timeout,
                            [state](time_point) { ShutdownConnection(state->message); });
