--- a/tests/system/lost_streams_test.cc
+++ b/tests/system/lost_streams_test.cc
@@ -240,5 +240,93 @@
   }
 }
 
+// Streams that last longer than the gateways need for two moves.
+constexpr int kSlowEvents = 100;
+constexpr duration kSecondLeaves = 2300ms;
+constexpr duration kServesLong = 10s;  // more than a stream lasts
+
+// Guards against more engines per request than the route allows, because an engine that has left
+// the list, but still runs the request, no longer counts.
+TEST_CASE("engines that left the list and still serve count against the attempts") {
+  platform_site site({.engines_per_stage = 3,
+                      .event_pause = kLongPause,
+                      .events = kSlowEvents,
+                      .takes_place_orders = false});
+  REQUIRE(site.Start());
+  load streams{.events = kSlowEvents};
+  SendInTurn(site, streams);
+  site.Pause(300ms);
+  streams.stopped = true;
+  site.Leave(site.Endpoint("e0-0"), {.noticed = false, .serves = kServesLong});
+  site.Pause(kSecondLeaves);
+  site.Leave(site.Endpoint("e0-1"), {.noticed = false, .serves = kServesLong});
+  AwaitAll(site, streams);
+  INFO(Describe(streams) << DescribeLogs(site));
+  CHECK(Count(streams).whole == streams.replies.size());
+  CHECK(site.MostEndpointsRun() <= kAttempts);
+}
+
+// Guards against a successor that stays on an engine that has begun to leave before its first
+// output: the stream then breaks off with the engine.
+TEST_CASE("a stream moves off an engine that leaves while its successor begins there") {
+  constexpr int kEvents = 86;
+  constexpr duration kMoved = 2400ms;  // after the notice, with the time until the first output
+  platform_site site({.engines_per_stage = 3,
+                      .read_time = 400ms,
+                      .event_pause = kLongPause,
+                      .events = kEvents,
+                      .takes_place_orders = false,
+                      .attempts = 3});
+  REQUIRE(site.Start());
+  load streams{.events = kEvents};
+  SendInTurn(site, streams);
+  site.Pause(200ms);
+  streams.stopped = true;
+  site.Pause(300ms);
+  site.Leave(site.Endpoint("e0-0"), {.noticed = true, .serves = kServesLong});
+  std::string chosen;
+  const bool sent = site.RunUntil(
+      [&] {
+        for (const std::string id : {"e0-1", "e0-2"}) {
+          const std::string line = "\"endpoint\":\"" + id + "\",\"open_attempt\"";
+          if (site.CountLogLines(line) > 0) chosen = id;
+        }
+        return !chosen.empty();
+      },
+      3s);
+  REQUIRE(sent);
+  site_endpoint& second = site.Endpoint(chosen);
+  site.Leave(second, {.noticed = true, .serves = kServesLong});
+  const bool moved = site.RunUntil([&] { return site.StreamsThrough(second) == 0; }, kMoved);
+  INFO(site.StreamsThrough(second) << " streams stay");
+  AwaitAll(site, streams);
+  INFO(Describe(streams) << DescribeLogs(site));
+  CHECK(moved);
+  CHECK(Count(streams).whole == streams.replies.size());
+}
+
+// Guards against a successor that is ended, and a repeat that is not counted, when the silent
+// engine of the open attempt turns out to be lost: one loss does not count as two.
+TEST_CASE("a successor goes on when the silent engine that it replaces crashes") {
+  platform_site site({.read_time = 600ms, .event_pause = kLongPause, .restart_empty = false});
+  REQUIRE(site.Start());
+  load streams;
+  SendInTurn(site, streams);
+  site.Pause(300ms);
+  streams.stopped = true;
+  site_endpoint& lost = site.Endpoint("e0-0");
+  constexpr duration kLongSilence = 2500ms;
+  site.Silence(lost, kLongSilence);
+  REQUIRE(site.RunUntil([&] { return site.CountLogLines("\"successor sent\"") > 0; }, 3s));
+  site.Crash(lost, "");
+  AwaitAll(site, streams);
+  // The endpoint still holds requests that came in the silence.
+  site.Pause(kLongSilence);
+  INFO(Describe(streams) << DescribeLogs(site));
+  CHECK(Count(streams).whole == streams.replies.size());
+  // The request ran at the lost engine and at one other.
+  for (const std::string& body : streams.bodies) CHECK(site.ArrivalsOf(body) <= 2);
+}
+
 }  // namespace
 }  // namespace balsambay::system_test
