Gateway: endpoints that said so only themselves count while they may serve

A request reached three engines with two attempts allowed in 3 of 18 runs of the test "engines that left the list and still serve count against the attempts" (two engines leave the list without notice and serve for 10 s).

Cause, from the logs of such a run: the engine had said in a refusal that it was leaving, so when its entry went it was noted as one that the list had announced, which has ended by then. The shorter lifetime of 8 s was ruled out as the cause by the times (4.4 s), but is less than the 10 s of the test.

Now only what the list says counts as the announcement, and such an endpoint counts for 30 s, longer than requests last.

--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -60,6 +60,7 @@
 struct endpoint {
   listed_endpoint listed;
   time_point listed_at;                       // when this incarnation was first seen
+  bool listed_leaving = false;                // the list says so; `listed.leaving`: or its answers
   std::optional<pipeline::layer_range> held;  // newest of list and report
   uint64_t accepted_orders = 0;
   bool busy = false;
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -23,9 +23,9 @@
 constexpr duration kLapsedLifetime = 2200ms;
 // Stale entries of endpoints that left are expected for at most this long.
 constexpr duration kDepartedLifetime = std::chrono::minutes(10);
-// An endpoint that left the list without notice ends within this time: the drain time of the
-// platform and some seconds.
-constexpr duration kUnlistedLifetime = 8000ms;
+// An endpoint that left the list without notice may serve for many seconds; requests are over by
+// then.
+constexpr duration kUnlistedLifetime = std::chrono::seconds(30);
 constexpr double kFailureWeight = 0.2;     // of the newest request in the moving mean
 constexpr double kFailureHalfLifeS = 3.0;  // without requests, an endpoint is tried again soon
 
@@ -47,6 +47,7 @@
   const bool held_changed = restarted || item.listed.held != listed.held;
   item.listed = listed;
   item.listed.leaving = leaving;
+  item.listed_leaving = listed.leaving;
   state.id_by_address[listed.address] = listed.id;
   state.endpoint_names[exchange::NameOf(listed.id)] = listed.id;
   if (held_changed) {
@@ -72,7 +73,8 @@
   const auto found = state.endpoints.find(id);
   if (found->second.listed.leaving) {
     state.departed[id] = {found->second.listed.incarnation, MonotonicNow()};
-  } else if (!found->second.down) {
+  }
+  if (!found->second.listed_leaving && !found->second.down) {
     state.unlisted[id] = {found->second.listed.incarnation, MonotonicNow()};
   }
   log::Log(log::level::kInfo, "endpoint left the list", {{"endpoint", id}});
