Gateway: one pause after refusals, reason of a replacement as an argument

Read as a newcomer: the same 700 ms stood in two files, a factor of 1.0 in a third place, and the permission for a successor depended on a member that had to be set before.

--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -33,16 +33,9 @@
 constexpr int kCurrentLimits = 2;
 // Status of an endpoint that is not the one that was meant.
 constexpr int kWrongEndpoint = 421;
-// A refusal counts against an endpoint for this long; by then the platform's list or a report tells
-// why.
-constexpr duration kRefusalHold = 700ms;
 // Time between two looks of a request that waits for the quarantine.
 constexpr duration kHoldStep = 25ms;
 
-// A successor that was refused is followed by another one after this time: engines that refuse are
-// not chosen for as long.
-constexpr duration kRefusedPause = kRefusalHold;
-
 // Longest pause in a stream after which it is still worth continuing it, and the time between two
 // looks for an endpoint that can.
 constexpr duration kLongestPause = 1500ms;
@@ -363,7 +356,7 @@
   (was_open ? item->open : item->successor) = nullptr;
   if (!was_open) {
     if (AskAgain(state, item)) PlaceAttempt(state, *item, item->open->path);
-    GoOn(state, item, kRefusedPause);
+    GoOn(state, item, kRefusalHold);
     return ExamineFault(state, what, IsPipelined(*from));
   }
   Cancel(state.loop.Timers(), item->try_timer);
--- a/libs/gateway/src/details/fleet.h
+++ b/libs/gateway/src/details/fleet.h
@@ -49,6 +49,7 @@
 // Whether what ran on this incarnation of an endpoint has ended. An endpoint that has only fallen
 // silent may still run it.
 bool HasEnded(const endpoint& item, uint64_t incarnation, time_point now);
+
 // Takes it back into use.
 void MarkBack(gateway_state& state, endpoint& item, std::string_view reason);
 
--- a/libs/gateway/src/details/retries.h
+++ b/libs/gateway/src/details/retries.h
@@ -8,6 +8,10 @@
 
 namespace balsambay::gateway {
 
+// A refusal counts against an endpoint for this long; by then the platform's list or a report tells
+// why. A successor or an order that was refused is followed by another one after this time.
+inline constexpr duration kRefusalHold = std::chrono::milliseconds(700);
+
 // If not granted, the limit that forbids it.
 enum class permission : uint8_t {
   kGranted,
@@ -27,9 +31,9 @@
 permission MayTryAgain(gateway_state& state, const call& item, attempt_failure failure,
                        bool pipelined, time_point now);
 
-// Whether a successor of the open attempt may be sent. Leaves a send for the time after the open
-// attempt has ended.
-permission MayReplace(gateway_state& state, const call& item, time_point now);
+// Whether a successor of the open attempt may be sent for the reason `why`. Leaves a send for the
+// time after the open attempt has ended.
+permission MayReplace(gateway_state& state, const call& item, attempt_failure why, time_point now);
 
 // The inputs of the decision, for a request that ends because of it.
 void LogDenied(gateway_state& state, const call& item, permission why, time_point now);
--- a/libs/gateway/src/replacement.cc
+++ b/libs/gateway/src/replacement.cc
@@ -16,17 +16,14 @@
 
 using std::chrono_literals::operator""ms;
 
-// An idempotent plain call is tried elsewhere when the endpoint has not answered by then; multiples
-// of the route's latency goal.
-constexpr double kTryGoalParts = 1.0;
+// An idempotent plain call is tried elsewhere when the endpoint has not answered by the route's
+// latency goal, but not sooner than this.
 constexpr duration kLeastTryTime = 100ms;
 
 // Requests move off an endpoint that leaves before it ends, which is 2 s after its notice or later.
 // By then most have ended, or another engine holds its layers, so that they move in place.
 constexpr duration kMoveLatest = 1800ms;
 constexpr duration kMoveRetry = 150ms;
-// Pause after an order to reroute was refused: engines that refuse are not chosen for as long.
-constexpr duration kRefusedPause = 700ms;
 // Requests on a lost engine that still make output are looked at again after this time, which is
 // less than the usual patience with a stream.
 constexpr duration kLostRetry = 50ms;
@@ -74,8 +71,7 @@
   const time_point now = MonotonicNow();
   if (item->successor) return true;
   if (item->open->rerouting || now < item->seek_after) return false;
-  item->replaced_for = why;
-  if (MayReplace(state, *item, now) != permission::kGranted) return false;
+  if (MayReplace(state, *item, why, now) != permission::kGranted) return false;
   if (!MayStartElsewhere(state, *item)) {
     // What failed may have recovered, and there is nothing else.
     item->avoided.clear();
@@ -93,6 +89,7 @@
     PlaceAttempt(state, *item, item->open->path);
     return false;
   }
+  item->replaced_for = why;
   item->withholding = item->streaming && goes_on;
   CountRepeat(state.budget, item->service, now);
   CountRetry(state.metrics, ToString(why));
@@ -258,13 +255,11 @@
 
 void WatchTry(gateway_state& state, const call_ptr& item) {
   if (IsPipelined(*item->open) || !item->route->idempotent) return;
-  const duration goal(static_cast<duration::rep>(
-      kTryGoalParts * static_cast<double>(item->route->latency_goal.count())));
-  WatchTryIn(state, item, std::max<duration>(goal, kLeastTryTime));
+  WatchTryIn(state, item, std::max<duration>(item->route->latency_goal, kLeastTryTime));
 }
 
 void OnRerouteFailed(gateway_state& state, const call_ptr& item) {
-  item->reroute_after = MonotonicNow() + kRefusedPause;
+  item->reroute_after = MonotonicNow() + kRefusalHold;
   if (HasLostPart(state, *item->open)) MoveOffLost(state, item);
 }
 
--- a/libs/gateway/src/retries.cc
+++ b/libs/gateway/src/retries.cc
@@ -45,10 +45,10 @@
   return within ? permission::kGranted : permission::kBudgetUsed;
 }
 
-permission MayReplace(gateway_state& state, const call& item, time_point now) {
+permission MayReplace(gateway_state& state, const call& item, attempt_failure why, time_point now) {
   if (!IsIdempotent(item)) return permission::kMayHaveRun;
   if (item.sends + 1 >= kMaxSends) return permission::kSendsUsed;
-  return MayTryAgain(state, item, item.replaced_for, IsPipelined(*item.open), now);
+  return MayTryAgain(state, item, why, IsPipelined(*item.open), now);
 }
 
 void LogDenied(gateway_state& state, const call& item, permission why, time_point now) {
