Quarantine: attempts of one request that break off are losses of their own

Cause: since pending losses of one run count once, and the run was named by its id, which a request keeps over its attempts. So losses of several attempts counted as one, and no repeat waited for them.

Now each start of a run has a number of its own.

--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -158,7 +158,7 @@
   bool alone = false;        // the run was a suspect
   bool progressed = false;   // on this endpoint; only with trial::kShared
   time_point going_since{};  // see `run`
-  run_id from = 0;           // of several endpoints of one run, one counts
+  uint64_t start = 0;        // number of the run's start: of several endpoints of one, one counts
 };
 
 // A loss after progress that does not count if a copy which progressed before the lost one still
@@ -205,6 +205,7 @@
 struct run {
   fingerprint key;
   std::vector<run_part> route;
+  uint64_t start = 0;  // differs for each start, also of the same id
   bool alone = false;
   bool progressed = false;
   time_point going_since{};  // when it progressed, on the last route on which it has
@@ -232,6 +233,7 @@
   std::set<std::string, std::less<>> suspect_endpoints;
   std::deque<lost_life> recent;  // with trial::kShared: lost lately, oldest first
   time_point next_sweep{};
+  uint64_t starts = 0;  // runs so far
 };
 
 // Whether the zone has other daemons; without them claims need no waiting time.
--- a/libs/quarantine/src/details/blame.cc
+++ b/libs/quarantine/src/details/blame.cc
@@ -128,7 +128,7 @@
     const entry& item = state.entries.find(active.key)->second;
     if (Contains(item.losses, life) || Contains(item.cleared, life)) continue;
     out.emplace(active.key, pending_loss{life, now, until, active.alone, part->progressed,
-                                         active.going_since, id});
+                                         active.going_since, active.start});
   }
   return out;
 }
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -39,6 +39,7 @@
   item.fresh += 1;
   run& active = state.runs[id];
   active.key = key;
+  active.start = ++state.starts;
   active.alone = alone;
   return {alone ? verdict::kAllowAlone : verdict::kAllow};
 }
@@ -58,9 +59,9 @@
 
 // Whether every loss still to be confirmed leaves room for one more.
 bool MayRiskOne(const table& state, const entry& item, time_point now) {
-  std::map<run_id, int> open;
+  std::map<uint64_t, int> open;  // by start of the run
   for (const pending_loss& one : item.pending) {
-    int& most = open[one.from];
+    int& most = open[one.start];
     most = std::max(most, one.progressed ? details::kHalfLoss : details::kFullLoss);
   }
   const int sum = std::accumulate(open.begin(), open.end(), 0, [](int before, const auto& entry) {
@@ -172,8 +173,8 @@
 void SettlePending(entry& item, const endpoint_life& life) {
   const auto known = std::ranges::find(item.pending, life, &pending_loss::life);
   if (known == item.pending.end()) return;
-  std::erase_if(item.pending, [from = known->from, &life](const pending_loss& one) {
-    return one.from == from && one.life != life;
+  std::erase_if(item.pending, [start = known->start, &life](const pending_loss& one) {
+    return one.start == start && one.life != life;
   });
 }
 
@@ -447,6 +448,7 @@
   const bool alone = found->second.alone;
   const bool fresh = !found->second.progressed;
   const time_point going_since = found->second.going_since;
+  const uint64_t start = found->second.start;
   const bool progressed_there =
       IsShared(state) && broken && details::HasProgressed(found->second, *broken);
   state.runs.erase(found);
@@ -458,10 +460,10 @@
     EndCompleted(state, key, item, alone && IsShared(state), now, out);
   } else if (how == run_end::kBroken) {
     CheckInvariant(broken.has_value(), "quarantine: a broken run names its endpoint");
-    EndBroken(
-        state, key, item,
-        {*broken, now, now + state.config.confirm_within, alone, progressed_there, going_since, id},
-        now, out);
+    EndBroken(state, key, item,
+              {*broken, now, now + state.config.confirm_within, alone, progressed_there,
+               going_since, start},
+              now, out);
   } else {
     EndFailed(state, key, item, alone, now, out);
   }
--- a/libs/quarantine/tests/silence_test.cc
+++ b/libs/quarantine/tests/silence_test.cc
@@ -54,6 +54,19 @@
   CHECK(f.RunOn("e3", kStart + 1500ms) == verdict::kHold);
 }
 
+// Guards against a request that is sent on and on under one id while its losses are looked into:
+// each of its attempts may have lost another endpoint.
+TEST_CASE("attempts of one request that break off count each") {
+  fixture f;
+  for (const char* endpoint : {"e1", "e2"}) {
+    const endpoint_life life{endpoint, 1};
+    REQUIRE(Start(f.state, 1, kKey, kStart, f.out).answer != verdict::kHold);
+    Place(f.state, 1, {&life, 1}, f.out, kStart);
+    End(f.state, 1, run_end::kBroken, life, kStart, f.out);
+  }
+  CHECK(Start(f.state, 1, kKey, kStart, f.out).answer == verdict::kHold);
+}
+
 // Guards against a silent endpoint that is forgotten before its loss is known.
 TEST_CASE("silent endpoints that turn out to be lost condemn the request") {
   fixture f;
