Gateway: logs and counters that tell why a copy of a shared table is old

The three hypotheses about the late notice of a leaving endpoint could not be told apart: 'feed is checked' was a debug line, a check that made no call left no line, nor did a passed-on change with a gap before it, and no line of a request named the list that decided.

- 'feed is checked' at info level: why, whether a call was made, what others know, checks in a row that were not answered.
- 'change cannot be applied': gap or unknown base, and from whom it came.
- 'attempt sent' (repeats, or a list older than 3 s) and 'attempt failed' have the version and the age of the list of endpoints; 'endpoint says that it is leaving' tells where that was heard.
- gateway_table_checks_total, gateway_table_changes_unused_total by reason.

No decision changes.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -47,16 +47,26 @@
   std::string value;
 };
 
+// What became of a change that another gateway has passed on.
+enum class change_outcome : uint8_t {
+  kApplied,
+  kKnown,        // nothing in it is new
+  kGap,          // changes before it are missing, or the table has not been read yet
+  kUnknownBase,  // a value in it is a delta to one that is not known here
+};
+std::string_view ToString(change_outcome outcome);
+
 // What a gateway asks of the shared store.
 struct store_hooks {
   table_sender call;
-  // Asks a table for its changes at once: the call that waits for them may be lost.
-  std::function<void(feed)> check;
+  // Asks a table for its changes at once: the call that waits for them may be lost. Returns whether
+  // a call was made.
+  std::function<bool(feed)> check;
   // Whether calls that wait for changes are kept open. Without them the tables change only by
   // `check` and `apply`.
   std::function<void(bool)> follow{};
-  // Changes that another gateway has read.
-  std::function<void(feed, const table_change&)> apply{};
+  // Changes that another gateway has read. Returns what became of them.
+  std::function<change_outcome(feed, const table_change&)> apply{};
 };
 
 class gateway {
--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -32,6 +32,9 @@
 // their first output. Callers wait two seconds for theirs.
 constexpr duration kApartWait = 400ms;
 constexpr std::ptrdiff_t kMostApart = 6;
+// A list of endpoints that has not been confirmed for longer is worth a line for each request that
+// it decides; the usual limit of age is below it.
+constexpr duration kOldList = 3000ms;
 // Preference for the own zone, in requests.
 constexpr double kOtherZonePenalty = 0.5;
 
@@ -344,6 +347,19 @@
   item.reached[id] = FindEndpoint(state, id)->listed.incarnation;
 }
 
+// Attempts after the first, and those that rest on a list of endpoints that is old.
+void LogSent(const gateway_state& state, const call& item, const attempt& made, time_point now) {
+  const duration age = EndpointListAge(state, now);
+  if (made.number == 1 && age < kOldList) return;
+  log::Log(log::level::kInfo, "attempt sent",
+           {{"request", item.incoming.id},
+            {"attempt", made.number},
+            {"endpoint", made.path.front().endpoint_id},
+            {"hops", made.path.size()},
+            {"list_version", EndpointListVersion(state)},
+            {"list_age_ms", WholeMilliseconds(age)}});
+}
+
 // All engines that run the request, or may soon do.
 std::vector<call_hop> EnginesOf(const call& item) {
   std::vector<call_hop> out;
@@ -438,6 +454,7 @@
   NoteSent(state, *item, *made);
   AttachLoad(state, *made, 1);
   PlaceAttempt(state, *item, EnginesOf(*item));
+  LogSent(state, *item, *made, now);
   net::client_request request =
       state.wire.write_attempt(item->incoming, item->body, MakeSpec(*item, *made, item->due - now));
   request.header_timeout = item->due - now;
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -224,7 +224,8 @@
   std::string fault_id;  // of the engine that caused it, as far as it is known
 };
 
-void LogFailure(const call& item, const attempt& from, const failed_attempt& what, time_point now) {
+void LogFailure(const gateway_state& state, const call& item, const attempt& from,
+                const failed_attempt& what, time_point now) {
   log::Log(log::level::kInfo, "attempt failed",
            {{"request", item.incoming.id},
             {"fingerprint", quarantine::ToString(item.fingerprint)},
@@ -235,7 +236,9 @@
             {"reason", ToString(what.failure)},
             {"status", from.head.status},
             {"events", item.events.events},
-            {"silent_ms", WholeMilliseconds(now - from.last_progress)}});
+            {"silent_ms", WholeMilliseconds(now - from.last_progress)},
+            {"list_version", EndpointListVersion(state)},
+            {"list_age_ms", WholeMilliseconds(EndpointListAge(state, now))}});
 }
 
 failed_attempt NoteFailure(gateway_state& state, call& item, const attempt& from,
@@ -244,7 +247,7 @@
   if (const endpoint* named = FindByAddress(state, from.facts.fault_address)) {
     out.fault_id = named->listed.id;
   }
-  LogFailure(item, from, out, now);
+  LogFailure(state, item, from, out, now);
   if (failure == attempt_failure::kNotSent) {
     --item.sends;
     if (from.first_there) item.reached.erase(out.endpoint_id);
--- a/libs/gateway/src/details/fleet.h
+++ b/libs/gateway/src/details/fleet.h
@@ -14,6 +14,10 @@
 // By its name in messages between gateways.
 endpoint* FindByName(gateway_state& state, uint32_t name);
 
+// Version up to which the list of endpoints is known, and the time since that was last confirmed.
+uint64_t EndpointListVersion(const gateway_state& state);
+duration EndpointListAge(const gateway_state& state, time_point now);
+
 // Whether new work may be sent there.
 bool IsUsable(const gateway_state& state, const endpoint& item, time_point now);
 
@@ -60,8 +64,8 @@
               time_point at);
 
 // The endpoint itself says that it is about to leave. Final within its incarnation, whatever the
-// list says.
-void NoteLeaving(gateway_state& state, endpoint& item);
+// list says. `told_by`: where this gateway has it from, for the log.
+void NoteLeaving(gateway_state& state, endpoint& item, std::string_view told_by);
 
 // What a reply of the endpoint says about the endpoint itself, whatever was asked.
 void ApplyFacts(gateway_state& state, endpoint& item, const reply_facts& facts);
--- a/libs/gateway/src/details/telemetry.h
+++ b/libs/gateway/src/details/telemetry.h
@@ -27,6 +27,10 @@
 
 void CountRefusal(telemetry& metrics, std::string_view reason);
 void CountReport(telemetry& metrics, std::string_view reason);
+// Calls that ask a shared table for changes at once.
+void CountFeedCheck(telemetry& metrics, std::string_view reason);
+// Changes of a shared table that were passed on to this gateway and could not be used.
+void CountNotApplied(telemetry& metrics, std::string_view reason);
 void CountRetry(telemetry& metrics, std::string_view reason);
 // An attempt that the gateway itself ended while its endpoint may still have been at work.
 void CountEndedRunning(telemetry& metrics, std::string_view reason);
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -64,7 +64,8 @@
     item.reported = {};
   }
   if (now_leaving) {
-    log::Log(log::level::kInfo, "endpoint is leaving", {{"endpoint", listed.id}});
+    log::Log(log::level::kInfo, "endpoint is leaving",
+             {{"endpoint", listed.id}, {"list_version", EndpointListVersion(state)}});
     MoveCallsOff(state, listed.id, false);
   }
 }
@@ -141,6 +142,14 @@
 
 }  // namespace
 
+uint64_t EndpointListVersion(const gateway_state& state) {
+  return state.feeds.at(static_cast<size_t>(feed::kEndpoints)).complete;
+}
+
+duration EndpointListAge(const gateway_state& state, time_point now) {
+  return now - state.feeds.at(static_cast<size_t>(feed::kEndpoints)).confirmed_at;
+}
+
 endpoint* FindEndpoint(gateway_state& state, std::string_view id) {
   const auto found = state.endpoints.find(std::string(id));
   return found == state.endpoints.end() ? nullptr : &found->second;
@@ -290,18 +299,22 @@
   MoveCallsOff(state, item.listed.id, true);
 }
 
-void NoteLeaving(gateway_state& state, endpoint& item) {
+void NoteLeaving(gateway_state& state, endpoint& item, std::string_view told_by) {
   if (item.listed.leaving) return;
   item.listed.leaving = true;
   state.endpoints_changed = MonotonicNow();
   log::Log(log::level::kInfo, "endpoint says that it is leaving",
-           {{"endpoint", item.listed.id}, {"address", item.listed.address}});
+           {{"endpoint", item.listed.id},
+            {"address", item.listed.address},
+            {"told_by", told_by},
+            {"list_version", EndpointListVersion(state)},
+            {"list_age_ms", WholeMilliseconds(EndpointListAge(state, MonotonicNow()))}});
   TellNews(state, exchange::news_kind::kLeaving, item);
   MoveCallsOff(state, item.listed.id, false);
 }
 
 void ApplyFacts(gateway_state& state, endpoint& item, const reply_facts& facts) {
-  if (facts.leaving) NoteLeaving(state, item);
+  if (facts.leaving) NoteLeaving(state, item, "its answer");
   if (facts.refuses_for <= duration::zero()) return;
   item.refused_until = std::max(item.refused_until, MonotonicNow() + facts.refuses_for);
   log::Log(log::level::kInfo, "endpoint wants nothing for a while",
--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -1,6 +1,7 @@
 // Exchange with other gateways: loads, reports of engines, how current the shared tables are, and
 // news of endpoints. Whom to tell and how often is decided in libs/exchange.
 #include <algorithm>
+#include <array>
 #include <numeric>
 
 #include "details/containment.h"
@@ -157,13 +158,34 @@
 
 void CheckFeed(gateway_state& state, size_t index, std::string_view why, time_point now) {
   freshness& item = state.feeds[index];
-  log::Log(log::level::kDebug, "feed is checked",
+  const time_point confirmed_at = item.confirmed_at;
+  const uint64_t version = item.complete;
+  OnCheck(item, now);
+  const bool sent = state.store.check(static_cast<feed>(index));
+  CountFeedCheck(state.metrics, sent ? why : "not sent");
+  log::Log(log::level::kInfo, "feed is checked",
            {{"feed", index},
             {"why", why},
-            {"version", item.complete},
-            {"age_ms", WholeMilliseconds(now - item.confirmed_at)}});
-  OnCheck(item, now);
-  state.store.check(static_cast<feed>(index));
+            {"sent", sent},
+            {"reads_for_cell", state.reading},
+            {"version", version},
+            {"known_elsewhere", item.known_elsewhere},
+            {"unanswered", item.unanswered},
+            {"age_ms", WholeMilliseconds(now - confirmed_at)}});
+}
+
+// A change that cannot be used leaves this gateway behind until it asks the store.
+void LogNotApplied(gateway_state& state, size_t index, change_outcome outcome, uint32_t from,
+                   const table_change& change) {
+  CountNotApplied(state.metrics, ToString(outcome));
+  const auto name = state.peer_names.find(from);
+  log::Log(log::level::kInfo, "change cannot be applied",
+           {{"feed", index},
+            {"reason", ToString(outcome)},
+            {"from", name == state.peer_names.end() ? std::string_view() : name->second},
+            {"since", change.since},
+            {"until", change.until},
+            {"version", state.feeds.at(index).complete}});
 }
 
 void ReadFeeds(gateway_state& state, const exchange::message& message, time_point now) {
@@ -272,7 +294,10 @@
       CheckFeed(state, index, "too large to be passed on", now);
     }
   } else if (state.store.apply) {
-    state.store.apply(static_cast<feed>(index), change);
+    const change_outcome outcome = state.store.apply(static_cast<feed>(index), change);
+    if (outcome == change_outcome::kGap || outcome == change_outcome::kUnknownBase) {
+      LogNotApplied(state, index, outcome, message.from, change);
+    }
   }
   PassRowsOn(state, message);
 }
@@ -397,7 +422,7 @@
         OnBackNews(state, *item, from);
         break;
       case news_kind::kLeaving:
-        NoteLeaving(state, *item);
+        NoteLeaving(state, *item, from.address.id);
         break;
       case news_kind::kSuspect:
         AskEndpoint(state, *item, kToldByPeer);
@@ -493,6 +518,11 @@
 
 }  // namespace
 
+std::string_view ToString(change_outcome outcome) {
+  constexpr std::array<std::string_view, 4> kNames = {"applied", "known", "gap", "unknown base"};
+  return kNames.at(static_cast<size_t>(outcome));
+}
+
 result<void> StartPeers(gateway_state& state) {
   BOOST_OUTCOME_TRY(socket,
                     net::BindDatagram(state.config.listen_peers,
--- a/libs/gateway/src/telemetry.cc
+++ b/libs/gateway/src/telemetry.cc
@@ -49,6 +49,15 @@
   Count(metrics, "gateway_reports_total", "Reports asked of engines.", reason);
 }
 
+void CountFeedCheck(telemetry& metrics, std::string_view reason) {
+  Count(metrics, "gateway_table_checks_total", "Shared tables asked for changes at once.", reason);
+}
+
+void CountNotApplied(telemetry& metrics, std::string_view reason) {
+  Count(metrics, "gateway_table_changes_unused_total",
+        "Changes of shared tables from other gateways that could not be used.", reason);
+}
+
 void CountRetry(telemetry& metrics, std::string_view reason) {
   Count(metrics, "gateway_retries_total", "Further attempts of requests.", reason);
 }
--- a/libs/gateway/tests/cells_test.cc
+++ b/libs/gateway/tests/cells_test.cc
@@ -50,11 +50,13 @@
       store.check = [this, i](feed which) {
         ++checks[i];
         if (gateways[i]) gateways[i]->OnFeedPosition(which, newest, newest);
+        return true;
       };
       store.follow = [this, i](bool following) { follows[i] = following; };
       store.apply = [this, i](feed, const table_change& change) {
         applied[i] = change;
         on_apply(i);
+        return change_outcome::kApplied;
       };
       gateways.push_back(Start(settings, {}, store, loop).value());
       gateways[i]->OnConfigurationFeed(true);
