--- a/libs/gateway/src/details/freshness.h
+++ b/libs/gateway/src/details/freshness.h
@@ -74,6 +74,9 @@
 // Since what is known was last confirmed; the time since the epoch if it never was.
 duration Age(const freshness& item, const remote_clock& clock, time_point now);
 
+// Whether the others wait for the next reply, or are about to check for themselves.
+bool IsAwaited(const freshness& item, const remote_clock& clock, time_point now);
+
 // Whether a check may be made, for whatever reason: the last one was long enough ago.
 bool MayCheck(const freshness& item, time_point now);
 
--- a/libs/gateway/src/freshness.cc
+++ b/libs/gateway/src/freshness.cc
@@ -18,7 +18,13 @@
 constexpr duration kToldStep = 50ms;
 constexpr size_t kMostTold = 64;
 
+// One call may be lost while the store is sound, so the first repeats follow soon.
+constexpr int kSoonRepeats = 2;
+constexpr duration kSoon = 500ms;
+
 duration CheckPause(const freshness& item) {
+  const bool lost = item.checked_at > item.answered_at;
+  if (lost && item.unanswered < kSoonRepeats) return std::min(item.check_pause, kSoon);
   duration pause = item.check_pause;
   for (int i = 0; i < item.unanswered && pause < item.longest_pause; ++i) pause *= 2;
   return std::max(std::min(pause, item.longest_pause), item.check_pause);
@@ -70,6 +76,10 @@
 
 bool OnPeerPosition(freshness& item, uint64_t changed, uint64_t as_of_ms, const remote_clock& clock,
                     time_point now) {
+  // The store answers others, so a long pause is no longer called for.
+  if (ToLocal(clock, as_of_ms) > item.checked_at) {
+    item.unanswered = std::min(item.unanswered, kSoonRepeats - 1);
+  }
   if (changed > item.complete) {
     NoteTold(item, changed, now + item.grace);
     return IsCheckDue(item, clock, now);
@@ -97,6 +107,11 @@
   return now - ToLocal(clock, item.confirmed_ms);
 }
 
+bool IsAwaited(const freshness& item, const remote_clock& clock, time_point now) {
+  if (item.checked_at > item.answered_at) return true;
+  return item.confirmed_ms != 0 && Age(item, clock, now) > item.limit;
+}
+
 bool MayCheck(const freshness& item, time_point now) {
   return item.confirmed_ms != 0 && now - item.checked_at >= CheckPause(item);
 }
--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -504,9 +504,7 @@
                  const clock_sample& sample) {
   freshness& item = state.feeds.at(static_cast<size_t>(which));
   const time_point now = MonotonicNow();
-  // The others wait for this, or are about to check for themselves.
-  const bool awaited = item.checked_at > item.answered_at ||
-                       (item.confirmed_ms != 0 && Age(item, state.store_clock, now) > item.limit);
+  const bool awaited = IsAwaited(item, state.store_clock, now);
   Observe(state.store_clock, sample);
   OnTablePosition(item, changed, complete, sample.remote_ms, now);
   if (awaited) TellPositions(state);
@@ -516,11 +514,7 @@
 
 void ShareChange(gateway_state& state, feed which, const table_change& change, uint64_t as_of_ms) {
   if (!SharesChanges(state)) return;
-  const freshness& item = state.feeds.at(static_cast<size_t>(which));
-  // One that does not read for its cell tells only of what nobody has told of: the readers may be
-  // gone, stand still or be cut off.
-  const bool is_new = !change.rows.empty() && change.rows.back().version > KnownElsewhere(item);
-  if (!state.reading && !is_new) return;
+  if (!TellsCell(state.reading, change, state.feeds.at(static_cast<size_t>(which)))) return;
   const exchange::shared_change told{
       .table = static_cast<int>(which), .change = change, .as_of_ms = as_of_ms};
   const uint32_t self = exchange::NameOf(state.config.id);
--- a/libs/gateway/src/sharing.cc
+++ b/libs/gateway/src/sharing.cc
@@ -89,6 +89,11 @@
   return exchange::WatchRank(kReaderOrder, self, others) < kReaders;
 }
 
+bool TellsCell(bool reading, const table_change& change, const freshness& item) {
+  const bool is_new = !change.rows.empty() && change.rows.back().version > KnownElsewhere(item);
+  return reading || is_new;
+}
+
 std::vector<row_message> TellCell(const shared_change& change, uint32_t self,
                                   const exchange::topology& topology,
                                   std::span<const exchange::member> members,
--- a/libs/gateway/tests/freshness_test.cc
+++ b/libs/gateway/tests/freshness_test.cc
@@ -94,6 +94,55 @@
   CHECK(checks >= 6);
 }
 
+// Guards against a gateway that stays behind for the longest pause, because a check was lost just
+// after the store's return.
+TEST_CASE("a gateway asks soon again when the store answers others") {
+  auto gateways = Gateways(1);
+  freshness& self = gateways[0];
+  time_point now = kStart;
+  for (; now < kStart + 20s; now += 50ms) {
+    if (IsCheckDue(self, kClock, now)) OnCheck(self, now);
+  }
+  OnCheck(self, now);
+  CHECK_FALSE(IsCheckDue(self, kClock, now + 1s));
+  CHECK(OnPeerPosition(self, 12, StoreMs(now + 100ms), kClock, now + 600ms));
+}
+
+// Guards against a waiting time that begins anew with each change of a series (404 for a route that
+// had been there for more than 3 s).
+TEST_CASE("newer versions do not put off what others know already") {
+  auto gateways = Gateways(1);
+  freshness& self = gateways[0];
+  self.grace = 1000ms;
+  bool due = false;
+  time_point now = kStart + 100ms;
+  for (uint64_t version = 12; now <= kStart + 1100ms; version += 2, now += 80ms) {
+    due = OnPeerPosition(self, version, StoreMs(now), kClock, now) || due;
+  }
+  CHECK((due || IsCheckDue(self, kClock, kStart + 1100ms)));
+}
+
+// Guards against a change that waits for the usual grace time although one before it is lost.
+TEST_CASE("a gap is asked for soon, and not at all when it is filled") {
+  auto gateways = Gateways(2);
+  for (freshness& self : gateways) {
+    self.grace = 1000ms;
+    CHECK_FALSE(OnGap(self, 14, kClock, kStart + 600ms));
+  }
+  CHECK(IsCheckDue(gateways[0], kClock, kStart + 750ms));
+  OnApplied(gateways[1], 14, 14, StoreMs(kStart + 650ms));
+  CHECK_FALSE(IsCheckDue(gateways[1], kClock, kStart + 750ms));
+}
+
+// Guards against a confirmation by a message or reply that was looked at seconds after it was sent.
+TEST_CASE("what others know counts from when it held") {
+  auto gateways = Gateways(1);
+  freshness& self = gateways[0];
+  OnPeerPosition(self, 5, StoreMs(kStart + 100ms), kClock, kStart + 5s);
+  CHECK(Age(self, kClock, kStart + 5s) >= 4900ms);
+  CHECK(IsCheckDue(self, kClock, kStart + 5s));
+}
+
 // A gateway that has read nothing yet has nothing to check.
 TEST_CASE("nothing is checked before the first read") {
   freshness self;
