Platform: an odd entry of another writer costs nothing but itself

Report of another operator: one entry of another writer (deeply nested, a number too large, a port out of range) ended processes or kept them from following the list.

Here: with layers from - in one entry a gateway hung: no request was answered, the list was no longer followed (odd_entries_test, 'layers below zero': 7 of 147 checks failed; the other 15 entries did no harm on this machine). The difference of the bounds overflowed. On x86-64 a number beyond integers converts to the same bound; not run there.

--- a/libs/net/src/address.cc
+++ b/libs/net/src/address.cc
@@ -1,9 +1,11 @@
 // Socket addresses from text.
-#include "details/address.h"
+#include "net/address.h"
 
 #include <charconv>
 #include <string>
 
+#include "details/address.h"
+
 namespace balsambay::net {
 
 GSocketAddress* ParseAddress(std::string_view address) {
@@ -19,4 +21,12 @@
   return g_inet_socket_address_new_from_string(host.c_str(), port);
 }
 
+bool IsAddress(std::string_view text) {
+  GSocketAddress* parsed = ParseAddress(text);
+  if (parsed == nullptr) return false;
+  const bool has_port = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(parsed)) != 0;
+  g_object_unref(parsed);
+  return has_port;
+}
+
 }  // namespace balsambay::net
--- /dev/null
+++ b/tests/system/odd_entries_test.cc
@@ -0,0 +1,78 @@
+// Entries of other writers among those of the engines: nothing but the entry itself is lost by
+// them.
+#include <catch2/catch.hpp>
+
+#include "platform_site.h"
+
+namespace balsambay::system_test {
+namespace {
+
+using namespace std::chrono_literals;
+
+std::string Nested(size_t depth, const std::string& open, const std::string& close) {
+  std::string out;
+  for (size_t i = 0; i < depth; ++i) out += open;
+  out += "1";
+  for (size_t i = 0; i < depth; ++i) out += close;
+  return out;
+}
+
+std::string Entry(const std::string& address, const std::string& more) {
+  return R"({"service":"model","addr":")" + address +
+         R"(","zone":"a","state":"ready","seq":1,"born":1,"kind":"k")" + more + "}";
+}
+
+// Guards against processes that end, or follow the list no longer, because of one odd entry. Other
+// operators saw both.
+TEST_CASE("odd entries in the list of endpoints do no harm") {
+  const std::string sound = "127.0.0.1:9";
+  const auto [name, text] = GENERATE_COPY(Catch::Generators::table<std::string, std::string>(
+      {{"nested lists", Nested(100'000, "[", "]")},
+       {"nested objects", Nested(100'000, R"({"a":)", "}")},
+       {"nested in a field", Entry(sound, R"(,"layers":)" + Nested(50'000, "[", "]"))},
+       {"nested without an end", std::string(200'000, '[')},
+       {"a number beyond doubles", Entry(sound, R"(,"slots":1e999)")},
+       {"slots beyond integers", Entry(sound, R"(,"slots":1e300)")},
+       {"layers beyond integers", Entry(sound, R"(,"layers":{"from":0,"to":1e300})")},
+       {"layers far beyond the model", Entry(sound, R"(,"layers":{"from":0,"to":2147483647})")},
+       {"layers below zero", Entry(sound, R"(,"layers":{"from":-2147483648,"to":8})")},
+       {"a port out of range", Entry("127.0.0.1:70000", "")},
+       {"a port that is no number", Entry("127.0.0.1:http", "")},
+       {"port zero", Entry("127.0.0.1:0", R"(,"layers":{"from":0,"to":8})")},
+       {"no address", Entry("nowhere:80", R"(,"layers":{"from":0,"to":8})")},
+       {"an address with a header", Entry(R"(127.0.0.1:9\r\nX-A: b)", "")},
+       {"a start beyond integers",
+        R"({"service":"model","addr":"127.0.0.1:9","zone":"a","state":"ready","born":1e30})"},
+       {"bytes", std::string("\x00\xff\xfe{", 4)}}));
+  CAPTURE(name);
+  platform_site site({.gateways = 1});
+  REQUIRE(site.Start());
+  site.store.Put("servers", "odd", text);
+  site.Pause(400ms);
+  for (int i = 0; i < 4; ++i) {
+    CHECK(platform_site::IsWhole(site.Call(0, "stream", "harmless"), "stream"));
+  }
+  CHECK(platform_site::IsWhole(site.Call(0, "unsafe", "harmless"), "unsafe"));
+  // The list is still followed.
+  site.Leave(site.Endpoint("d0"), {.noticed = false, .serves = 5s});
+  CHECK(site.RunUntil([&] { return site.CountLogLines("endpoint left the list") >= 1; }, 2s));
+  // The same process, which has not ended in between.
+  CHECK(site.CountLogLines("gateway started") == 1);
+  CHECK(site.BecomesReady(0));
+}
+
+// The same when the process starts.
+TEST_CASE("a gateway starts beside odd entries") {
+  platform_site site({.gateways = 1});
+  site.store.Put("servers", "odd-1", Nested(100'000, "[", "]"));
+  site.store.Put("servers", "odd-2", Entry("127.0.0.1:70000", R"(,"layers":{"from":0,"to":8})"));
+  site.store.Put("servers", "odd-3", Entry("127.0.0.1:9", R"(,"layers":{"from":0,"to":1e300})"));
+  site.store.Put("balsambay", "member/odd", Nested(100'000, "[", "]"));
+  site.store.Put("balsambay", "member/odd-2", R"({"zone":"a","address":"127.0.0.1:70000"})");
+  REQUIRE(site.Start());
+  CHECK(platform_site::IsWhole(site.Call(0, "stream", "harmless"), "stream"));
+  CHECK(site.CountLogLines("gateway started") == 1);
+}
+
+}  // namespace
+}  // namespace balsambay::system_test
