Gateway: only the next event is part of a stream, only its own refusal ends a request

- An engine writes the refusal of another request once more: the caller of a call that had run was told 503, and it was sent to a second engine.
OnHead looked at the proof before it looked at whose reply it was.
Every call has a connection of its own, so a repeated refusal on a kept one cannot arrive.
- The next engine of a broken stream answers with an error: texts with an empty line, whole heads, and events that had been there before were passed on, and the stream ended as complete.
Events bear ids that increase; anything else ends the attempt, after the whole events before it.
Errors by status were kept out before.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -251,7 +251,8 @@
                          : FindEndpoint(state, from->path.front().endpoint_id);
   if (target != nullptr) ApplyFacts(state, *target, from->facts);
   if (!IsCurrent(item, from)) return;
-  if (from->facts.not_executed) {
+  // A refusal of another request proves nothing about this one.
+  if (from->facts.not_executed && !IsForeign(*item, from->facts)) {
     return events.on_failure(state, item, from, attempt_failure::kNotExecuted);
   }
   if (!IsOwnReply(*item, *from)) {
@@ -269,16 +270,20 @@
     return;
   }
   const std::string whole = TakeWholeEvents(from->events, data);
-  if (from->events.partial.size() > kMaxEventBytes) {
-    return events.on_failure(state, item, from, attempt_failure::kBroken);
+  const bool unusable = from->events.malformed || from->events.partial.size() > kMaxEventBytes;
+  if (whole.empty()) {
+    if (unusable) events.on_failure(state, item, from, attempt_failure::kBroken);
+    return;
   }
-  if (whole.empty()) return;
   const time_point now = MonotonicNow();
   Learn(from->progressed ? state.pace.gap : state.pace.first, now - from->last_progress);
   from->last_progress = now;
   from->progressed = true;
   ++from->outputs;
   events.on_output(state, item, from, whole);
+  if (unusable && IsCurrent(item, from)) {
+    events.on_failure(state, item, from, attempt_failure::kBroken);
+  }
 }
 
 void OnEnd(gateway_state& state, const call_ptr& item, const attempt_ptr& from,
--- a/libs/gateway/src/details/sharing.h
+++ b/libs/gateway/src/details/sharing.h
@@ -36,9 +36,9 @@
 // are known to reach the store.
 bool ReadsForCell(std::string_view self, std::span<const std::string_view> others);
 
-// Whether a gateway tells its cell of a change that its own call has brought. One that does not read
-// for the cell tells only of what nobody has told of: the readers may be gone, stand still or be cut
-// off.
+// Whether a gateway tells its cell of a change that its own call has brought. One that does not
+// read for the cell tells only of what nobody has told of: the readers may be gone, stand still or
+// be cut off.
 bool TellsCell(bool reading, const exchange::table_change& change, const freshness& item);
 
 // A message with rows, and the member that it is sent to.
