Gateway: a leave is told until the list says so; certain endpoints first while the list is old

- What an endpoint says of its leaving goes to others by datagrams without acknowledgement, once.
Now each message of state repeats it until the list says so, too (cells_test).
On the way: the list's own notice was not noted when the endpoint had said so before.
- A gateway whose list is older than changes may take (cut off, or refused by the store) chose endpoints as if it were new.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -110,9 +110,24 @@
 // Which engines a request may use.
 enum class company : uint8_t {
   kAny,
-  kApart,  // without those that run other suspects
+  kApart,    // without those that run other suspects
+  kCertain,  // without those that may have said that they leave
 };
 
+// Whether an engine is left out.
+bool IsLeftOut(const gateway_state& state, const std::string& id, const endpoint& item,
+               company company, time_point now) {
+  switch (company) {
+    case company::kAny:
+      return false;
+    case company::kApart:
+      return HasSuspect(state, id);
+    case company::kCertain:
+      return IsDoubtful(state, item, now);
+  }
+  return false;
+}
+
 // Where the open attempt entered, if there is one: its successor enters elsewhere.
 std::string_view HeadInUse(const call& item) {
   if (!item.open) return {};
@@ -123,12 +138,21 @@
                                     std::span<const pipeline::engine> engines, company company) {
   std::vector<size_t> out = IndexesOf(engines, item.avoided);
   if (company == company::kAny) return out;
+  const time_point now = MonotonicNow();
   for (size_t i = 0; i < engines.size(); ++i) {
-    if (HasSuspect(state, engines[i].id)) out.push_back(i);
+    const auto found = state.endpoints.find(engines[i].id);
+    const bool known = found != state.endpoints.end();
+    if (known && IsLeftOut(state, found->first, found->second, company, now)) out.push_back(i);
   }
   return out;
 }
 
+bool HasDoubtful(const gateway_state& state) {
+  const time_point now = MonotonicNow();
+  return std::ranges::any_of(
+      state.endpoints, [&](const auto& entry) { return IsDoubtful(state, entry.second, now); });
+}
+
 pipeline_choice ChoosePipeline(gateway_state& state, const call& item,
                                const catalog::service& service, company company) {
   const pipeline::model_spec& model = *service.pipelined;
@@ -179,7 +203,10 @@
 start_result TakePipeline(gateway_state& state, call& item, const catalog::service& service,
                           attempt& made) {
   made.committed_tokens = ExpectedTokens(item, *service.pipelined);
-  pipeline_choice choice = ChoosePipeline(state, item, service, company::kAny);
+  pipeline_choice choice = ChoosePipeline(state, item, service, company::kCertain);
+  if (choice.result != start_result::kStarted && HasDoubtful(state)) {
+    choice = ChoosePipeline(state, item, service, company::kAny);
+  }
   if (choice.result == start_result::kStarted && item.suspect) {
     pipeline_choice apart = ChoosePipeline(state, item, service, company::kApart);
     if (apart.result == start_result::kStarted) {
@@ -201,7 +228,7 @@
     if (candidate.listed.service != item.service || item.avoided.contains(id)) continue;
     if (id == HeadInUse(item)) continue;
     if (!IsUsable(state, candidate, now)) continue;
-    if (company == company::kApart && HasSuspect(state, id)) continue;
+    if (IsLeftOut(state, id, candidate, company, now)) continue;
     const double cost = candidate.own.sequences + candidate.peers.sequences +
                         kFailurePenalty * FailureRate(candidate, now) +
                         (candidate.listed.zone == state.config.zone ? 0 : kOtherZonePenalty) +
@@ -216,6 +243,7 @@
 
 start_result TakePlain(gateway_state& state, const call& item, attempt& made) {
   const endpoint* best = item.suspect ? ChoosePlain(state, item, company::kApart) : nullptr;
+  if (best == nullptr) best = ChoosePlain(state, item, company::kCertain);
   if (best == nullptr) best = ChoosePlain(state, item, company::kAny);
   if (best == nullptr) return start_result::kNoEndpoint;
   made.path = {{best->listed.id, best->listed.address, {}}};
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -75,10 +75,12 @@
   bool ended = false;       // down, and has refused a connection or its zone is cut off
   time_point next_probe;    // while down
   bool probing = false;     // a report is under way
-  time_point answered_at;   // last report to this gateway
-  time_point checked_at;    // last report that was asked for because a request stalled
-  time_point held_at;       // when `held` was last learned
-  size_t watch_rank = 0;    // among the gateways of this zone, at `ranked_at`
+  // Last word of the endpoint that did not say that it leaves, to this gateway or to another one.
+  time_point word_at{};
+  time_point answered_at;  // last report to this gateway
+  time_point checked_at;   // last report that was asked for because a request stalled
+  time_point held_at;      // when `held` was last learned
+  size_t watch_rank = 0;   // among the gateways of this zone, at `ranked_at`
   time_point ranked_at;
   int missed_reports = 0;
   time_point silent_since{};  // the first of these was asked for
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -150,6 +150,14 @@
   return Age(state.feeds.at(static_cast<size_t>(feed::kEndpoints)), state.store_clock, now);
 }
 
+bool IsDoubtful(const gateway_state& state, const endpoint& item, time_point now) {
+  const freshness& list = state.feeds.at(static_cast<size_t>(feed::kEndpoints));
+  if (list.confirmed_ms == 0 || EndpointListAge(state, now) < state.config.change_notice) {
+    return false;
+  }
+  return item.word_at == time_point() || now - item.word_at >= state.config.change_notice;
+}
+
 endpoint* FindEndpoint(gateway_state& state, std::string_view id) {
   const auto found = state.endpoints.find(std::string(id));
   return found == state.endpoints.end() ? nullptr : &found->second;
@@ -215,6 +223,8 @@
       state.endpoints_changed = MonotonicNow();
       Update(state, found->second, entry);
     }
+    // What the endpoint has said itself may have come first.
+    found->second.listed_leaving = entry.leaving;
   }
   if (gone.empty()) return;
   const time_point now = MonotonicNow();
@@ -243,6 +253,7 @@
 }
 
 void NoteUse(endpoint& item, double committed, int sequences, time_point at) {
+  item.word_at = std::max(item.word_at, at);
   item.reported = {committed, sequences, at, item.own, item.sent, record_duty::kNone};
 }
 
@@ -314,7 +325,11 @@
 }
 
 void ApplyFacts(gateway_state& state, endpoint& item, const reply_facts& facts) {
-  if (facts.leaving) NoteLeaving(state, item, "its answer");
+  if (facts.leaving) {
+    NoteLeaving(state, item, "its answer");
+  } else if (facts.authentic || facts.not_executed) {
+    item.word_at = MonotonicNow();
+  }
   if (facts.refuses_for <= duration::zero()) return;
   item.refused_until = std::max(item.refused_until, MonotonicNow() + facts.refuses_for);
   log::Log(log::level::kInfo, "endpoint wants nothing for a while",
--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -138,12 +138,28 @@
   return out;
 }
 
+// Of one message of state.
+constexpr size_t kMostLeaving = 8;
+
+// Endpoints that have said that they leave, until the list says so, too: makes up for news that
+// were lost.
+std::vector<exchange::endpoint_news> LeavingNews(const gateway_state& state) {
+  std::vector<exchange::endpoint_news> out;
+  for (const auto& [id, item] : state.endpoints) {
+    if (out.size() == kMostLeaving) break;
+    if (!item.listed.leaving || item.listed_leaving) continue;
+    out.push_back({news_kind::kLeaving, exchange::NameOf(id), item.listed.incarnation});
+  }
+  return out;
+}
+
 void SendState(gateway_state& state, time_point now) {
   exchange::message message = MakeMessage(state);
   message.is_state = true;
   message.reaches_store = ReachesStore(state, now);
   if (IsExact(state)) message.loads = OwnLoads(state);
   message.contacts = BestContacts(state, now);
+  message.news = LeavingNews(state);
   message.engines = TakeRecords(state, record_duty::kTell, kMostRecords, now);
   // Makes up for lost messages, one entry at a time.
   if (auto item = quarantine::NextOfSnapshot(state.quarantine, state.snapshot_cursor)) {
--- a/libs/gateway/tests/cells_test.cc
+++ b/libs/gateway/tests/cells_test.cc
@@ -173,6 +173,45 @@
   CHECK(all.applied[0].until == 7);
 }
 
+// News are datagrams without acknowledgement. Guards against a gateway that misses the only message
+// about an endpoint that leaves, while the list does not say so yet.
+TEST_CASE("that an endpoint leaves is told again until the list says so") {
+  cell all;
+  const uint32_t endpoint = exchange::NameOf("e1");
+  size_t told = 0;
+  const auto listener =
+      net::BindDatagram("127.0.0.1:" + std::to_string(19'000 + getpid() % 900),
+                        [&](std::string_view data) {
+                          const auto message = exchange::Decode(data);
+                          if (!message || message->from != exchange::NameOf("g0")) return;
+                          told += static_cast<size_t>(std::ranges::count(
+                              message->news, endpoint, &exchange::endpoint_news::endpoint));
+                        })
+          .value();
+  std::vector<peer_address> peers = all.peers;
+  peers.push_back({"listener", "a", "127.0.0.1:" + std::to_string(19'000 + getpid() % 900)});
+  all.gateways[0]->OnPeers(peers);
+  listed_endpoint entry;
+  entry.id = "e1";
+  entry.service = "s";
+  entry.address = "127.0.0.1:9";
+  entry.zone = "a";
+  entry.incarnation = 1;
+  all.gateways[0]->OnEndpoints({&entry, 1});
+  exchange::message message;
+  message.from = exchange::NameOf("g1");
+  message.news = {{exchange::news_kind::kLeaving, endpoint, 1}};
+  listener->Send(all.peers[0].address, exchange::Encode(message));
+  all.Run(6s);
+  CHECK(told >= 3);
+  entry.leaving = true;
+  all.gateways[0]->OnEndpoints({&entry, 1});
+  all.Run(100ms);
+  told = 0;
+  all.Run(4s);
+  CHECK(told == 0);
+}
+
 // Guards against a cell that nobody reads for while its readers are cut off from the store.
 TEST_CASE("another gateway follows the tables when a reader does not reach the store") {
   cell all;
