Pipeline: a hop to another zone costs the time for which it keeps the pipe

Each pair of zones has a pipe for each direction (4,720 Mbit/s); a prompt of 800 tokens keeps it for 27 ms. A crossing cost 8 ms in the choice of a path, less than the random factors by which costs are spread when figures are old. So 29 in 100 streams crossed.

Now the time of a usual request on the pipe is part of the cost, half of it as the wait of each token, so admission by pace counts it too. Entering a path in another zone stays as cheap as it was: it does not use the pipe.

--- a/libs/pipeline/include/pipeline/model.h
+++ b/libs/pipeline/include/pipeline/model.h
@@ -62,6 +62,10 @@
 // Reading a prompt of `tokens` over `layers` layers.
 double ReadMs(const model_spec& model, const accelerator_kind& kind, int layers, double tokens);
 
+// For how long the activations of `tokens` tokens keep the pipe between two zones, which all
+// requests that cross there share, one transfer after another. 0: the model names no such limit.
+double PipeMs(const model_spec& model, double tokens);
+
 // Sequences that a chain of engines runs at once when its KV memory and slots are full, the time
 // between two tokens then, and the requests that it completes in a second.
 struct chain_capacity {
--- a/libs/pipeline/include/pipeline/path.h
+++ b/libs/pipeline/include/pipeline/path.h
@@ -68,8 +68,9 @@
   double token_ms = 0;  // estimated time between two tokens
 };
 
-// The path with the least estimated time between tokens, with a penalty for engines that fill up.
-// Cost: O(boundaries x engines that cover one); see benchmarks/path_choice.cc.
+// The path with the least estimated time between tokens, with penalties for engines that fill up
+// and for the use of the pipe between zones. Cost: O(boundaries x engines that cover one); see
+// benchmarks/path_choice.cc.
 path_choice ChoosePath(const model_spec& model, std::span<const engine> engines,
                        const path_query& query);
 
--- a/libs/pipeline/src/model.cc
+++ b/libs/pipeline/src/model.cc
@@ -38,6 +38,12 @@
   return share * kind.read_factor * tokens / model.read_tokens_per_ms;
 }
 
+double PipeMs(const model_spec& model, double tokens) {
+  if (model.zone_pipe_mbps <= 0) return 0;
+  // A megabit a second is a kilobit a millisecond.
+  return tokens * model.activation_bytes * 8 / 1000 / model.zone_pipe_mbps;
+}
+
 chain_capacity EstimateChain(const model_spec& model, const std::vector<chain_stage>& stages) {
   const double context = model.usual_prompt_tokens + model.usual_answer_tokens / 2;
   chain_capacity out;
--- a/libs/pipeline/src/path.cc
+++ b/libs/pipeline/src/path.cc
@@ -13,8 +13,7 @@
 constexpr double kInfinite = std::numeric_limits<double>::infinity();
 // Forwarding inside a zone, ms for each hop.
 constexpr double kHopMs = 0.4;
-// Added to the delay of a hop to another zone: activations share the pipe with other requests, and
-// a path inside one zone survives a partition.
+// Added to the delay of a hop to another zone: a path inside one zone survives a partition.
 constexpr double kCrossZonePenaltyMs = 8;
 // Added for an engine at full memory, ms; falls with the sixth power of the used part, or with the
 // third when the part is known from old figures. Of the order of a whole path's time between
@@ -29,7 +28,7 @@
 // layers before it.
 struct node {
   double cost = kInfinite;
-  double token_ms = 0;
+  double token_ms = 0;  // without the preferences that are part of the cost
   size_t engine = 0;
   size_t from_boundary = 0;
   size_t from_zone = 0;
@@ -130,9 +129,25 @@
   std::ranges::stable_sort(state.rates, {}, [](const stage_rate& rate) { return rate.held.begin; });
 }
 
+// A hop to another zone, ms.
+struct crossing {
+  double token_ms = 0;
+  double cost = 0;  // besides
+};
+
+// Each token that crosses waits for the transfer under way: for half of a usual request's on the
+// mean, if the pipe is in use. The other half is for those that wait for this request's.
+crossing CrossingAt(const search& state, size_t boundary) {
+  const model_spec& model = state.model;
+  const bool entry = boundary == 0 && !state.query.head;
+  const double pipe_ms =
+      entry ? 0 : PipeMs(model, model.usual_prompt_tokens + model.usual_answer_tokens);
+  return {model.zone_delay_ms + kCrossZonePenaltyMs + pipe_ms / 2, pipe_ms / 2};
+}
+
 // All parts of the engine's layers that begin at `boundary`.
 void RelaxStage(search& state, size_t boundary, const stage_rate& rate, const node& from,
-                size_t from_zone, double crossing) {
+                size_t from_zone, const crossing& hop) {
   const int first = state.boundaries[boundary];
   for (size_t next = boundary + 1;
        next < state.boundaries.size() && state.boundaries[next] <= rate.held.end; ++next) {
@@ -142,18 +157,18 @@
     if (used > 1 && !state.query.ignore_room) return;
     const double token_ms = rate.ms_per_layer * layers + kHopMs;
     const double cost =
-        from.cost + crossing +
+        from.cost + hop.token_ms + hop.cost +
         rate.weight * (token_ms + Pressure(used + rate.assumed, state.query.old_figures));
     node& target = state.At(next, rate.zone);
     if (cost >= target.cost) continue;
-    target = {cost, from.token_ms + token_ms + crossing, rate.engine, boundary, from_zone};
+    target = {cost, from.token_ms + token_ms + hop.token_ms, rate.engine, boundary, from_zone};
   }
 }
 
 void Search(search& state) {
-  const double crossing = state.model.zone_delay_ms + kCrossZonePenaltyMs;
   for (size_t boundary = 0; boundary + 1 < state.boundaries.size(); ++boundary) {
     const int layer = state.boundaries[boundary];
+    const crossing hop = CrossingAt(state, boundary);
     // A crossing costs the same between any two zones, so only the best zone counts as its origin.
     size_t cheapest = 0;
     for (size_t zone = 1; zone < state.zones.size(); ++zone) {
@@ -166,9 +181,9 @@
     for (const stage_rate& rate : state.rates) {
       if (rate.held.begin > layer) break;
       if (rate.held.end <= layer || (boundary == 0 && !rate.may_be_head)) continue;
-      const bool crosses = from[cheapest].cost + crossing < from[rate.zone].cost;
+      const bool crosses = from[cheapest].cost + hop.token_ms + hop.cost < from[rate.zone].cost;
       const size_t zone = crosses ? cheapest : rate.zone;
-      RelaxStage(state, boundary, rate, from[zone], zone, crosses ? crossing : 0);
+      RelaxStage(state, boundary, rate, from[zone], zone, crosses ? hop : crossing());
     }
   }
 }
--- a/libs/pipeline/tests/path_test.cc
+++ b/libs/pipeline/tests/path_test.cc
@@ -58,6 +58,48 @@
   CHECK(ChoosePath(model, engines, query).verdict == path_verdict::kUncovered);
 }
 
+// The pipe between two zones is shared by all requests that cross there.
+model_spec ModelWithPipe() {
+  model_spec model = TestModel();
+  model.activation_bytes = 19'700;
+  model.zone_pipe_mbps = 4'720;
+  return model;
+}
+
+// Guards against paths that fill the pipe to win a few ms, and against paths that stay inside a
+// zone at any price.
+TEST_CASE("a path crosses zones where that saves more than it keeps the pipe") {
+  const model_spec model = ModelWithPipe();
+  const double pipe_ms = PipeMs(model, model.usual_prompt_tokens + model.usual_answer_tokens);
+  CHECK(pipe_ms == Approx(31.4).margin(0.1));
+  const std::vector<engine> engines = {MakeEngine("a1", 0, {0, 40}), MakeEngine("a2", 0, {40, 80}),
+                                       MakeEngine("b2", 0, {40, 80}, "b")};
+  const path_query query{.tokens = 1, .home_zone = "a", .head = {}};
+  const auto last_with = [&](double added_ms) {
+    std::vector<engine> slowed = engines;
+    const double usual = kPassWaitFactor * StepMs(model, model.kinds[0], 40, 1, 0);
+    slowed[1].slowdown = 1 + added_ms / usual;
+    const path_choice choice = ChoosePath(model, slowed, query);
+    REQUIRE(choice.verdict == path_verdict::kFound);
+    return engines[choice.stages.back().engine].id;
+  };
+  CHECK(last_with(0) == "a2");
+  CHECK(last_with(pipe_ms) == "a2");
+  CHECK(last_with(pipe_ms + 20) == "b2");
+}
+
+// Where all is done in another zone, only the caller's data goes there.
+TEST_CASE("a path that lies in another zone does not keep the pipe") {
+  const model_spec model = ModelWithPipe();
+  const std::vector<engine> engines = {MakeEngine("a1", 0, {0, 40}),
+                                       MakeEngine("b1", 0, {0, 40}, "b"),
+                                       MakeEngine("b2", 0, {40, 80}, "b")};
+  const path_choice choice =
+      ChoosePath(model, engines, {.tokens = 1, .home_zone = "a", .head = {}});
+  REQUIRE(choice.stages.size() == 2);
+  CHECK(engines[choice.stages.front().engine].id == "b1");
+}
+
 // A burst: engines that hold the same layers share it instead of filling one after the other.
 TEST_CASE("a burst spreads over engines with the same layers") {
   const model_spec model = TestModel();
--- a/libs/pipeline/tests/stale_views_test.cc
+++ b/libs/pipeline/tests/stale_views_test.cc
@@ -95,5 +95,55 @@
   CHECK(zone.fullest > 1);
 }
 
+// Two zones with three copies each, of eight engines, and daemons whose figures are old.
+double PipeUse(double pipe_mbps, double requests_per_s) {
+  model_spec model = TestModel();
+  model.activation_bytes = 19'700;
+  model.zone_pipe_mbps = pipe_mbps;
+  std::vector<engine> engines;
+  for (const char* zone : {"a", "b"}) {
+    for (int i = 0; i < 24; ++i) {
+      const int first = 10 * (i % 8);
+      engines.push_back(MakeEngine(zone + std::to_string(i), 3, {first, first + 10}, zone));
+      engine& item = engines.back();
+      item.sequences = 60;
+      item.committed = 0.5 * KvTokenLayers(model, model.kinds[item.kind], 10);
+      // The first zone has lost two of the three that hold these layers.
+      if (zone[0] != 'a' || first != 30) continue;
+      item.usable = i >= 16;
+      item.sequences = 150;
+      item.committed *= 1.9;
+    }
+  }
+  random_generator rng{7};
+  constexpr int kRequests = 400;
+  int crossings = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const auto choice = ChoosePath(model, engines,
+                                   {.tokens = 940,
+                                    .home_zone = i % 2 == 0 ? "a" : "b",
+                                    .head = {},
+                                    .old_figures = true,
+                                    .seed = rng()});
+    REQUIRE(choice.verdict == path_verdict::kFound);
+    for (size_t part = 1; part < choice.stages.size(); ++part) {
+      const engine& from = engines[choice.stages[part - 1].engine];
+      if (from.zone != engines[choice.stages[part].engine].zone) ++crossings;
+    }
+  }
+  const double tokens = model.usual_prompt_tokens + model.usual_answer_tokens;
+  model.zone_pipe_mbps = 4'720;
+  // Half of them in each direction.
+  return crossings / 2.0 / kRequests * requests_per_s * PipeMs(model, tokens) / 1000;
+}
+
+// 160 requests a second in two zones, one of which has lost most engines for some of the layers.
+// Guards against more requests over the pipe than it carries, so that all streams that cross are
+// late (incident SHORT): the costs of engines are spread at random by more than a crossing costs.
+TEST_CASE("requests around lost engines do not fill the pipe between zones") {
+  CHECK(PipeUse(0, 160) > 1);
+  CHECK(PipeUse(4'720, 160) < 1);
+}
+
 }  // namespace
 }  // namespace balsambay::pipeline
