Router: an odd entry in the list of VMs or an odd status ends nothing

Cause: nlohmann's value() throws when a member has another type, and nothing catches that in a callback of the loop. Numbers out of range wrapped around silently.

Now members are read by WholeNumberIn and TextIn (base/json.h), which do neither; an entry that cannot be read is left out with a log line, a status that cannot be read counts as a failed probe. The same conversion stood where a commit of the configuration reads its row back. Messages of peers and callers were looked through: they are caught or checked before.

--- a/libs/base/src/json.cc
+++ b/libs/base/src/json.cc
@@ -33,4 +33,20 @@
   return nlohmann::json::parse(text, nullptr, false);
 }
 
+std::optional<uint64_t> WholeNumberIn(const nlohmann::json& value, const char* name,
+                                      uint64_t most) {
+  if (!value.is_object()) return std::nullopt;
+  const auto found = value.find(name);
+  if (found == value.end() || !found->is_number_unsigned()) return std::nullopt;
+  const auto number = found->get<uint64_t>();
+  return number <= most ? std::optional(number) : std::nullopt;
+}
+
+std::optional<std::string> TextIn(const nlohmann::json& value, const char* name) {
+  if (!value.is_object()) return std::nullopt;
+  const auto found = value.find(name);
+  if (found == value.end() || !found->is_string()) return std::nullopt;
+  return found->get<std::string>();
+}
+
 }  // namespace balsambay
--- a/libs/base/tests/json_test.cc
+++ b/libs/base/tests/json_test.cc
@@ -23,5 +23,23 @@
   }
 }
 
+// Guards against conversions that throw or wrap around.
+TEST_CASE("members of another type or beyond their range are not there") {
+  const auto body = ParseJson(
+      R"({"n":7,"below":-1,"half":1.5,"large":1e300,"wraps":4294967296,"text":"t","list":[1]})");
+  CHECK(WholeNumberIn(body, "n") == 7);
+  CHECK(WholeNumberIn(body, "n", 7) == 7);
+  CHECK_FALSE(WholeNumberIn(body, "n", 6));
+  CHECK(WholeNumberIn(body, "wraps") == 4294967296);
+  CHECK_FALSE(WholeNumberIn(body, "wraps", UINT32_MAX));
+  for (const char* name : {"below", "half", "large", "text", "list", "absent"}) {
+    CHECK_FALSE(WholeNumberIn(body, name));
+  }
+  CHECK(TextIn(body, "text") == "t");
+  for (const char* name : {"n", "list", "absent"}) CHECK_FALSE(TextIn(body, name));
+  CHECK_FALSE(TextIn(ParseJson("[1]"), "text"));
+  CHECK_FALSE(WholeNumberIn(ParseJson("{"), "n"));
+}
+
 }  // namespace
 }  // namespace balsambay
--- a/libs/configsync/src/commit.cc
+++ b/libs/configsync/src/commit.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "base/json.h"
+
 namespace balsambay::configsync {
 namespace {
 
@@ -82,8 +84,7 @@
 
 bool HasNonce(const table::row* row, const std::string& nonce) {
   if (row == nullptr) return false;
-  const json value = json::parse(row->value, nullptr, false);
-  return value.is_object() && value.value("nonce", "") == nonce;
+  return TextIn(ParseJson(row->value), "nonce") == nonce;
 }
 
 // A transaction of this commit that is still on its way cannot win later: once the head has moved,
--- a/libs/router/src/endpoint_monitor.cc
+++ b/libs/router/src/endpoint_monitor.cc
@@ -2,8 +2,10 @@
 #include "details/endpoint_monitor.h"
 
 #include <algorithm>
+#include <climits>
 #include <nlohmann/json.hpp>
 
+#include "base/json.h"
 #include "details/logging.h"
 #include "details/membership_driver.h"
 #include "details/planning.h"
@@ -30,21 +32,48 @@
   ScheduleTick(state);
 }
 
+// An absent member counts as 0 or as no text, one of another type as unusable.
+std::optional<uint64_t> NumberOrZero(const json& body, const char* name,
+                                     uint64_t most = UINT64_MAX) {
+  return body.contains(name) ? WholeNumberIn(body, name, most) : uint64_t{0};
+}
+
+std::optional<std::string> TextOrEmpty(const json& body, const char* name) {
+  return body.contains(name) ? TextIn(body, name) : std::string();
+}
+
+// What an endpoint says of itself.
+struct endpoint_status {
+  bool leaving = false;
+  uint64_t incarnation = 0;
+  int active = 0;  // requests
+  uint64_t started_ms = 0;
+};
+
+std::optional<endpoint_status> ReadStatus(std::string_view text) {
+  const json body = ParseJson(text);
+  if (!body.is_object()) return std::nullopt;
+  const auto status = TextOrEmpty(body, "state");
+  const auto incarnation = NumberOrZero(body, "incarnation");
+  const auto active = NumberOrZero(body, "active", INT_MAX);
+  const auto started = NumberOrZero(body, "started_ms");
+  if (!status || !incarnation || !active || !started) return std::nullopt;
+  return endpoint_status{*status == "leaving", *incarnation, static_cast<int>(*active), *started};
+}
+
 void OnProbeReply(router_state& state, const std::string& endpoint, const net::whole_reply& reply) {
-  const json body = json::parse(reply.body, nullptr, false);
-  const bool valid = reply.status == 200 && body.is_object();
-  const bool leaving = valid && body.value("state", "") == "leaving";
+  const auto status = reply.status == 200 ? ReadStatus(reply.body) : std::nullopt;
   health::evidence seen{.endpoint = endpoint,
                         .kind = health::evidence_kind::kProbeFailed,
                         .incarnation = std::nullopt,
                         .latency = duration::zero()};
-  if (valid) {
-    seen.kind = leaving ? health::evidence_kind::kReportedLeaving : health::evidence_kind::kProbeOk;
-    seen.incarnation = body.value("incarnation", uint64_t{0});
-    const int active = body.value("active", 0);
-    state.reported_load[endpoint] = {active, MonotonicNow()};
-    NoteReportedLoad(state, endpoint, active);
-    OnEndpointAlive(state, endpoint, body.value("started_ms", uint64_t{0}));
+  if (status) {
+    seen.kind =
+        status->leaving ? health::evidence_kind::kReportedLeaving : health::evidence_kind::kProbeOk;
+    seen.incarnation = status->incarnation;
+    state.reported_load[endpoint] = {status->active, MonotonicNow()};
+    NoteReportedLoad(state, endpoint, status->active);
+    OnEndpointAlive(state, endpoint, status->started_ms);
   } else if (reply.end.failure == net::call_failure::kConnect) {
     seen.kind = health::evidence_kind::kConnectRefused;
     OnEndpointRefused(state, endpoint);
@@ -83,13 +112,27 @@
       Subscribe(state.loop.Timers(), deadline, [&state](time_point) { RunTick(state); });
 }
 
-std::vector<health::vm_entry> ParseVmList(const json& body) {
+std::optional<health::vm_entry> ReadVm(const json& entry) {
+  if (!entry.is_object()) return std::nullopt;
+  const auto vm = TextIn(entry, "vm");
+  const auto incarnation = NumberOrZero(entry, "incarnation");
+  const auto status = TextOrEmpty(entry, "state");
+  if (!vm || !incarnation || !status) return std::nullopt;
+  return health::vm_entry{*vm, *incarnation, *status == "leaving"};
+}
+
+// Entries that cannot be read are left out; the others count.
+std::vector<health::vm_entry> ParseVmList(std::string_view text) {
   std::vector<health::vm_entry> out;
+  const json body = ParseJson(text);
   if (!body.is_object() || !body.contains("vms") || !body.at("vms").is_array()) return out;
-  for (const json& entry : body.at("vms")) {
-    if (!entry.is_object() || !entry.contains("vm") || !entry.at("vm").is_string()) continue;
-    out.push_back({entry.at("vm").get<std::string>(), entry.value("incarnation", uint64_t{0}),
-                   entry.value("state", "live") == "leaving"});
+  const json& entries = body.at("vms");
+  for (size_t i = 0; i < entries.size(); ++i) {
+    if (auto entry = ReadVm(entries[i])) {
+      out.push_back(std::move(*entry));
+    } else {
+      log::Log(log::level::kWarning, "VM entry cannot be used", {{"position", i}});
+    }
   }
   return out;
 }
@@ -103,7 +146,7 @@
   call.header_timeout = kVmListTimeout;
   net::Fetch(*state.client, std::move(call), [&state](const net::whole_reply& reply) {
     if (reply.status != 200) return;
-    const auto list = ParseVmList(json::parse(reply.body, nullptr, false));
+    const auto list = ParseVmList(reply.body);
     // An empty list says more about the platform than about the VMs.
     if (list.empty()) return;
     Apply(state, health::OnVmList(state.health, list, MonotonicNow()));
--- a/tests/system/odd_entries_test.cc
+++ b/tests/system/odd_entries_test.cc
@@ -2,6 +2,7 @@
 // them.
 #include <catch2/catch.hpp>
 
+#include "cluster.h"
 #include "platform_site.h"
 
 namespace balsambay::system_test {
@@ -74,5 +75,31 @@
   CHECK(site.CountLogLines("gateway started") == 1);
 }
 
+// The same for the platform's list of VMs in the daemon's own mode.
+TEST_CASE("odd entries in the list of VMs do no harm") {
+  using nlohmann::json;
+  const auto odd =
+      GENERATE(json{{"vm", "odd"}, {"state", "live"}, {"incarnation", "first"}},
+               json{{"vm", "odd"}, {"state", "live"}, {"incarnation", 1e300}},
+               json{{"vm", "odd"}, {"state", "live"}, {"incarnation", -1}},
+               json{{"vm", "odd"}, {"state", 5}, {"incarnation", 1}},
+               json{{"vm", "odd"}, {"state", json::array({json::object()})}, {"incarnation", 1}});
+  CAPTURE(odd.dump());
+  cluster c("odd-vms");
+  c.AddEngine("e1");
+  c.AddDaemon("d1");
+  c.Start();
+  c.Wait(c.Send(c.PlatformPort(), "POST", "/mock/vms", odd.dump()));
+  // The list is read once a second.
+  c.RunFor(1500);
+  CHECK(c.Daemon("d1").process->Running());
+  CHECK(c.Wait(c.SendChat("d1", "question", 10, false)).status == 200);
+  // The list is still followed.
+  c.PlatformVm("vm-e1", 1, "leaving");
+  const bool leaves = c.RunUntil(
+      [&] { return c.Wait(c.SendChat("d1", "question", 10, false)).status == 503; }, 4000);
+  CHECK(leaves);
+}
+
 }  // namespace
 }  // namespace balsambay::system_test
--- a/tools/mock_platform/main.cc
+++ b/tools/mock_platform/main.cc
@@ -91,7 +91,7 @@
   const auto json = nlohmann::json::parse(request->Body(), nullptr, false);
   if (!json.is_object() || !json.contains("vm")) return BadRequest(request, "member vm is missing");
   const std::string id = json.at("vm");
-  if (json.value("state", "").empty()) {
+  if (json.value("state", nlohmann::json("")) == nlohmann::json("")) {
     state.vms.erase(id);
   } else {
     state.vms[id] = json;
