--- a/libs/net/src/engine_client.cc
+++ b/libs/net/src/engine_client.cc
@@ -3,6 +3,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/json.h"
+
 namespace balsambay::net {
 namespace {
 
@@ -124,31 +126,46 @@
       Fail(run_failure::kBroken, Head(), "line too long");
   }
 
+  // What came before an unusable line is part of the answer.
+  void OnUnusable(std::string_view detail) {
+    const auto keep = shared_from_this();
+    Flush();
+    Fail(run_failure::kBroken, Head(), detail);
+  }
+
   void OnLine(std::string_view line) {
-    const auto json = nlohmann::json::parse(line, nullptr, false);
-    if (!json.is_object())
-      return Fail(run_failure::kBroken, Head(), "reply line is not a JSON object");
-    try {
-      OnMessage(json);
-    } catch (const nlohmann::json::exception& failure) {
-      Fail(run_failure::kBroken, Head(), failure.what());
+    const nlohmann::json message = ParseJson(line);
+    const auto attempt = WholeNumberIn(message, "attempt", UINT32_MAX);
+    if (!attempt) return OnUnusable("reply line is not a message");
+    if (message.contains("token")) {
+      const auto index = WholeNumberIn(message, "index", UINT32_MAX);
+      auto token = TextIn(message, "token");
+      if (!index || !token) return OnUnusable("token cannot be used");
+      return OnToken(static_cast<uint32_t>(*attempt), static_cast<uint32_t>(*index),
+                     std::move(*token));
     }
+    if (message.contains("error")) return OnError(message);
+    const bool ends = message.contains("end") && message.at("end") != false;
+    if (ends) OnEnd(static_cast<uint32_t>(*attempt), message);
+  }
+
+  void OnError(const nlohmann::json& message) {
+    const auto keep = shared_from_this();
+    Flush();
+    Fail(run_failure::kStageLost, TextIn(message, "endpoint").value_or(Head()),
+         TextIn(message, "error").value_or("error without a text"));
   }
 
-  void OnMessage(const nlohmann::json& json) {
-    const uint32_t attempt = json.at("attempt");
-    if (json.contains("token")) return OnToken(attempt, json.at("index"), json.at("token"));
+  void OnEnd(uint32_t attempt, const nlohmann::json& message) {
+    const auto count = WholeNumberIn(message, "count", UINT32_MAX);
+    if (message.at("end") != true || !count) return OnUnusable("end mark cannot be used");
+    const auto keep = shared_from_this();
     Flush();
     if (done_) return;
-    if (json.contains("error")) {
-      const std::string endpoint = json.value("endpoint", Head());
-      return Fail(run_failure::kStageLost, endpoint, json.at("error").get<std::string>());
-    }
-    if (!json.value("end", false)) return;
-    const auto keep = shared_from_this();
     const auto on_end = events_.on_end;
     Close();
-    if (on_end) on_end(attempt, json.at("count"), json.value("finish_reason", "stop"));
+    const std::string reason = TextIn(message, "finish_reason").value_or("stop");
+    if (on_end) on_end(attempt, static_cast<uint32_t>(*count), reason);
   }
 
   void OnToken(uint32_t attempt, uint32_t index, std::string token) {
