Gateway: streams that the engines carry in time are let in

Cause: the limit was half of the time between tokens that a route allows, set when the pipes between zones made streams late that no engine held up.

Now 0.75 of it.

overload_test shows it without the bench: at 4, 4.5 and 5 streams a second all are in time, and 4, 20 and 41 were refused; none now. With three times the load the rule still keeps callers from waiting in vain (unchanged test).

--- a/libs/gateway/src/pace.cc
+++ b/libs/gateway/src/pace.cc
@@ -17,7 +17,7 @@
 constexpr int kLeastAnswers = 30;
 // Part of the time between tokens that estimates may take: they leave out the reading of prompts,
 // which engines do between the tokens of the streams that run.
-constexpr double kEstimatePart = 0.5;
+constexpr double kEstimatePart = 0.75;
 
 }  // namespace
 
--- a/libs/gateway/tests/overload_test.cc
+++ b/libs/gateway/tests/overload_test.cc
@@ -116,5 +116,17 @@
   CHECK(some.left < all.left / 2);
 }
 
+// Guards against refusals of streams that the engines carry in time: estimates are above what
+// streams get.
+TEST_CASE("streams that the engines carry in time are let in") {
+  const double per_s = GENERATE(2.0, 4.0, 4.5, 5.0);
+  const outcome all = Play(per_s, false);
+  const outcome some = Play(per_s, true);
+  CAPTURE(per_s, all.asked, all.in_time, some.in_time, some.refused);
+  CHECK(all.left == 0);
+  CHECK(some.refused == 0);
+  CHECK(some.in_time == all.in_time);
+}
+
 }  // namespace
 }  // namespace balsambay::gateway
