gateway: read the process limits and export the memory held for requests

Cause: the logs and metrics do not tell how much memory requests and replies hold, so memory cannot be told from other causes of a process that ends.

No decision depends on them yet.

--- a/libs/gateway/include/gateway/settings.h
+++ b/libs/gateway/include/gateway/settings.h
@@ -1,6 +1,7 @@
 // Settings of one gateway process. The adapter of the platform fills them from its settings file.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -35,6 +36,10 @@
   // A change of the configuration or of the list of endpoints has to be known to all gateways after
   // this time: the shorter one of the limits that the platform sets for them.
   duration change_propagation_limit = std::chrono::milliseconds(2000);
+  // Memory in bytes at which the platform ends the process.
+  size_t memory_limit_bytes = 256'000'000;
+  // Sockets that the process may have open at the same time.
+  int max_sockets = 4000;
   uint64_t seed = 0;  // of the random generator; 0: taken from the system
   bool operator==(const settings&) const = default;
 };
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/buffer_budget.h"
 #include "base/random.h"
 #include "catalog/catalog.h"
 #include "details/event_stream.h"
@@ -222,6 +223,10 @@
 // Settings of this gateway's quarantine (defined in containment.cc).
 quarantine::settings QuarantineSettings(const settings& values);
 
+// Share of the memory limit that the buffers of all requests may hold together. The rest is for
+// copies that are made while data is passed on, unused capacity, and the process itself.
+constexpr size_t kBufferMemoryDivisor = 4;
+
 struct gateway_state {
   gateway_state(const settings& values, wire calls, store_hooks hooks, net::loop& main_loop)
       : config(values),
@@ -230,7 +235,9 @@
         store(std::move(hooks)),
         loop(main_loop),
         client(net::MakeHttpClient(main_loop.Timers())),
-        rng(values.seed != 0 ? values.seed : std::random_device{}()) {}
+        rng(values.seed != 0 ? values.seed : std::random_device{}()),
+        buffers(std::make_shared<buffer_budget>(values.memory_limit_bytes / kBufferMemoryDivisor)) {
+  }
 
   settings config;
   quarantine::table quarantine;
@@ -243,6 +250,7 @@
   std::unique_ptr<net::http_server> metrics_server;
   std::unique_ptr<net::datagram_socket> peer_socket;
   random_generator rng;
+  std::shared_ptr<buffer_budget> buffers;  // of requests and replies; shared by all requests
 
   std::shared_ptr<const catalog::catalog> configuration;  // null: none yet
   // The configuration table is reachable, so newer versions are noticed.
--- a/libs/gateway/src/details/telemetry.h
+++ b/libs/gateway/src/details/telemetry.h
@@ -24,6 +24,9 @@
   metrics::histogram_id duration_seconds;
   metrics::gauge_id open_calls;
   metrics::gauge_id config_version;
+  metrics::gauge_id buffer_bytes;       // held by requests and replies, of the common limit
+  metrics::gauge_id buffer_limit;       // bytes
+  metrics::gauge_id peak_memory_bytes;  // largest resident size of the process so far
 };
 
 // A request that the gateway itself answered with an error.
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -2,6 +2,8 @@
 // metrics servers, shutdown.
 #include "gateway/gateway.h"
 
+#include <sys/resource.h>
+
 #include "details/calls.h"
 #include "details/containment.h"
 #include "details/fleet.h"
@@ -20,6 +22,14 @@
 // Long, because idle connections of callers are left open for reuse; the callers close them.
 constexpr duration kIdleTimeout = std::chrono::minutes(5);
 
+// Largest resident size of this process so far.
+double PeakMemoryBytes() {
+  constexpr double kBytesPerUnit = 1024;  // of ru_maxrss
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return kBytesPerUnit * static_cast<double>(usage.ru_maxrss);
+}
+
 class gateway_impl final : public gateway {
  public:
   gateway_impl(const settings& settings, wire wire, store_hooks store, net::loop& loop)
@@ -128,6 +138,9 @@
     state_.config.stop_grace = settings.stop_grace;
     state_.config.feed_age_limit = settings.feed_age_limit;
     state_.config.change_propagation_limit = settings.change_propagation_limit;
+    state_.config.memory_limit_bytes = settings.memory_limit_bytes;
+    state_.buffers->limit_bytes = settings.memory_limit_bytes / kBufferMemoryDivisor;
+    state_.config.max_sockets = settings.max_sockets;
     ApplyBudgetSettings();
     AdaptFeeds(state_);
   }
@@ -172,6 +185,11 @@
   void RespondMetrics(const net::exchange_ptr& exchange) {
     metrics::Set(state_.metrics.registry, state_.metrics.open_calls,
                  static_cast<double>(state_.calls.size()));
+    metrics::Set(state_.metrics.registry, state_.metrics.buffer_bytes,
+                 static_cast<double>(state_.buffers->used_bytes));
+    metrics::Set(state_.metrics.registry, state_.metrics.buffer_limit,
+                 static_cast<double>(state_.buffers->limit_bytes));
+    metrics::Set(state_.metrics.registry, state_.metrics.peak_memory_bytes, PeakMemoryBytes());
     const std::vector<net::header> headers = {{"Content-Type", std::string(metrics::kContentType)}};
     exchange->Respond(200, headers, metrics::PrometheusText(state_.metrics.registry));
   }
--- a/libs/gateway/src/telemetry.cc
+++ b/libs/gateway/src/telemetry.cc
@@ -40,7 +40,13 @@
                                              metrics::kLatencySeconds)),
       open_calls(metrics::AddGauge(registry, "gateway_open_requests", "Requests in progress.")),
       config_version(
-          metrics::AddGauge(registry, "gateway_config_version", "Configuration in force.")) {}
+          metrics::AddGauge(registry, "gateway_config_version", "Configuration in force.")),
+      buffer_bytes(metrics::AddGauge(registry, "gateway_buffer_bytes",
+                                     "Bytes held for requests and replies.")),
+      buffer_limit(metrics::AddGauge(registry, "gateway_buffer_limit_bytes",
+                                     "Limit of the bytes held for requests and replies.")),
+      peak_memory_bytes(metrics::AddGauge(registry, "gateway_peak_memory_bytes",
+                                          "Largest resident size of the process.")) {}
 
 void CountRefusal(telemetry& metrics, std::string_view reason) {
   Count(metrics, "gateway_refusals_total", "Requests answered without an endpoint's answer.",
