Do not take an empty stream without a length for a whole one

Callers got a 200 with an empty body, framed as whole, when an engine ended its connection cleanly right after the head of a stream that has neither a length nor chunks.

Cause: the end of the connection was taken for the end of the stream, although no event had come.

Change: such a reply counts as broken, so the stream continues at another engine, or is answered with 502.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -346,6 +346,14 @@
   }
 }
 
+// Whether a streamed reply that has ended without an error is complete. Without a length or chunks,
+// the end of the connection before the first event does not show that the endpoint has sent all.
+bool IsCompleteStream(const attempt& attempt) {
+  const bool ends_with_connection =
+      attempt.head.Get("Content-Length").empty() && attempt.head.Get("Transfer-Encoding").empty();
+  return attempt.events.partial.empty() && (attempt.progressed || !ends_with_connection);
+}
+
 void OnEnd(gateway_state& state, const call_ptr& request, const attempt_ptr& attempt,
            const net::call_end& end, const attempt_callbacks& callbacks) {
   const auto fail = [&](attempt_failure reason) {
@@ -362,7 +370,7 @@
     case net::call_failure::kNone:
       break;
   }
-  const bool incomplete = IsStreamedReply(*request, *attempt) && !attempt->events.partial.empty();
+  const bool incomplete = IsStreamedReply(*request, *attempt) && !IsCompleteStream(*attempt);
   if (incomplete) return fail(attempt_failure::kBroken);
   // An error reply cannot end a stream that has begun.
   const bool misplaced = request->streaming && attempt->head.status != 200;
