gateway: collected replies share a common limit of memory

Callers lost all requests on a machine whose gateway ran out of memory: endpoints sent bodies without end, and each open attempt held up to 16 MB on its own.

Cause: replies that are not streamed had a limit each and none together.

Change: the body of a reply holds a share of the common limit, by its capacity. When there is no room, the largest reply is failed and freed: 502 to its caller, or another attempt where that is allowed. A reply that announces more than may be held fails at its head. Log line "reply too large" and gateway_replies_too_large_total{reason}. Buffers grow to the announced length at most.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 
+#include "base/text.h"
 #include "details/containment.h"
 #include "details/fleet.h"
 #include "log/log.h"
@@ -24,6 +25,14 @@
 constexpr int kMaxReroutes = 2;
 // A reply that is not streamed is held in memory; a larger one fails the attempt.
 constexpr size_t kMaxReplyBytes = size_t{16} << 20;
+// Longer announced lengths are taken for this one.
+constexpr double kMaxAnnouncedBytes = 1e18;
+// Why a reply has more bytes than can be held; values of the label "reason" of
+// gateway_replies_too_large_total.
+constexpr std::string_view kAnnouncedLength = "announced_length";
+constexpr std::string_view kReplyLimit = "reply_limit";
+constexpr std::string_view kCommonLimit = "common_limit";
+constexpr std::string_view kReclaimed = "reclaimed";
 // Events hold a few tokens, so more bytes than this without an event boundary are not an event
 // stream.
 constexpr size_t kMaxEventBytes = size_t{256} << 10;
@@ -300,6 +309,83 @@
          (!success || attempt.facts.authentic);
 }
 
+// Bytes that a reply which is not streamed may have.
+size_t MaxReplyBytes(const gateway_state& state) {
+  return std::min(kMaxReplyBytes, state.buffers->limit_bytes);
+}
+
+// Length of the body that the head announces; 0: none, or there is no body.
+uint64_t AnnouncedBodyBytes(const call& request, const net::reply_head& head) {
+  const bool has_no_body =
+      request.incoming.method == "HEAD" || head.status == 204 || head.status == 304;
+  if (has_no_body) return 0;
+  const double announced = ParseNumber(head.Get("Content-Length")).value_or(0);
+  return static_cast<uint64_t>(std::clamp(announced, 0.0, kMaxAnnouncedBytes));
+}
+
+// Fails an attempt whose reply cannot be held. `bytes`: size of the reply as far as it is known.
+void FailTooLarge(gateway_state& state, const call_ptr& request, const attempt_ptr& attempt,
+                  std::string_view reason, uint64_t bytes, const attempt_callbacks& callbacks) {
+  CountLargeReply(state.metrics, reason);
+  log::Log(log::level::kWarning, "reply too large",
+           {{"request", request->incoming.id},
+            {"attempt", attempt->number},
+            {"endpoint", attempt->path.front().endpoint_id},
+            {"reason", reason},
+            {"bytes", bytes},
+            {"limit_bytes", MaxReplyBytes(state)},
+            {"buffer_bytes", state.buffers->used_bytes},
+            {"buffer_limit_bytes", state.buffers->limit_bytes}});
+  attempt->reply_body = {};
+  attempt->buffer.reset();
+  callbacks.on_failure(state, request, attempt, attempt_failure::kBroken);
+}
+
+// Share for the body of the reply. When it is reclaimed, the body is freed at once, and the attempt
+// fails in the next turn of the loop.
+std::unique_ptr<buffer_share> MakeBuffer(gateway_state& state, const call_ptr& request,
+                                         const attempt_ptr& owner,
+                                         const attempt_callbacks& callbacks) {
+  return std::make_unique<buffer_share>(
+      state.buffers, [&state, weak_request = std::weak_ptr(request),
+                      weak_attempt = std::weak_ptr(owner), callbacks] {
+        const attempt_ptr reclaimed = weak_attempt.lock();
+        if (!reclaimed) return;
+        const size_t bytes = reclaimed->reply_body.size();
+        reclaimed->reply_body = {};
+        Subscribe(state.loop.Timers(), MonotonicNow(),
+                  [&state, weak_request, weak_attempt, callbacks, bytes](time_point) {
+                    const call_ptr locked_request = weak_request.lock();
+                    const attempt_ptr locked_attempt = weak_attempt.lock();
+                    if (!IsCurrent(locked_request, locked_attempt)) return;
+                    FailTooLarge(state, locked_request, locked_attempt, kReclaimed, bytes,
+                                 callbacks);
+                  });
+      });
+}
+
+// Appends to the body of a reply that is passed on whole. Returns false, without an effect, if its
+// memory exceeds the common limit or was reclaimed.
+bool AppendToReply(const gateway_state& state, const call& request, attempt& attempt,
+                   std::string_view data) {
+  std::string& body = attempt.reply_body;
+  const size_t needed = body.size() + data.size();
+  if (attempt.buffer->IsReclaimed()) return false;
+  if (needed > body.capacity()) {
+    const uint64_t announced = AnnouncedBodyBytes(request, attempt.head);
+    size_t capacity = std::min(2 * body.capacity(), MaxReplyBytes(state));
+    if (announced > 0) capacity = std::min<size_t>(capacity, announced);
+    capacity = std::max(capacity, needed);
+    if (!attempt.buffer->Resize(capacity)) return false;
+    std::string grown;
+    grown.reserve(capacity);
+    grown += body;
+    body = std::move(grown);
+  }
+  body += data;
+  return true;
+}
+
 void OnHead(gateway_state& state, const call_ptr& request, const attempt_ptr& attempt,
             const net::reply_head& head, const attempt_callbacks& callbacks) {
   attempt->head = head;
@@ -317,16 +403,28 @@
   if (!IsOwnReply(*request, *attempt)) {
     return callbacks.on_failure(state, request, attempt, attempt_failure::kBroken);
   }
+  const uint64_t announced = AnnouncedBodyBytes(*request, head);
+  const bool held = !IsStreamedReply(*request, *attempt);
+  if (held && announced > MaxReplyBytes(state)) {
+    FailTooLarge(state, request, attempt, kAnnouncedLength, announced, callbacks);
+  }
+}
+
+void CollectReply(gateway_state& state, const call_ptr& request, const attempt_ptr& attempt,
+                  std::string_view data, const attempt_callbacks& callbacks) {
+  if (!attempt->buffer) attempt->buffer = MakeBuffer(state, request, attempt, callbacks);
+  const size_t bytes = attempt->reply_body.size() + data.size();
+  const bool fits = bytes <= MaxReplyBytes(state);
+  if (fits && AppendToReply(state, *request, *attempt, data)) return;
+  // The attempt already has a timer that ends it.
+  if (attempt->buffer->IsReclaimed()) return;
+  FailTooLarge(state, request, attempt, fits ? kCommonLimit : kReplyLimit, bytes, callbacks);
 }
 
 void OnData(gateway_state& state, const call_ptr& request, const attempt_ptr& attempt,
             std::string_view data, const attempt_callbacks& callbacks) {
   if (!IsStreamedReply(*request, *attempt)) {
-    attempt->reply_body += data;
-    if (attempt->reply_body.size() > kMaxReplyBytes) {
-      callbacks.on_failure(state, request, attempt, attempt_failure::kBroken);
-    }
-    return;
+    return CollectReply(state, request, attempt, data, callbacks);
   }
   const std::string complete_events = TakeCompleteEvents(attempt->events, data);
   const bool unusable =
@@ -370,7 +468,9 @@
     case net::call_failure::kNone:
       break;
   }
+  const bool reclaimed = attempt->buffer && attempt->buffer->IsReclaimed();
   const bool incomplete = IsStreamedReply(*request, *attempt) && !IsCompleteStream(*attempt);
+  if (reclaimed) return FailTooLarge(state, request, attempt, kReclaimed, 0, callbacks);
   if (incomplete) return fail(attempt_failure::kBroken);
   // An error reply cannot end a stream that has begun.
   const bool misplaced = request->streaming && attempt->head.status != 200;
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -115,8 +115,10 @@
   net::reply_head head;
   reply_metadata facts;
   std::string reply_body;  // of replies that are passed on whole
-  event_splitter events;   // the whole stream so far, including that of earlier attempts
-  std::string withheld;    // complete events that are not passed on yet
+  // Memory of `reply_body`, by its capacity; null: none yet.
+  std::unique_ptr<buffer_share> buffer;
+  event_splitter events;  // the whole stream so far, including that of earlier attempts
+  std::string withheld;   // complete events that are not passed on yet
   time_point last_progress;
   bool progressed = false;  // has made output
   int outputs = 0;          // since the engines last changed or the quarantine restarted its run
--- a/libs/gateway/src/details/telemetry.h
+++ b/libs/gateway/src/details/telemetry.h
@@ -37,6 +37,8 @@
 void CountFeedCheck(telemetry& metrics, std::string_view reason);
 // A change of a shared table that another gateway forwarded and that could not be applied.
 void CountUnusedChange(telemetry& metrics, std::string_view reason);
+// An attempt that failed because its reply has more bytes than can be held.
+void CountLargeReply(telemetry& metrics, std::string_view reason);
 void CountRetry(telemetry& metrics, std::string_view reason);
 // An attempt that the gateway cancelled while its endpoint may still have been executing it.
 void CountCancelledAttempt(telemetry& metrics, std::string_view reason);
--- a/libs/gateway/src/telemetry.cc
+++ b/libs/gateway/src/telemetry.cc
@@ -66,6 +66,11 @@
         "Changes of shared tables from other gateways that could not be used.", reason);
 }
 
+void CountLargeReply(telemetry& metrics, std::string_view reason) {
+  Count(metrics, "gateway_replies_too_large_total", "Replies with more bytes than can be held.",
+        reason);
+}
+
 void CountRetry(telemetry& metrics, std::string_view reason) {
   Count(metrics, "gateway_retries_total", "Further attempts of requests.", reason);
 }
