gateway: a common limit for the request bodies of all callers

What callers saw: any number of callers could send bodies of up to 64 MB each at the same time. The process grew beyond its memory limit, is then ended by the platform, and all requests on it are lost. A body beyond the configuration's max_body_bytes was accepted, and a refusal of an endless body came only when the body ended or after 30 s.

Cause: the server limited each body by a constant of its own and never read max_body_bytes; nothing bounded the sum. libsoup kept the chunks and a joined copy of them, and each call another copy.

Change: the server collects bodies itself, within the budget of buffers that all requests share. A stated length is reserved when the headers arrive; without one, room is taken as the bytes come. The largest body that is still being received is reclaimed first; one that has arrived is pinned, because an endpoint may be executing it. Without room: 503 no_memory with Retry-After, at once, and the connection is closed. max_body_bytes holds (413). Rejections are sent before the body has ended and are logged and counted. A call refers to the body of its exchange instead of a copy. The readiness and metrics ports accept 64 KB.

--- a/libs/base/include/base/buffer_budget.h
+++ b/libs/base/include/base/buffer_budget.h
@@ -17,7 +17,7 @@
 class buffer_share;
 
 // Invariants: `used_bytes` is the sum of all shares; `by_size` has exactly the shares that hold
-// bytes. All shares are resized on one thread.
+// bytes and are not pinned. All shares are resized on one thread.
 struct buffer_budget {
   explicit buffer_budget(size_t limit) : limit_bytes(limit) {}
 
@@ -42,6 +42,10 @@
   // fit. A share whose bytes were reclaimed does not grow again.
   [[nodiscard]] bool Resize(size_t bytes);
 
+  // From now on the bytes are not reclaimed for other buffers. For data that is in use, such as the
+  // body of a request that an endpoint may be executing.
+  void Pin();
+
   size_t Bytes() const { return bytes_; }
   bool IsReclaimed() const { return reclaimed_; }
 
@@ -56,6 +60,7 @@
   std::function<void()> on_reclaim_;
   size_t bytes_ = 0;
   bool reclaimed_ = false;
+  bool pinned_ = false;
 };
 
 }  // namespace balsambay
--- a/libs/base/src/buffer_budget.cc
+++ b/libs/base/src/buffer_budget.cc
@@ -16,6 +16,11 @@
   return true;
 }
 
+void buffer_share::Pin() {
+  if (budget_ && bytes_ > 0 && !pinned_) budget_->by_size.erase({bytes_, this});
+  pinned_ = true;
+}
+
 bool buffer_share::MakeRoom(size_t bytes) {
   if (!budget_) return true;
   size_t needed = budget_->used_bytes - bytes_ + bytes;
@@ -32,9 +37,9 @@
 
 void buffer_share::Account(size_t bytes) {
   if (budget_) {
-    if (bytes_ > 0) budget_->by_size.erase({bytes_, this});
+    if (bytes_ > 0 && !pinned_) budget_->by_size.erase({bytes_, this});
     budget_->used_bytes += bytes - bytes_;
-    if (bytes > 0) budget_->by_size.emplace(bytes, this);
+    if (bytes > 0 && !pinned_) budget_->by_size.emplace(bytes, this);
   }
   bytes_ = bytes;
 }
--- a/libs/base/tests/buffer_budget_test.cc
+++ b/libs/base/tests/buffer_budget_test.cc
@@ -51,6 +51,20 @@
   CHECK(budget->used_bytes == 100);
 }
 
+// Guards against a request that loses its body while an endpoint may be executing it.
+TEST_CASE("a pinned buffer is counted but not reclaimed") {
+  const auto budget = std::make_shared<buffer_budget>(100);
+  buffer_share in_use(budget, [] { FAIL("a pinned buffer was reclaimed"); });
+  REQUIRE(in_use.Resize(70));
+  in_use.Pin();
+  buffer_share other(budget, {});
+  CHECK_FALSE(other.Resize(31));
+  CHECK(other.Resize(30));
+  CHECK(budget->used_bytes == 100);
+  REQUIRE(in_use.Resize(0));
+  CHECK(other.Resize(100));
+}
+
 TEST_CASE("the budget outlives its creator while buffers use it") {
   std::optional<buffer_share> share(std::in_place, std::make_shared<buffer_budget>(10), nullptr);
   CHECK(share->Resize(10));
@@ -66,6 +80,7 @@
       auto& share = shares[index % shares.size()];
       if (!share || share->IsReclaimed()) share = std::make_unique<buffer_share>(budget, nullptr);
       (void)share->Resize(bytes % 1500);
+      if (bytes % 7 == 0) share->Pin();
       size_t sum = 0;
       for (const auto& each : shares) sum += each ? each->Bytes() : 0;
       RC_ASSERT(budget->used_bytes == sum);
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -60,13 +60,17 @@
   exchange->Respond(status, headers, body);
 }
 
-void SendRefusal(gateway_state& state, const net::exchange_ptr& exchange, const refusal& refusal) {
-  CountRefusal(state.metrics, refusal.reason);
+std::vector<net::header> RefusalHeaders(const refusal& refusal) {
   std::vector<net::header> headers = {{"Content-Type", "text/plain"}};
   if (refusal.retry_after > duration::zero()) {
     headers.push_back({"Retry-After", RetryAfterText(refusal.retry_after)});
   }
-  SendReply(state, exchange, refusal.status, std::move(headers),
+  return headers;
+}
+
+void SendRefusal(gateway_state& state, const net::exchange_ptr& exchange, const refusal& refusal) {
+  CountRefusal(state.metrics, refusal.reason);
+  SendReply(state, exchange, refusal.status, RefusalHeaders(refusal),
             std::string(refusal.reason) + "\n");
 }
 
@@ -162,6 +166,18 @@
              UniformUnit(state.rng) * static_cast<double>(duration(kRoomRetrySpread).count())));
 }
 
+refusal RefusalOf(gateway_state& state, net::rejection why) {
+  switch (why) {
+    case net::rejection::kTooLarge:
+      return {413, "body_too_large"};
+    case net::rejection::kSlowSender:
+      return {408, "body_too_slow"};
+    case net::rejection::kNoMemory:
+      break;
+  }
+  return {503, "no_memory", RandomRetryAfter(state)};
+}
+
 // Refuses a quarantined request. A retry can succeed only after the quarantine has ended.
 void GiveUpQuarantined(gateway_state& state, const call_ptr& request) {
   const duration time_left = QuarantinedUntil(state, *request) - MonotonicNow();
@@ -544,6 +560,20 @@
   TryStart(state, request);
 }
 
+std::string RejectCall(gateway_state& state, net::rejection why,
+                       std::vector<net::header>& headers) {
+  const refusal refusal = RefusalOf(state, why);
+  log::Log(log::level::kInfo, "request rejected before its body had arrived",
+           {{"status", refusal.status},
+            {"reason", refusal.reason},
+            {"buffer_bytes", state.buffers->used_bytes},
+            {"buffer_limit_bytes", state.buffers->limit_bytes},
+            {"version", VersionInForce(state)}});
+  CountRefusal(state.metrics, refusal.reason);
+  headers = RefusalHeaders(refusal);
+  return std::string(refusal.reason) + "\n";
+}
+
 namespace {
 
 std::vector<call_ptr> FindCalls(const gateway_state& state, const quarantine::fingerprint& key) {
--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -214,7 +214,9 @@
 
 quarantine::fingerprint ComputeFingerprint(const call& request) {
   const std::string& caller = request.workspace.empty() ? request.incoming.key : request.workspace;
-  return quarantine::MakeFingerprint(caller, request.incoming.target + "\n" + request.body);
+  std::string content = request.incoming.target + "\n";
+  content += request.body;
+  return quarantine::MakeFingerprint(caller, content);
 }
 
 quarantine::settings QuarantineSettings(const settings& values) {
--- a/libs/gateway/src/details/calls.h
+++ b/libs/gateway/src/details/calls.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "details/attempt.h"
 #include "details/state.h"
@@ -12,6 +13,9 @@
 // Accepts a request of a caller, or refuses it.
 void AcceptCall(gateway_state& state, const net::exchange_ptr& exchange);
 
+// Reply to a request that was rejected before its body had arrived, and its headers.
+std::string RejectCall(gateway_state& state, net::rejection why, std::vector<net::header>& headers);
+
 // Callbacks for the attempts of all requests.
 const attempt_callbacks& CallAttemptCallbacks();
 
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -142,7 +143,7 @@
 struct call {
   uint64_t number = 0;
   incoming_call incoming;
-  std::string body;
+  std::string_view body;                // of `exchange`, which keeps it until the reply has ended
   quarantine::fingerprint fingerprint;  // the same for each repetition by the caller
   net::exchange_ptr exchange;
   std::shared_ptr<const catalog::catalog> configuration;  // the version in force on arrival
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -21,6 +21,10 @@
 constexpr duration kExitReserve = 300ms;
 // Long, because idle connections of callers are left open for reuse; the callers close them.
 constexpr duration kIdleTimeout = std::chrono::minutes(5);
+// Limit of a request body until there is a configuration, which states its own.
+constexpr size_t kMaxBodyBytes = size_t{64} << 20;
+// Limit of a request body of readiness checks and of calls for metrics, which have none.
+constexpr size_t kMaxCheckBodyBytes = 65536;
 
 // Largest resident size of this process so far.
 double PeakMemoryBytes() {
@@ -40,15 +44,19 @@
   }
 
   result<void> Listen() {
-    const net::server_limits limits{.max_body_bytes = size_t{64} << 20,
-                                    .body_timeout = std::chrono::seconds(30),
-                                    .idle_timeout = kIdleTimeout};
+    net::server_limits limits{.max_body_bytes = kMaxBodyBytes,
+                              .body_timeout = std::chrono::seconds(30),
+                              .idle_timeout = kIdleTimeout,
+                              .buffers = state_.buffers};
     net::server_handlers calls;
     calls.on_request = [this](const net::exchange_ptr& exchange) { AcceptCall(state_, exchange); };
-    calls.on_reject = [](net::rejection, std::vector<net::header>&) { return std::string(); };
+    calls.on_reject = [this](net::rejection why, std::vector<net::header>& headers) {
+      return RejectCall(state_, why, headers);
+    };
     BOOST_OUTCOME_TRY(server, net::ListenHttp(state_.config.listen, limits, state_.loop.Timers(),
                                               std::move(calls)));
     state_.server = std::move(server);
+    limits.max_body_bytes = kMaxCheckBodyBytes;
     net::server_handlers ready;
     ready.on_request = [this](const net::exchange_ptr& exchange) { RespondReadiness(exchange); };
     ready.on_reject = [](net::rejection, std::vector<net::header>&) { return std::string(); };
@@ -97,6 +105,7 @@
               {"workspaces", document.workspaces.size()}});
     state_.configuration =
         std::make_shared<const catalog::catalog>(catalog::Build(std::move(document)));
+    state_.server->SetMaxBodyBytes(state_.configuration->content.limits.max_body_bytes);
     metrics::Set(state_.metrics.registry, state_.metrics.config_version,
                  static_cast<double>(state_.configuration->content.version));
   }
--- a/libs/net/include/net/http_server.h
+++ b/libs/net/include/net/http_server.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "base/buffer_budget.h"
 #include "base/result.h"
 #include "base/timer_service.h"
 
@@ -22,10 +23,14 @@
   size_t max_body_bytes = 1 << 20;
   duration body_timeout = std::chrono::seconds(10);  // from the request's headers to its whole body
   duration idle_timeout = std::chrono::seconds(120);  // for the headers of the next request
+  // Common limit of the bodies of all requests; null: none. A body that has arrived is not
+  // reclaimed.
+  std::shared_ptr<buffer_budget> buffers = nullptr;
 };
 
-// Why a request was answered before it reached the handler.
-enum class rejection { kTooLarge, kSlowSender };
+// Why a request was answered before it reached the handler: 413, 408, and 503 if there is no memory
+// for its body.
+enum class rejection { kTooLarge, kSlowSender, kNoMemory };
 
 // One request and its reply. After the reply has ended or the caller has hung up, calls have no
 // effect.
@@ -41,6 +46,7 @@
   // All request headers in the order received; the views are valid during the call of `fn`.
   virtual void ForEachHeader(
       const std::function<void(std::string_view name, std::string_view value)>& fn) const = 0;
+  // Valid until the reply has ended.
   virtual std::string_view Body() const = 0;
 
   // Sends a whole reply.
@@ -70,11 +76,14 @@
  public:
   virtual ~http_server() = default;
   virtual int Port() const = 0;
+  // Applies to requests whose headers have not arrived yet.
+  virtual void SetMaxBodyBytes(size_t bytes) = 0;
 };
 
 struct server_handlers {
   std::function<void(exchange_ptr)> on_request;
-  // Builds the reply to a rejected request; the server sends it and closes the connection.
+  // Builds the reply to a rejected request; the server sends it at once, even if the body has not
+  // arrived, and closes the connection.
   std::function<std::string(rejection, std::vector<header>&)> on_reject;
 };
 
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -18,6 +18,9 @@
 using namespace std::chrono_literals;
 
 constexpr const char* kExchangeKey = "balsambay-exchange";
+// Time after a rejection in which the rest of a body is discarded. Closing at once would reset the
+// connection, and the caller might lose the reply.
+constexpr duration kDiscardTime = 1s;
 
 struct server_state {
   server_limits limits;
@@ -30,10 +33,19 @@
   if (socket != nullptr) shutdown(g_socket_get_fd(socket), SHUT_RDWR);
 }
 
+// The body of a request, and its share of the common limit.
+struct request_body {
+  std::string bytes;
+  std::unique_ptr<buffer_share> share;
+};
+
+// Releases the memory, not only the content.
+void Free(std::string& bytes) { std::string().swap(bytes); }
+
 class soup_exchange final : public exchange, public std::enable_shared_from_this<soup_exchange> {
  public:
-  explicit soup_exchange(SoupServerMessage* message)
-      : message_(message), uri_(soup_server_message_get_uri(message)) {
+  soup_exchange(SoupServerMessage* message, request_body body)
+      : message_(message), uri_(soup_server_message_get_uri(message)), body_(std::move(body)) {
     g_object_ref(message_);
   }
 
@@ -64,11 +76,7 @@
     while (soup_message_headers_iter_next(&it, &name, &value) != FALSE) fn(name, value);
   }
 
-  std::string_view Body() const override {
-    const SoupMessageBody* body = soup_server_message_get_request_body(message_);
-    return body->data == nullptr ? std::string_view()
-                                 : std::string_view(body->data, static_cast<size_t>(body->length));
-  }
+  std::string_view Body() const override { return body_.bytes; }
 
   void Respond(int status, std::span<const header> headers, std::string_view body) override {
     if (!open_) return;
@@ -106,6 +114,7 @@
     on_hangup = nullptr;
     on_drained = nullptr;
     StopWatching();
+    body_ = {};
     if (pending_ == 0) return Break();
     aborting_ = true;
   }
@@ -138,6 +147,7 @@
   void Finish() {
     open_ = false;
     StopWatching();
+    body_ = {};
     soup_message_body_complete(soup_server_message_get_response_body(message_));
     soup_server_message_unpause(message_);
   }
@@ -202,6 +212,7 @@
 
   SoupServerMessage* message_;
   GUri* uri_;
+  request_body body_;
   GSource* watch_ = nullptr;
   size_t pending_ = 0;
   bool open_ = true;  // false once the reply has ended or the caller has hung up
@@ -210,13 +221,13 @@
   std::shared_ptr<soup_exchange> self_;
 };
 
-// Limits of one request before it reaches the handler. Owned by the message.
+// Limits of one request before it reaches the handler, and its body. Owned by the message.
 struct intake {
   server_state* server = nullptr;  // gone when an exchange outlives its server
   timer_service* timers = nullptr;
   SoupServerMessage* message = nullptr;
   timer_id timer = 0;
-  size_t received = 0;
+  request_body body;
   bool rejected = false;
 };
 
@@ -226,46 +237,81 @@
   delete state;
 }
 
+const char* StatusLine(rejection why) {
+  switch (why) {
+    case rejection::kTooLarge:
+      return "413 Request Entity Too Large";
+    case rejection::kSlowSender:
+      return "408 Request Timeout";
+    case rejection::kNoMemory:
+      return "503 Service Unavailable";
+  }
+  return "500 Internal Server Error";
+}
+
+// Replies on the raw socket, because libsoup replies only after the whole body. The rest of the
+// body is discarded for a limited time.
 void Reject(intake& state, rejection why) {
   if (state.rejected) return;
   state.rejected = true;
+  Free(state.body.bytes);
+  state.body.share.reset();
   std::vector<header> headers;
   const std::string body = state.server->handlers.on_reject(why, headers);
-  SoupServerMessage* message = state.message;
-  soup_server_message_set_status(message, why == rejection::kTooLarge ? 413 : 408, nullptr);
-  SoupMessageHeaders* out = soup_server_message_get_response_headers(message);
-  for (const header& entry : headers) {
-    soup_message_headers_replace(out, entry.name.c_str(), entry.value.c_str());
-  }
-  soup_message_headers_replace(out, "Connection", "close");
-  soup_message_body_append(soup_server_message_get_response_body(message), SOUP_MEMORY_COPY,
-                           body.data(), body.size());
-}
-
-// A sender that stops in the middle of its body gets 408 on the raw socket, because libsoup replies
-// only after the whole body.
-void CutSlowSender(intake& state) {
-  std::vector<header> headers;
-  const std::string body = state.server->handlers.on_reject(rejection::kSlowSender, headers);
-  std::string text = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n";
+  std::string text = std::string("HTTP/1.1 ") + StatusLine(why) + "\r\nConnection: close\r\n";
   for (const header& entry : headers) text += entry.name + ": " + entry.value + "\r\n";
   text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  // What libsoup sends after the body finds the connection closed.
+  soup_server_message_set_status(state.message, SOUP_STATUS_SERVICE_UNAVAILABLE, nullptr);
   GSocket* socket = soup_server_message_get_socket(state.message);
-  if (socket != nullptr)
-    send(g_socket_get_fd(socket), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-  ShutdownConnection(state.message);
+  if (socket == nullptr) return;
+  send(g_socket_get_fd(socket), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  shutdown(g_socket_get_fd(socket), SHUT_WR);
+  Cancel(*state.timers, state.timer);
+  state.timer = Subscribe(*state.timers, MonotonicNow() + kDiscardTime,
+                          [&state](time_point) { ShutdownConnection(state.message); });
+}
+
+// The body was given up for those of other requests. A share may not be destroyed in between.
+void OnReclaim(intake& state) {
+  Free(state.body.bytes);
+  Cancel(*state.timers, state.timer);
+  state.timer = Subscribe(*state.timers, MonotonicNow(),
+                          [&state](time_point) { Reject(state, rejection::kNoMemory); });
 }
 
 intake* IntakeOf(SoupServerMessage* message) {
   return static_cast<intake*>(g_object_get_data(G_OBJECT(message), kExchangeKey));
 }
 
+// Makes room for a body of `bytes` bytes. Returns false if the limit of all bodies forbids it.
+bool ReserveBody(request_body& body, size_t bytes) {
+  if (!body.share->Resize(bytes)) return false;
+  body.bytes.reserve(bytes);
+  return true;
+}
+
+// Makes room for a body whose length is not known and that has `bytes` bytes so far. The capacity
+// is at least doubled, so that the body is copied only a few times.
+bool GrowBody(request_body& body, size_t bytes, size_t max_bytes) {
+  const size_t capacity = std::max(body.share->Bytes(), body.bytes.size());
+  if (bytes <= capacity) return true;
+  const size_t ample = std::min(max_bytes, std::max(bytes, 2 * capacity));
+  return ReserveBody(body, ample) || ReserveBody(body, bytes);
+}
+
 void OnGotChunk(SoupServerMessage* message, GBytes* chunk, gpointer) {
   intake* state = IntakeOf(message);
-  state->received += g_bytes_get_size(chunk);
-  if (state->received <= state->server->limits.max_body_bytes || state->rejected) return;
-  soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
-  Reject(*state, rejection::kTooLarge);
+  if (state->rejected || state->body.share->IsReclaimed()) return;
+  const size_t max_bytes = state->server->limits.max_body_bytes;
+  const size_t size = state->body.bytes.size() + g_bytes_get_size(chunk);
+  if (size > std::max(max_bytes, state->body.share->Bytes())) {
+    return Reject(*state, rejection::kTooLarge);
+  }
+  if (!GrowBody(state->body, size, max_bytes)) return Reject(*state, rejection::kNoMemory);
+  gsize chunk_bytes = 0;
+  const auto* data = static_cast<const char*>(g_bytes_get_data(chunk, &chunk_bytes));
+  state->body.bytes.append(data, chunk_bytes);
 }
 
 void OnGotHeaders(SoupServerMessage* message, gpointer) {
@@ -273,18 +319,20 @@
   Cancel(*state->server->timers, state->timer);
   state->timer =
       Subscribe(*state->server->timers, MonotonicNow() + state->server->limits.body_timeout,
-                [state](time_point) { CutSlowSender(*state); });
-  const goffset length =
-      soup_message_headers_get_content_length(soup_server_message_get_request_headers(message));
-  if (static_cast<size_t>(length) > state->server->limits.max_body_bytes) {
-    soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
-    Reject(*state, rejection::kTooLarge);
-  }
+                [state](time_point) { Reject(*state, rejection::kSlowSender); });
+  const auto length = static_cast<size_t>(
+      soup_message_headers_get_content_length(soup_server_message_get_request_headers(message)));
+  if (length > state->server->limits.max_body_bytes) return Reject(*state, rejection::kTooLarge);
+  if (!ReserveBody(state->body, length)) Reject(*state, rejection::kNoMemory);
 }
 
 void OnGotBody(SoupServerMessage* message, gpointer) {
   intake* state = IntakeOf(message);
-  Cancel(*state->server->timers, state->timer);
+  if (state->body.share && state->body.share->IsReclaimed()) {
+    Reject(*state, rejection::kNoMemory);
+  } else {
+    Cancel(*state->server->timers, state->timer);
+  }
 }
 
 void OnRequestStarted(SoupServer*, SoupServerMessage* message, gpointer data) {
@@ -292,7 +340,10 @@
   // Small pieces of a stream must not wait for the acknowledgement of earlier ones.
   GSocket* socket = soup_server_message_get_socket(message);
   if (socket != nullptr) g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, TRUE, nullptr);
-  auto* state = new intake{server, server->timers, message};
+  soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
+  auto* state = new intake{server, server->timers, message, 0, {}, false};
+  state->body.share =
+      std::make_unique<buffer_share>(server->limits.buffers, [state] { OnReclaim(*state); });
   g_object_set_data_full(G_OBJECT(message), kExchangeKey, state, DeleteIntake);
   state->timer = Subscribe(*server->timers, MonotonicNow() + server->limits.idle_timeout,
                            [state](time_point) { ShutdownConnection(state->message); });
@@ -303,9 +354,10 @@
 
 void OnRequest(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer data) {
   auto* server = static_cast<server_state*>(data);
-  const intake* state = IntakeOf(message);
-  if (state != nullptr && state->rejected) return;
-  auto made = std::make_shared<soup_exchange>(message);
+  intake* state = IntakeOf(message);
+  if (state->rejected) return;
+  state->body.share->Pin();
+  auto made = std::make_shared<soup_exchange>(message, std::move(state->body));
   made->Start();
   server->handlers.on_request(made);
 }
@@ -313,7 +365,7 @@
 class soup_http_server final : public http_server {
  public:
   soup_http_server(server_limits limits, timer_service& timers, server_handlers handlers)
-      : state_{limits, &timers, std::move(handlers)},
+      : state_{std::move(limits), &timers, std::move(handlers)},
         server_(soup_server_new("server-header", "balsambay", nullptr)) {
     g_signal_connect(server_, "request-started", G_CALLBACK(OnRequestStarted), &state_);
     soup_server_add_handler(server_, nullptr, OnRequest, &state_, nullptr);
@@ -324,6 +376,8 @@
     g_object_unref(server_);
   }
 
+  void SetMaxBodyBytes(size_t bytes) override { state_.limits.max_body_bytes = bytes; }
+
   result<void> Listen(std::string_view address) {
     GSocketAddress* parsed = ParseAddress(address);
     if (parsed == nullptr) {
@@ -355,7 +409,7 @@
 
 result<std::unique_ptr<http_server>> ListenHttp(std::string_view address, server_limits limits,
                                                 timer_service& timers, server_handlers handlers) {
-  auto server = std::make_unique<soup_http_server>(limits, timers, std::move(handlers));
+  auto server = std::make_unique<soup_http_server>(std::move(limits), timers, std::move(handlers));
   BOOST_OUTCOME_TRYV(server->Listen(address));
   return std::unique_ptr<http_server>(std::move(server));
 }
