router: do not take an empty service reply without a length for a whole one

Callers of services got a 200 with an empty body, framed as whole, when the endpoint ended its connection cleanly right after a head that has neither a length nor chunks.

Cause: the end of the connection was taken for the end of the reply.

Change: such a reply counts as broken, unless its status has no body (204, 304): it is repeated if it may be, or answered with 502 and outcome unknown.

--- a/libs/router/src/service_calls.cc
+++ b/libs/router/src/service_calls.cc
@@ -23,10 +23,19 @@
   int status = 0;
   bool not_started = false;
   bool leaving = false;
+  bool ends_with_connection = false;  // has neither a length nor chunks
   std::string content_type;
   std::string body;
 };
 
+// Whether only the end of the connection marks the end of the reply.
+bool EndsWithConnection(const net::reply_head& head) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  const bool has_body = head.status != kNoContent && head.status != kNotModified;
+  return has_body && head.Get("Content-Length").empty() && head.Get("Transfer-Encoding").empty();
+}
+
 void FinishCall(router_state& state, const request_ptr& request, uint32_t attempt,
                 const service_reply& reply) {
   const open_attempt* const current = FindOpenAttempt(*request, attempt);
@@ -59,6 +68,10 @@
                          reply.leaving ? retry_reason::kRefused : retry_reason::kOverloaded, "",
                          "refused before starting"};
   }
+  // The end of the connection right after the head does not show that the endpoint has sent all.
+  if (reply.ends_with_connection && reply.body.empty())
+    return attempt_error{attempt_failure::kBroken, retry_reason::kReset, "",
+                         "reply without a length ended after its head"};
   if (reply.body.size() <= kMaxReplyBytes) return std::nullopt;
   return attempt_error{attempt_failure::kBroken, retry_reason::kReset, "", "reply too large"};
 }
@@ -91,6 +104,7 @@
     reply->status = head.status;
     reply->not_started = head.status == 503 && head.Get("Balsambay-Not-Started") == "1";
     reply->leaving = head.Get("Balsambay-Leaving") == "1";
+    reply->ends_with_connection = EndsWithConnection(head);
     reply->content_type = head.Get("Content-Type");
   };
   callbacks.on_data = [reply](std::string_view data) {
