router: send 503, 429 and 408 only for requests that were not run

Callers got 503 no_route, with outcome unknown, for requests that an endpoint may have run: the first attempt broke off, and at the time of the second one no endpoint was usable. Whoever goes by the status repeats such a request.

Cause: the status followed the reason alone.

Change: these three statuses are replaced by 502 when the outcome is not not-run. Reason and outcome stay the same.

--- a/libs/router/src/details/replies.h
+++ b/libs/router/src/details/replies.h
@@ -25,8 +25,9 @@
 
 // JSON text of a problem document.
 std::string ProblemBody(const problem& error);
-// HTTP status of a reason; 503 for reasons without an entry of their own.
-int StatusOf(std::string_view reason);
+// HTTP status of a problem; 503 for reasons without an entry of their own. Statuses that tell the
+// caller that the request was not run are replaced by 502 when it may have run.
+int StatusOf(const problem& error);
 
 // Sends tokens as server-sent events and starts the stream with the first ones. Sends nothing when
 // the caller did not ask for a stream.
--- a/libs/router/src/replies.cc
+++ b/libs/router/src/replies.cc
@@ -33,6 +33,9 @@
                                         reason_status{"endpoint_failed", 502},
                                         reason_status{"deadline", 504}};
 
+constexpr int kTimeout = 408;
+constexpr int kTooManyRequests = 429;
+constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 
 std::string Dump(const json& value) {
@@ -67,15 +70,18 @@
 
 }  // namespace
 
-int StatusOf(std::string_view reason) {
-  const auto it = std::ranges::find(kReasonStatuses, reason, &reason_status::reason);
-  return it == kReasonStatuses.end() ? kServiceUnavailable : it->status;
+int StatusOf(const problem& error) {
+  const auto it = std::ranges::find(kReasonStatuses, error.reason, &reason_status::reason);
+  const int status = it == kReasonStatuses.end() ? kServiceUnavailable : it->status;
+  const bool promises_not_run =
+      status == kServiceUnavailable || status == kTooManyRequests || status == kTimeout;
+  return promises_not_run && error.outcome != attempts::outcome::kNotRun ? kBadGateway : status;
 }
 
 std::string ProblemBody(const problem& error) {
   json body = {{"type", "urn:balsambay:reason:" + std::string(error.reason)},
                {"title", error.reason},
-               {"status", StatusOf(error.reason)},
+               {"status", StatusOf(error)},
                {"reason", error.reason},
                {"detail", error.detail},
                {"outcome", attempts::ToString(error.outcome)}};
@@ -96,7 +102,7 @@
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(*error.retry_after).count();
     headers.push_back({"Retry-After", std::to_string(std::max<int64_t>(1, seconds))});
   }
-  exchange->Respond(StatusOf(error.reason), headers, ProblemBody(error));
+  exchange->Respond(StatusOf(error), headers, ProblemBody(error));
 }
 
 void SendTokens(caller_request& request, std::span<const std::string> tokens) {
--- a/tests/system/ended_replies_test.cc
+++ b/tests/system/ended_replies_test.cc
@@ -112,12 +112,14 @@
   reply_ptr received;
 };
 
-// Checks that a reply is an error that leaves open whether the request was run.
+// Checks that a reply is an error that leaves open whether the request was run. Status 503 would
+// tell callers that it was not.
 void CheckFailed(const reply& received) {
   CHECK(received.ended);
   CHECK_FALSE(LooksWhole(received));
   if (received.status == 200) return;  // a stream that ends with an error event
   CHECK(received.outcome == "unknown");
+  CHECK((received.status == 502 || received.status == 504));
 }
 
 // Guards against a 200 with an empty or short body that is framed as whole, although the endpoint
