gateway: refuse requests that a stop would cut

Callers of a gateway that was being stopped lost requests that came up to 3 s after SIGTERM: they were sent on, and ended with 502, or as a broken stream, at the end of the grace time, among them requests that may not be repeated.

Cause: every request of these 3 s was taken, whatever its usual duration and the time left.

In a stop, a request, a further attempt or a successor that is not expected to end before the forced end is refused before it is sent: 503 "stopping", a short Retry-After, Connection: close. Waiting requests are checked every 100 ms. New log line and gateway_stop_refusals_total{reason}.

--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -10,6 +10,7 @@
 #include "details/monitor.h"
 #include "details/replacement.h"
 #include "details/retries.h"
+#include "details/stop_check.h"
 #include "log/log.h"
 
 namespace balsambay::gateway {
@@ -28,6 +29,8 @@
 // Range of the random time that is added to the retry time that an endpoint asked for.
 constexpr duration kRefusalRetrySpread = 200ms;
 constexpr duration kStartRetryAfter = 500ms;
+// Callers that are refused because of a stop go to another gateway, which can take them at once.
+constexpr duration kStopRetryAfter = 50ms;
 // Age from which a copy of the configuration no longer counts as current, in multiples of
 // `freshness::max_age`: one for the check and one for its reply.
 constexpr int kMaxConfigurationAgeLimits = 2;
@@ -170,6 +173,17 @@
 
 void TryStart(gateway_state& state, const call_ptr& request);
 
+// Refuses a request without an open attempt that cannot end before the gateway does. Another
+// gateway can take it at once. Returns whether it was refused.
+bool RefuseIfStopEndsFirst(gateway_state& state, const call_ptr& request) {
+  const time_point now = MonotonicNow();
+  const auto decision = CheckAgainstStop(state, *request, now);
+  if (!decision || decision->verdict == stop_verdict::kFits) return false;
+  RecordStopDecision(state, *request, *decision, now);
+  GiveUp(state, request, {.status = 503, .reason = "stopping", .retry_after = kStopRetryAfter});
+  return true;
+}
+
 // --- Outcomes of attempts.
 
 // Logs a complete reply that missed a latency goal of its route.
@@ -208,6 +222,7 @@
   }
   const bool success = attempt->head.status >= 200 && attempt->head.status < 300;
   if (success) EndAttempt(state, *request, attempt_end::kCompleted);
+  if (success) RecordDuration(state, *request, now);
   Retire(state, request);
 }
 
@@ -324,6 +339,7 @@
     return Retire(state, request);
   }
   if (IsQuarantined(state, *request)) return GiveUpQuarantined(state, request);
+  if (RefuseIfStopEndsFirst(state, request)) return;
   const bool overloaded =
       failure == attempt_failure::kNotExecuted && failed->head.status != kMisdirectedRequest;
   GiveUp(state, request,
@@ -429,6 +445,7 @@
 
 void TryStart(gateway_state& state, const call_ptr& request) {
   request->held = false;
+  if (RefuseIfStopEndsFirst(state, request)) return;
   const time_point now = MonotonicNow();
   const quarantine::decision decision = AdmitAttempt(state, *request);
   if (decision.answer == quarantine::verdict::kRefuse) return GiveUpQuarantined(state, request);
@@ -513,7 +530,10 @@
   auto request = std::make_shared<call>();
   request->incoming = state.wire.read_call(*exchange);
   const std::string& id = request->incoming.id;
-  if (state.draining) return Refuse(state, exchange, id, {503, "stopping", kStartRetryAfter});
+  if (state.draining) {
+    CountStopRefusal(state.metrics, "drained");
+    return Refuse(state, exchange, id, {503, "stopping", kStopRetryAfter});
+  }
   if (!state.configuration || !state.endpoints_known) {
     return Refuse(state, exchange, id, {503, "not_ready", kStartRetryAfter});
   }
@@ -541,6 +561,10 @@
   request->fingerprint = ComputeFingerprint(*request);
   CountRequest(state.budget, request->service, request->arrived);
   Register(state, request);
+  if (const auto decision = CheckAgainstStop(state, *request, request->arrived);
+      decision && decision->verdict == stop_verdict::kFits) {
+    RecordStopDecision(state, *request, *decision, request->arrived);
+  }
   TryStart(state, request);
 }
 
@@ -573,13 +597,22 @@
   }
 }
 
+void RefuseWaitingCalls(gateway_state& state) {
+  std::vector<call_ptr> waiting;
+  for (const auto& [number, request] : state.calls) {
+    if (!request->open) waiting.push_back(request);
+  }
+  for (const call_ptr& request : waiting) RefuseIfStopEndsFirst(state, request);
+}
+
 int AbortCalls(gateway_state& state) {
   std::vector<call_ptr> open;
   std::ranges::transform(state.calls, std::back_inserter(open),
                          [](const auto& entry) { return entry.second; });
   for (const call_ptr& request : open) {
     request->may_have_run = request->may_have_run || request->open != nullptr;
-    GiveUp(state, request, {.status = 503, .reason = "stopping", .retry_after = kStartRetryAfter});
+    CountStopRefusal(state.metrics, "end_of_grace");
+    GiveUp(state, request, {.status = 503, .reason = "stopping", .retry_after = kStopRetryAfter});
   }
   return static_cast<int>(open.size());
 }
--- a/libs/gateway/src/details/calls.h
+++ b/libs/gateway/src/details/calls.h
@@ -25,6 +25,9 @@
 // Resumes the requests with this fingerprint that were held until the quarantine had decided on it.
 void ResumeHeldCalls(gateway_state& state, const quarantine::fingerprint& key);
 
+// During a stop: refuses the waiting requests that can no longer end before the gateway does.
+void RefuseWaitingCalls(gateway_state& state);
+
 // Ends all requests that are still open and returns their number.
 int AbortCalls(gateway_state& state);
 
--- a/libs/gateway/src/details/retries.h
+++ b/libs/gateway/src/details/retries.h
@@ -1,6 +1,6 @@
 // Decides whether a request may be sent again. Checks the time left before its deadline, the
-// quarantine, that a non-idempotent request runs at most once, the limits of the route and the
-// shared repeat budget.
+// quarantine, the end of a stop, that a non-idempotent request runs at most once, the limits of the
+// route and the shared repeat budget.
 #pragma once
 
 #include <string_view>
@@ -23,6 +23,7 @@
   kSendsUsed,
   kEndpointsUsed,
   kBudgetUsed,
+  kStopping,  // the gateway ends before another attempt could
 };
 
 // Name in log lines.
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -23,6 +23,7 @@
 #include "details/moving_time.h"
 #include "details/pace.h"
 #include "details/repeat_budget.h"
+#include "details/stopping.h"
 #include "details/telemetry.h"
 #include "exchange/message.h"
 #include "exchange/topology.h"
@@ -308,8 +309,12 @@
   std::map<std::string, time_point> idle_since;         // engines without layers, by endpoint id
   bool placement_started = false;                       // since `lease_held_since`
 
+  // Of the complete requests, by the name of the route.
+  std::map<std::string, usual_duration> usual_durations;
+
   bool unready = false;
-  bool draining = false;  // accepts no new requests
+  bool draining = false;                 // accepts no new requests
+  std::optional<time_point> forced_end;  // of open requests, during a stop
   bool stopping_lease = false;
   std::function<void(int)> on_stopped;
   telemetry metrics;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -9,6 +9,7 @@
 #include "details/fleet.h"
 #include "details/monitor.h"
 #include "details/placer.h"
+#include "details/stop_check.h"
 #include "log/log.h"
 #include "metrics/prometheus.h"
 
@@ -19,6 +20,8 @@
 
 // Part of the grace time that is reserved for the process to exit before the platform kills it.
 constexpr duration kExitReserve = 300ms;
+// Interval at which waiting requests are compared with the time left in a stop.
+constexpr duration kWaitingCheckInterval = 100ms;
 // Long, because idle connections of callers are left open for reuse; the callers close them.
 constexpr duration kIdleTimeout = std::chrono::minutes(5);
 
@@ -97,6 +100,7 @@
               {"workspaces", document.workspaces.size()}});
     state_.configuration =
         std::make_shared<const catalog::catalog>(catalog::Build(std::move(document)));
+    ForgetOtherRoutes(state_);
     metrics::Set(state_.metrics.registry, state_.metrics.config_version,
                  static_cast<double>(state_.configuration->content.version));
   }
@@ -157,7 +161,9 @@
       state_.draining = true;
       FinishStopIfIdle(state_);
     });
-    Subscribe(timers, now + state_.config.stop_grace - kExitReserve, [this](time_point) {
+    state_.forced_end = now + state_.config.stop_grace - kExitReserve;
+    RefuseWaitingPeriodically();
+    Subscribe(timers, *state_.forced_end, [this](time_point) {
       state_.draining = true;
       const auto stop_callback = std::exchange(state_.on_stopped, nullptr);
       const int ended_requests = AbortCalls(state_);
@@ -170,6 +176,13 @@
   }
 
  private:
+  void RefuseWaitingPeriodically() {
+    if (!state_.on_stopped) return;
+    RefuseWaitingCalls(state_);
+    Subscribe(state_.loop.Timers(), MonotonicNow() + kWaitingCheckInterval,
+              [this](time_point) { RefuseWaitingPeriodically(); });
+  }
+
   void ApplyBudgetSettings() {
     state_.budget.window = state_.config.retry_window;
     state_.budget.ratio = state_.config.retry_ratio;
--- a/libs/gateway/src/retries.cc
+++ b/libs/gateway/src/retries.cc
@@ -5,6 +5,7 @@
 
 #include "details/attempt.h"
 #include "details/containment.h"
+#include "details/stop_check.h"
 #include "log/log.h"
 
 namespace balsambay::gateway {
@@ -25,9 +26,9 @@
 }  // namespace
 
 std::string_view ToString(retry_verdict value) {
-  constexpr std::array<std::string_view, 7> kNames = {
+  constexpr std::array<std::string_view, 8> kNames = {
       "granted",    "no_time",        "quarantined", "may_have_run",
-      "sends_used", "endpoints_used", "budget_used"};
+      "sends_used", "endpoints_used", "budget_used", "stopping"};
   return kNames.at(static_cast<size_t>(value));
 }
 
@@ -40,6 +41,8 @@
   if (request.due - now < kMinTimeLeft) return retry_verdict::kNoTime;
   if (IsQuarantined(state, request)) return retry_verdict::kQuarantined;
   if (request.may_have_run && !IsIdempotent(request)) return retry_verdict::kMayHaveRun;
+  const auto in_stop = CheckAgainstStop(state, request, now);
+  if (in_stop && in_stop->verdict != stop_verdict::kFits) return retry_verdict::kStopping;
   if (failure == attempt_failure::kNotSent) return retry_verdict::kGranted;
   if (request.sends >= kMaxSends) return retry_verdict::kSendsUsed;
   // The limit does not apply to pipelined requests: one may enter at the same head again, with
--- a/libs/gateway/src/telemetry.cc
+++ b/libs/gateway/src/telemetry.cc
@@ -53,6 +53,11 @@
         reason);
 }
 
+void CountStopRefusal(telemetry& metrics, std::string_view reason) {
+  Count(metrics, "gateway_stop_refusals_total", "Requests refused or ended because of a stop.",
+        reason);
+}
+
 void CountReport(telemetry& metrics, std::string_view reason) {
   Count(metrics, "gateway_reports_total", "Reports asked of engines.", reason);
 }
