gateway: limit request bodies apart from replies

A caller whose small request ran at a sound endpoint got 502 when the bodies of other running requests had used up the common limit.

Cause: a body that an endpoint may be executing cannot be given up, so large bodies in use left no room for any reply.

Change: bodies of requests have a limit of their own, an eighth of the memory limit, since each is held a second time while it is sent.

--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -590,8 +590,8 @@
   log::Log(log::level::kInfo, "request rejected before its body had arrived",
            {{"status", refusal.status},
             {"reason", refusal.reason},
-            {"buffer_bytes", state.buffers->used_bytes},
-            {"buffer_limit_bytes", state.buffers->limit_bytes},
+            {"buffer_bytes", state.request_buffers->used_bytes},
+            {"buffer_limit_bytes", state.request_buffers->limit_bytes},
             {"version", VersionInForce(state)}});
   CountRefusal(state.metrics, refusal.reason);
   headers = RefusalHeaders(refusal);
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -227,9 +227,11 @@
 // Settings of this gateway's quarantine (defined in containment.cc).
 quarantine::settings QuarantineSettings(const settings& values);
 
-// Share of the memory limit that the buffers of all requests may hold together. The rest is for
-// copies that are made while data is passed on, unused capacity, and the process itself.
-constexpr size_t kBufferMemoryDivisor = 4;
+// Shares of the memory limit that all request bodies and all replies may hold. The rest is for
+// copies that are made while data is passed on, unused capacity, and the process itself. The share
+// of bodies is smaller, because each is held a second time while it is sent to an endpoint.
+constexpr size_t kRequestMemoryDivisor = 8;
+constexpr size_t kReplyMemoryDivisor = 4;
 
 struct gateway_state {
   gateway_state(const settings& values, wire calls, store_hooks hooks, net::loop& main_loop)
@@ -240,8 +242,9 @@
         loop(main_loop),
         client(net::MakeHttpClient(main_loop.Timers())),
         rng(values.seed != 0 ? values.seed : std::random_device{}()),
-        buffers(std::make_shared<buffer_budget>(values.memory_limit_bytes / kBufferMemoryDivisor)) {
-  }
+        request_buffers(
+            std::make_shared<buffer_budget>(values.memory_limit_bytes / kRequestMemoryDivisor)),
+        buffers(std::make_shared<buffer_budget>(values.memory_limit_bytes / kReplyMemoryDivisor)) {}
 
   settings config;
   quarantine::table quarantine;
@@ -254,7 +257,10 @@
   std::unique_ptr<net::http_server> metrics_server;
   std::unique_ptr<net::datagram_socket> peer_socket;
   random_generator rng;
-  std::shared_ptr<buffer_budget> buffers;  // of requests and replies; shared by all requests
+  // Bodies of requests. Apart from those of replies: a body that an endpoint may be executing
+  // cannot be given up, and without room for its reply the execution would be in vain.
+  std::shared_ptr<buffer_budget> request_buffers;
+  std::shared_ptr<buffer_budget> buffers;  // replies
 
   std::shared_ptr<const catalog::catalog> configuration;  // null: none yet
   // The configuration table is reachable, so newer versions are noticed.
