gateway: end a stop only when all replies are written

Callers of a gateway that was being stopped got a cut reply if they read it slowly, no reply to a request that arrived in the last milliseconds, and none to a request whose body was still on its way.

Cause: the process ended 200 ms after the last request had been answered, whether the reply was written or not, with its socket still listening and without a word to the senders of unfinished requests.

Change: a draining gateway refuses the requests that have not arrived whole (503 on the raw socket; the rest of the body is still read), waits until all replies are written, then stops listening once no connection waits to be accepted, and ends 200 ms later. The end of the grace time bounds all of it, as before. Only denials for lack of time in a stop are given up with the reason "stopping".

Result: planned_stop_test. Before: "a process that stops waits for a caller that reads its reply slowly" (12 MB, read from 1 s after the last refusal) ended at its REQUIRE that there is a whole reply, of 20 kept connections one request had no answer, and "requests whose bodies arrive slowly in a stop" ended at its REQUIRE that the unfinished ones have a reply.

--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -36,6 +36,10 @@
 constexpr int kMaxConfigurationAgeLimits = 2;
 // HTTP 421 Misdirected Request: the reply is not from the intended endpoint.
 constexpr int kMisdirectedRequest = 421;
+// Interval at which a draining gateway checks whether all replies are written, and the time after
+// that until it ends.
+constexpr duration kIdleCheckInterval = 5ms;
+constexpr duration kLastReplyTime = 200ms;
 // Interval at which a request that waits for the quarantine or for other engines is tried again.
 constexpr duration kHoldRetryInterval = 25ms;
 
@@ -339,7 +343,7 @@
     return Retire(state, request);
   }
   if (IsQuarantined(state, *request)) return GiveUpQuarantined(state, request);
-  if (RefuseIfStopEndsFirst(state, request)) return;
+  if (allowed == retry_verdict::kStopping && RefuseIfStopEndsFirst(state, request)) return;
   const bool overloaded =
       failure == attempt_failure::kNotExecuted && failed->head.status != kMisdirectedRequest;
   GiveUp(state, request,
@@ -617,12 +621,26 @@
   return static_cast<int>(open.size());
 }
 
+void RefuseUnreadRequests(gateway_state& state) {
+  const std::array<net::header, 1> headers = {
+      net::header{"Retry-After", RetryAfterText(kStopRetryAfter)}};
+  state.server->RefuseUnread(headers, "stopping\n");
+}
+
 void FinishStopIfIdle(gateway_state& state) {
   if (!state.draining || !state.calls.empty() || !state.on_stopped) return;
+  timer_service& timers = state.loop.Timers();
+  Cancel(timers, state.idle_check_timer);
+  RefuseUnreadRequests(state);
+  // A new connection that is never accepted may carry a whole request.
+  if (state.server->UnfinishedReplies() > 0 || !state.server->StopListening()) {
+    state.idle_check_timer = Subscribe(timers, MonotonicNow() + kIdleCheckInterval,
+                                       [&state](time_point) { FinishStopIfIdle(state); });
+    return;
+  }
   const auto on_stopped = std::exchange(state.on_stopped, nullptr);
-  // Leaves time to write the last reply.
-  Subscribe(state.loop.Timers(), MonotonicNow() + 200ms,
-            [on_stopped](time_point) { on_stopped(0); });
+  // Open connections get their refusals meanwhile.
+  Subscribe(timers, MonotonicNow() + kLastReplyTime, [on_stopped](time_point) { on_stopped(0); });
 }
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/details/calls.h
+++ b/libs/gateway/src/details/calls.h
@@ -31,7 +31,11 @@
 // Ends all requests that are still open and returns their number.
 int AbortCalls(gateway_state& state);
 
-// Schedules `gateway_state::on_stopped` if the gateway is draining and no request is open.
+// Refuses the requests that have not arrived whole.
+void RefuseUnreadRequests(gateway_state& state);
+
+// If the gateway is draining and no request is open: stops listening once the replies are written,
+// and schedules `gateway_state::on_stopped`.
 void FinishStopIfIdle(gateway_state& state);
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -315,6 +315,7 @@
   bool unready = false;
   bool draining = false;                 // accepts no new requests
   std::optional<time_point> forced_end;  // of open requests, during a stop
+  timer_id idle_check_timer = 0;         // next check whether all replies are written
   bool stopping_lease = false;
   std::function<void(int)> on_stopped;
   telemetry metrics;
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -159,6 +159,7 @@
     timer_service& timers = state_.loop.Timers();
     Subscribe(timers, now + state_.config.unready_delay, [this](time_point) {
       state_.draining = true;
+      RefuseUnreadRequests(state_);
       FinishStopIfIdle(state_);
     });
     state_.forced_end = now + state_.config.stop_grace - kExitReserve;
@@ -166,6 +167,7 @@
     Subscribe(timers, *state_.forced_end, [this](time_point) {
       state_.draining = true;
       const auto stop_callback = std::exchange(state_.on_stopped, nullptr);
+      RefuseUnreadRequests(state_);
       const int ended_requests = AbortCalls(state_);
       if (!stop_callback) return;
       log::Log(log::level::kWarning, "stop grace time expired; open requests were ended",
--- a/libs/net/include/net/http_server.h
+++ b/libs/net/include/net/http_server.h
@@ -70,6 +70,15 @@
  public:
   virtual ~http_server() = default;
   virtual int Port() const = 0;
+
+  // Replies that have been started, or are still due, and are not yet in the socket's buffer.
+  virtual size_t UnfinishedReplies() const = 0;
+  // Answers 503 with `body` and the headers to each request that has not arrived whole, and closes
+  // its connection for writing. The handler gets none of them.
+  virtual void RefuseUnread(std::span<const header> headers, std::string_view body) = 0;
+  // Accepts no further connections; open ones go on. Returns false and does nothing if a connection
+  // waits to be accepted. Port() must not be called afterwards.
+  virtual bool StopListening() = 0;
 };
 
 struct server_handlers {
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -6,8 +6,11 @@
 #include <libsoup/soup.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <set>
 #include <vector>
 
 #include "details/address.h"
@@ -19,10 +22,16 @@
 
 constexpr const char* kExchangeKey = "balsambay-exchange";
 
+struct intake;
+
 struct server_state {
   server_limits limits;
   timer_service* timers = nullptr;
   server_handlers handlers;
+  // Shared with the messages and exchanges, which may outlive the server.
+  // Requests whose head has arrived, without the whole body.
+  std::shared_ptr<std::set<intake*>> unread = std::make_shared<std::set<intake*>>();
+  std::shared_ptr<size_t> unfinished_replies = std::make_shared<size_t>(0);
 };
 
 void ShutdownConnection(SoupServerMessage* message) {
@@ -32,8 +41,10 @@
 
 class soup_exchange final : public exchange, public std::enable_shared_from_this<soup_exchange> {
  public:
-  explicit soup_exchange(SoupServerMessage* message)
-      : message_(message), uri_(soup_server_message_get_uri(message)) {
+  soup_exchange(SoupServerMessage* message, std::shared_ptr<size_t> unfinished_replies)
+      : message_(message),
+        uri_(soup_server_message_get_uri(message)),
+        unfinished_replies_(std::move(unfinished_replies)) {
     g_object_ref(message_);
   }
 
@@ -116,6 +127,7 @@
   // Keeps the exchange alive until libsoup reports the message as finished.
   void Start() {
     self_ = shared_from_this();
+    ++*unfinished_replies_;
     soup_server_message_pause(message_);
     g_signal_connect(message_, "finished", G_CALLBACK(OnFinished), this);
     g_signal_connect(message_, "wrote-body-data", G_CALLBACK(OnWroteData), this);
@@ -182,6 +194,7 @@
   static void OnFinished(SoupServerMessage* message, gpointer data) {
     auto* self = static_cast<soup_exchange*>(data);
     const auto keep = std::move(self->self_);
+    --*self->unfinished_replies_;
     g_signal_handlers_disconnect_by_data(message, data);
     self->HangUp();
   }
@@ -208,6 +221,7 @@
   bool streaming_ = false;
   bool aborting_ = false;  // the connection is closed when `pending_` has fallen to zero
   std::shared_ptr<soup_exchange> self_;
+  std::shared_ptr<size_t> unfinished_replies_;
 };
 
 // Limits of one request before it reaches the handler. Owned by the message.
@@ -218,10 +232,12 @@
   timer_id timer = 0;
   size_t received = 0;
   bool rejected = false;
+  std::shared_ptr<std::set<intake*>> unread;
 };
 
 void DeleteIntake(gpointer data) {
   auto* state = static_cast<intake*>(data);
+  state->unread->erase(state);
   Cancel(*state->timers, state->timer);
   delete state;
 }
@@ -242,18 +258,24 @@
                            body.data(), body.size());
 }
 
-// A sender that stops in the middle of its body gets 408 on the raw socket, because libsoup replies
-// only after the whole body.
+// Replies on the raw socket, because libsoup replies only after the whole body. `how`: of
+// shutdown().
+void RespondEarly(SoupServerMessage* message, std::string_view status,
+                  std::span<const header> headers, std::string_view body, int how) {
+  std::string text = "HTTP/1.1 " + std::string(status) + "\r\nConnection: close\r\n";
+  for (const header& entry : headers) text += entry.name + ": " + entry.value + "\r\n";
+  text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket == nullptr) return;
+  send(g_socket_get_fd(socket), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+  shutdown(g_socket_get_fd(socket), how);
+}
+
+// Ends a request whose sender stops in the middle of its body.
 void CutSlowSender(intake& state) {
   std::vector<header> headers;
   const std::string body = state.server->handlers.on_reject(rejection::kSlowSender, headers);
-  std::string text = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\n";
-  for (const header& entry : headers) text += entry.name + ": " + entry.value + "\r\n";
-  text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  GSocket* socket = soup_server_message_get_socket(state.message);
-  if (socket != nullptr)
-    send(g_socket_get_fd(socket), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
-  ShutdownConnection(state.message);
+  RespondEarly(state.message, "408 Request Timeout", headers, body, SHUT_RDWR);
 }
 
 intake* IntakeOf(SoupServerMessage* message) {
@@ -270,6 +292,7 @@
 
 void OnGotHeaders(SoupServerMessage* message, gpointer) {
   intake* state = IntakeOf(message);
+  state->unread->insert(state);
   Cancel(*state->server->timers, state->timer);
   state->timer =
       Subscribe(*state->server->timers, MonotonicNow() + state->server->limits.body_timeout,
@@ -284,6 +307,7 @@
 
 void OnGotBody(SoupServerMessage* message, gpointer) {
   intake* state = IntakeOf(message);
+  state->unread->erase(state);
   Cancel(*state->server->timers, state->timer);
 }
 
@@ -292,7 +316,8 @@
   // Small pieces of a stream must not wait for the acknowledgement of earlier ones.
   GSocket* socket = soup_server_message_get_socket(message);
   if (socket != nullptr) g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, TRUE, nullptr);
-  auto* state = new intake{server, server->timers, message};
+  auto* state = new intake{
+      .server = server, .timers = server->timers, .message = message, .unread = server->unread};
   g_object_set_data_full(G_OBJECT(message), kExchangeKey, state, DeleteIntake);
   state->timer = Subscribe(*server->timers, MonotonicNow() + server->limits.idle_timeout,
                            [state](time_point) { ShutdownConnection(state->message); });
@@ -305,11 +330,24 @@
   auto* server = static_cast<server_state*>(data);
   const intake* state = IntakeOf(message);
   if (state != nullptr && state->rejected) return;
-  auto made = std::make_shared<soup_exchange>(message);
+  auto made = std::make_shared<soup_exchange>(message, server->unfinished_replies);
   made->Start();
   server->handlers.on_request(made);
 }
 
+bool IsReadable(GSocket* socket) {
+  return (g_socket_condition_check(socket, G_IO_IN) & G_IO_IN) != 0;
+}
+
+// Puts a descriptor that never becomes readable in the place of the listening one, because libsoup
+// watches it until soup_server_disconnect(), which also closes the connections of all callers.
+void CloseListener(GSocket* socket) {
+  const int idle = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  if (idle < 0) return;
+  dup2(idle, g_socket_get_fd(socket));
+  close(idle);
+}
+
 class soup_http_server final : public http_server {
  public:
   soup_http_server(server_limits limits, timer_service& timers, server_handlers handlers)
@@ -346,6 +384,31 @@
     return port;
   }
 
+  size_t UnfinishedReplies() const override { return *state_.unfinished_replies; }
+
+  void RefuseUnread(std::span<const header> headers, std::string_view body) override {
+    for (intake* request : std::exchange(*state_.unread, {})) {
+      // Already answered, or about to be by libsoup.
+      if (std::exchange(request->rejected, true)) continue;
+      Cancel(*request->timers, request->timer);
+      // The rest of the body is still read, as a reset would discard the reply.
+      RespondEarly(request->message, "503 Service Unavailable", headers, body, SHUT_WR);
+    }
+  }
+
+  bool StopListening() override {
+    GSList* listeners = soup_server_get_listeners(server_);
+    bool waiting = false;
+    for (const GSList* entry = listeners; entry != nullptr; entry = entry->next) {
+      waiting = waiting || IsReadable(static_cast<GSocket*>(entry->data));
+    }
+    for (const GSList* entry = listeners; entry != nullptr && !waiting; entry = entry->next) {
+      CloseListener(static_cast<GSocket*>(entry->data));
+    }
+    g_slist_free(listeners);
+    return !waiting;
+  }
+
  private:
   server_state state_;
   SoupServer* server_;
