--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -6,8 +6,11 @@
 #include <libsoup/soup.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <set>
 #include <vector>
 
 #include "details/address.h"
@@ -22,10 +25,16 @@
 // connection, and the caller might lose the reply.
 constexpr duration kDiscardTime = 1s;
 
+struct intake;
+
 struct server_state {
   server_limits limits;
   timer_service* timers = nullptr;
   server_handlers handlers;
+  // Shared with the messages and exchanges, which may outlive the server.
+  // Requests whose head has arrived, without the whole body.
+  std::shared_ptr<std::set<intake*>> unread = std::make_shared<std::set<intake*>>();
+  std::shared_ptr<size_t> unfinished_replies = std::make_shared<size_t>(0);
 };
 
 void ShutdownConnection(SoupServerMessage* message) {
@@ -44,8 +53,12 @@
 
 class soup_exchange final : public exchange, public std::enable_shared_from_this<soup_exchange> {
  public:
-  soup_exchange(SoupServerMessage* message, request_body body)
-      : message_(message), uri_(soup_server_message_get_uri(message)), body_(std::move(body)) {
+  soup_exchange(SoupServerMessage* message, request_body body,
+                std::shared_ptr<size_t> unfinished_replies)
+      : message_(message),
+        uri_(soup_server_message_get_uri(message)),
+        body_(std::move(body)),
+        unfinished_replies_(std::move(unfinished_replies)) {
     g_object_ref(message_);
   }
 
@@ -125,6 +138,7 @@
   // Keeps the exchange alive until libsoup reports the message as finished.
   void Start() {
     self_ = shared_from_this();
+    ++*unfinished_replies_;
     soup_server_message_pause(message_);
     g_signal_connect(message_, "finished", G_CALLBACK(OnFinished), this);
     g_signal_connect(message_, "wrote-body-data", G_CALLBACK(OnWroteData), this);
@@ -192,6 +206,7 @@
   static void OnFinished(SoupServerMessage* message, gpointer data) {
     auto* self = static_cast<soup_exchange*>(data);
     const auto keep = std::move(self->self_);
+    --*self->unfinished_replies_;
     g_signal_handlers_disconnect_by_data(message, data);
     self->HangUp();
   }
@@ -219,6 +234,7 @@
   bool streaming_ = false;
   bool aborting_ = false;  // the connection is closed when `pending_` has fallen to zero
   std::shared_ptr<soup_exchange> self_;
+  std::shared_ptr<size_t> unfinished_replies_;
 };
 
 // Limits of one request before it reaches the handler, and its body. Owned by the message.
@@ -229,10 +245,12 @@
   timer_id timer = 0;
   request_body body;
   bool rejected = false;
+  std::shared_ptr<std::set<intake*>> unread;
 };
 
 void DeleteIntake(gpointer data) {
   auto* state = static_cast<intake*>(data);
+  state->unread->erase(state);
   Cancel(*state->timers, state->timer);
   delete state;
 }
@@ -249,18 +267,16 @@
   return "500 Internal Server Error";
 }
 
-// Replies on the raw socket, because libsoup replies only after the whole body. The rest of the
-// body is discarded for a limited time.
-void Reject(intake& state, rejection why) {
-  if (state.rejected) return;
+// Ends a request that has not arrived whole. Replies on the raw socket, because libsoup replies
+// only after the whole body. The rest of the body is discarded for a limited time.
+void RespondEarly(intake& state, std::string_view status, std::span<const header> headers,
+                  std::string_view body) {
   state.rejected = true;
   Free(state.body.bytes);
   state.body.share.reset();
-  std::vector<header> headers;
-  const std::string body = state.server->handlers.on_reject(why, headers);
-  std::string text = std::string("HTTP/1.1 ") + StatusLine(why) + "\r\nConnection: close\r\n";
+  std::string text = "HTTP/1.1 " + std::string(status) + "\r\nConnection: close\r\n";
   for (const header& entry : headers) text += entry.name + ": " + entry.value + "\r\n";
-  text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
   // What libsoup sends after the body finds the connection closed.
   soup_server_message_set_status(state.message, SOUP_STATUS_SERVICE_UNAVAILABLE, nullptr);
   GSocket* socket = soup_server_message_get_socket(state.message);
@@ -272,6 +288,13 @@
                           [&state](time_point) { ShutdownConnection(state.message); });
 }
 
+void Reject(intake& state, rejection why) {
+  if (state.rejected) return;
+  std::vector<header> headers;
+  const std::string body = state.server->handlers.on_reject(why, headers);
+  RespondEarly(state, StatusLine(why), headers, body);
+}
+
 // The body was given up for those of other requests. A share may not be destroyed in between.
 void OnReclaim(intake& state) {
   Free(state.body.bytes);
@@ -316,6 +339,7 @@
 
 void OnGotHeaders(SoupServerMessage* message, gpointer) {
   intake* state = IntakeOf(message);
+  state->unread->insert(state);
   Cancel(*state->server->timers, state->timer);
   state->timer =
       Subscribe(*state->server->timers, MonotonicNow() + state->server->limits.body_timeout,
@@ -328,6 +352,7 @@
 
 void OnGotBody(SoupServerMessage* message, gpointer) {
   intake* state = IntakeOf(message);
+  state->unread->erase(state);
   if (state->body.share && state->body.share->IsReclaimed()) {
     Reject(*state, rejection::kNoMemory);
   } else {
@@ -341,7 +366,11 @@
   GSocket* socket = soup_server_message_get_socket(message);
   if (socket != nullptr) g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, TRUE, nullptr);
   soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
-  auto* state = new intake{server, server->timers, message, 0, {}, false};
+  auto* state = new intake{.server = server,
+                           .timers = server->timers,
+                           .message = message,
+                           .body = {},
+                           .unread = server->unread};
   state->body.share =
       std::make_unique<buffer_share>(server->limits.buffers, [state] { OnReclaim(*state); });
   g_object_set_data_full(G_OBJECT(message), kExchangeKey, state, DeleteIntake);
@@ -357,11 +386,25 @@
   intake* state = IntakeOf(message);
   if (state->rejected) return;
   state->body.share->Pin();
-  auto made = std::make_shared<soup_exchange>(message, std::move(state->body));
+  auto made =
+      std::make_shared<soup_exchange>(message, std::move(state->body), server->unfinished_replies);
   made->Start();
   server->handlers.on_request(made);
 }
 
+bool IsReadable(GSocket* socket) {
+  return (g_socket_condition_check(socket, G_IO_IN) & G_IO_IN) != 0;
+}
+
+// Puts a descriptor that never becomes readable in the place of the listening one, because libsoup
+// watches it until soup_server_disconnect(), which also closes the connections of all callers.
+void CloseListener(GSocket* socket) {
+  const int idle = eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK);
+  if (idle < 0) return;
+  dup2(idle, g_socket_get_fd(socket));
+  close(idle);
+}
+
 class soup_http_server final : public http_server {
  public:
   soup_http_server(server_limits limits, timer_service& timers, server_handlers handlers)
@@ -400,6 +443,27 @@
     return port;
   }
 
+  size_t UnfinishedReplies() const override { return *state_.unfinished_replies; }
+
+  void RefuseUnread(std::span<const header> headers, std::string_view body) override {
+    for (intake* request : std::exchange(*state_.unread, {})) {
+      if (!request->rejected) RespondEarly(*request, "503 Service Unavailable", headers, body);
+    }
+  }
+
+  bool StopListening() override {
+    GSList* listeners = soup_server_get_listeners(server_);
+    bool waiting = false;
+    for (const GSList* entry = listeners; entry != nullptr; entry = entry->next) {
+      waiting = waiting || IsReadable(static_cast<GSocket*>(entry->data));
+    }
+    for (const GSList* entry = listeners; entry != nullptr && !waiting; entry = entry->next) {
+      CloseListener(static_cast<GSocket*>(entry->data));
+    }
+    g_slist_free(listeners);
+    return !waiting;
+  }
+
  private:
   server_state state_;
   SoupServer* server_;
