gateway: replies that callers do not take are bounded in memory and in time

What callers saw: a caller that did not read a large reply kept it in the memory of the gateway until it closed the connection. With dozens of them, the process exceeds its memory limit and all requests on it are lost. A stream that was ended while bytes waited for a silent reader was never closed.

Cause: after exchange::Respond the request is retired and libsoup keeps the body until it is written; no limit of size or time applied any more.

Change: what a reply holds beyond 16 KB counts toward the common limit of buffers. Without room the largest reply that is not taken is cut: the connection is closed before the reply is complete, with a log line and a counter (gateway_replies_cut_total). A caller that takes no byte of a waiting reply for 15 s is disconnected. Acknowledged bytes count as taken, so slow readers keep their replies.

--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -574,6 +574,17 @@
   return std::string(refusal.reason) + "\n";
 }
 
+void LogCutReply(gateway_state& state, net::cut_reason why, size_t bytes) {
+  const std::string_view reason =
+      why == net::cut_reason::kNoMemory ? "no_memory" : "caller_does_not_read";
+  log::Log(log::level::kWarning, "reply cut before the caller had taken it",
+           {{"reason", reason},
+            {"bytes", bytes},
+            {"buffer_bytes", state.buffers->used_bytes},
+            {"buffer_limit_bytes", state.buffers->limit_bytes}});
+  CountCutReply(state.metrics, reason);
+}
+
 namespace {
 
 std::vector<call_ptr> FindCalls(const gateway_state& state, const quarantine::fingerprint& key) {
--- a/libs/gateway/src/details/calls.h
+++ b/libs/gateway/src/details/calls.h
@@ -16,6 +16,9 @@
 // Reply to a request that was rejected before its body had arrived, and its headers.
 std::string RejectCall(gateway_state& state, net::rejection why, std::vector<net::header>& headers);
 
+// Logs and counts a reply whose connection was closed with `bytes` bytes not taken by the caller.
+void LogCutReply(gateway_state& state, net::cut_reason why, size_t bytes);
+
 // Callbacks for the attempts of all requests.
 const attempt_callbacks& CallAttemptCallbacks();
 
--- a/libs/gateway/src/details/telemetry.h
+++ b/libs/gateway/src/details/telemetry.h
@@ -31,6 +31,8 @@
 
 // A request that the gateway itself answered with an error.
 void CountRefusal(telemetry& metrics, std::string_view reason);
+// A reply that its caller had not taken when the gateway closed the connection.
+void CountCutReply(telemetry& metrics, std::string_view reason);
 // A report or health check requested of an endpoint.
 void CountReport(telemetry& metrics, std::string_view reason);
 // A call that requests the changes of a shared table at once.
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -21,6 +21,8 @@
 constexpr duration kExitReserve = 300ms;
 // Long, because idle connections of callers are left open for reuse; the callers close them.
 constexpr duration kIdleTimeout = std::chrono::minutes(5);
+// A caller whose network has failed for so long does not wait for its reply any more.
+constexpr duration kWriteTimeout = std::chrono::seconds(15);
 // Limit of a request body until there is a configuration, which states its own.
 constexpr size_t kMaxBodyBytes = size_t{64} << 20;
 // Limit of a request body of readiness checks and of calls for metrics, which have none.
@@ -47,12 +49,14 @@
     net::server_limits limits{.max_body_bytes = kMaxBodyBytes,
                               .body_timeout = std::chrono::seconds(30),
                               .idle_timeout = kIdleTimeout,
-                              .buffers = state_.buffers};
+                              .buffers = state_.buffers,
+                              .write_timeout = kWriteTimeout};
     net::server_handlers calls;
     calls.on_request = [this](const net::exchange_ptr& exchange) { AcceptCall(state_, exchange); };
     calls.on_reject = [this](net::rejection why, std::vector<net::header>& headers) {
       return RejectCall(state_, why, headers);
     };
+    calls.on_cut = [this](net::cut_reason why, size_t bytes) { LogCutReply(state_, why, bytes); };
     BOOST_OUTCOME_TRY(server, net::ListenHttp(state_.config.listen, limits, state_.loop.Timers(),
                                               std::move(calls)));
     state_.server = std::move(server);
--- a/libs/gateway/src/telemetry.cc
+++ b/libs/gateway/src/telemetry.cc
@@ -53,6 +53,11 @@
         reason);
 }
 
+void CountCutReply(telemetry& metrics, std::string_view reason) {
+  Count(metrics, "gateway_replies_cut_total", "Replies that callers had not taken in time.",
+        reason);
+}
+
 void CountReport(telemetry& metrics, std::string_view reason) {
   Count(metrics, "gateway_reports_total", "Reports asked of engines.", reason);
 }
--- a/libs/net/include/net/http_server.h
+++ b/libs/net/include/net/http_server.h
@@ -23,15 +23,20 @@
   size_t max_body_bytes = 1 << 20;
   duration body_timeout = std::chrono::seconds(10);  // from the request's headers to its whole body
   duration idle_timeout = std::chrono::seconds(120);  // for the headers of the next request
-  // Common limit of the bodies of all requests; null: none. A body that has arrived is not
-  // reclaimed.
+  // Common limit of the bodies of all requests and of replies that are not taken yet; null: none. A
+  // body that has arrived is not reclaimed.
   std::shared_ptr<buffer_budget> buffers = nullptr;
+  // Callers that take no byte of a waiting reply for this time are disconnected; 0: never.
+  duration write_timeout{0};
 };
 
 // Why a request was answered before it reached the handler: 413, 408, and 503 if there is no memory
 // for its body.
 enum class rejection { kTooLarge, kSlowSender, kNoMemory };
 
+// Why a connection was closed before the caller had taken its reply.
+enum class cut_reason { kNoMemory, kSlowReader };
+
 // One request and its reply. After the reply has ended or the caller has hung up, calls have no
 // effect.
 class exchange {
@@ -85,6 +90,9 @@
   // Builds the reply to a rejected request; the server sends it at once, even if the body has not
   // arrived, and closes the connection.
   std::function<std::string(rejection, std::vector<header>&)> on_reject;
+  // Called when the server closes a connection although `bytes` of a reply were not taken. May not
+  // use any exchange. Optional.
+  std::function<void(cut_reason, size_t bytes)> on_cut;
 };
 
 // Listens on `address` (IP:PORT, port 0 for any). Errors: kInvalidArgument for a bad address,
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -4,8 +4,10 @@
 #include "net/http_server.h"
 
 #include <libsoup/soup.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <vector>
@@ -21,11 +23,16 @@
 // Time after a rejection in which the rest of a body is discarded. Closing at once would reset the
 // connection, and the caller might lose the reply.
 constexpr duration kDiscardTime = 1s;
+// Up to this size, bytes of a reply do not count toward the common limit, so that refusals and
+// events for callers that read them are sent even when there is no room.
+constexpr size_t kUncountedReplyBytes = 16384;
+// Checks of a waiting reply within `write_timeout`.
+constexpr int kWriteChecks = 4;
 
 struct server_state {
   server_limits limits;
   timer_service* timers = nullptr;
-  server_handlers handlers;
+  std::shared_ptr<const server_handlers> handlers;
 };
 
 void ShutdownConnection(SoupServerMessage* message) {
@@ -44,12 +51,19 @@
 
 class soup_exchange final : public exchange, public std::enable_shared_from_this<soup_exchange> {
  public:
-  soup_exchange(SoupServerMessage* message, request_body body)
-      : message_(message), uri_(soup_server_message_get_uri(message)), body_(std::move(body)) {
+  soup_exchange(SoupServerMessage* message, request_body body, const server_state& server)
+      : message_(message),
+        uri_(soup_server_message_get_uri(message)),
+        body_(std::move(body)),
+        handlers_(server.handlers),
+        timers_(*server.timers),
+        write_timeout_(server.limits.write_timeout),
+        reply_share_(server.limits.buffers, [this] { Cut(cut_reason::kNoMemory); }) {
     g_object_ref(message_);
   }
 
   ~soup_exchange() override {
+    if (write_timer_ != 0) balsambay::Cancel(timers_, write_timer_);
     StopWatching();
     g_object_unref(message_);
   }
@@ -83,7 +97,9 @@
     SetHead(status, headers);
     soup_message_body_append(soup_server_message_get_response_body(message_), SOUP_MEMORY_COPY,
                              body.data(), body.size());
+    pending_ = body.size();
     Finish();
+    if (!HoldPending()) Cut(cut_reason::kNoMemory);
   }
 
   void BeginStream(int status, std::span<const header> headers) override {
@@ -93,12 +109,14 @@
                                       SOUP_ENCODING_CHUNKED);
     soup_message_body_set_accumulate(soup_server_message_get_response_body(message_), FALSE);
     streaming_ = true;
+    WatchWriting();
     soup_server_message_unpause(message_);
   }
 
   void Write(std::string_view data) override {
-    if (!open_ || data.empty()) return;
+    if (!open_ || cut_ || data.empty()) return;
     pending_ += data.size();
+    if (!HoldPending()) return Cut(cut_reason::kNoMemory);
     soup_message_body_append(soup_server_message_get_response_body(message_), SOUP_MEMORY_COPY,
                              data.data(), data.size());
     soup_server_message_unpause(message_);
@@ -149,9 +167,53 @@
     StopWatching();
     body_ = {};
     soup_message_body_complete(soup_server_message_get_response_body(message_));
+    if (!streaming_) WatchWriting();
     soup_server_message_unpause(message_);
   }
 
+  // Accounts for the bytes that the caller has not taken. Returns false if there is no room.
+  bool HoldPending() {
+    return cut_ || reply_share_.Resize(pending_ > kUncountedReplyBytes ? pending_ : 0);
+  }
+
+  // Closes the connection, so that the reply does not look complete; libsoup then ends the message
+  // and frees what it holds.
+  void Cut(cut_reason why) {
+    if (cut_) return;
+    cut_ = true;
+    const auto handlers = handlers_.lock();
+    if (handlers && handlers->on_cut) handlers->on_cut(why, pending_);
+    ShutdownConnection(message_);
+  }
+
+  // Bytes of the reply that have left for the caller and were acknowledged.
+  int64_t TakenBytes() const {
+    GSocket* socket = soup_server_message_get_socket(message_);
+    int queued = 0;
+    if (socket != nullptr) ioctl(g_socket_get_fd(socket), SIOCOUTQ, &queued);
+    return static_cast<int64_t>(written_) - queued;
+  }
+
+  void WatchWriting() {
+    if (write_timeout_ <= duration::zero()) return;
+    taken_at_ = MonotonicNow();
+    taken_ = TakenBytes();
+    CheckWritingLater();
+  }
+
+  void CheckWritingLater() {
+    write_timer_ = Subscribe(timers_, MonotonicNow() + write_timeout_ / kWriteChecks,
+                             [this](time_point now) { CheckWriting(now); });
+  }
+
+  void CheckWriting(time_point now) {
+    const int64_t taken = TakenBytes();
+    if (pending_ == 0 || taken > taken_) taken_at_ = now;
+    taken_ = taken;
+    if (now - taken_at_ >= write_timeout_) return Cut(cut_reason::kSlowReader);
+    CheckWritingLater();
+  }
+
   void StopWatching() {
     if (watch_ == nullptr) return;
     g_source_destroy(watch_);
@@ -192,15 +254,20 @@
   static void OnFinished(SoupServerMessage* message, gpointer data) {
     auto* self = static_cast<soup_exchange*>(data);
     const auto keep = std::move(self->self_);
+    Cancel(self->timers_, self->write_timer_);
+    self->pending_ = 0;
+    (void)self->reply_share_.Resize(0);
     g_signal_handlers_disconnect_by_data(message, data);
     self->HangUp();
   }
 
   static void OnWroteData(SoupServerMessage*, guint size, gpointer data) {
     auto* self = static_cast<soup_exchange*>(data);
-    if (!self->streaming_) return;
     const bool was_pending = self->pending_ > 0;
+    self->written_ += size;
     self->pending_ -= std::min<size_t>(self->pending_, size);
+    if (!self->streaming_) return;  // libsoup frees a whole reply only when it has been sent
+    (void)self->HoldPending();      // does not grow
     if (!was_pending || self->pending_ > 0) return;
     if (self->aborting_) {
       self->aborting_ = false;
@@ -214,8 +281,17 @@
   GUri* uri_;
   request_body body_;
   GSource* watch_ = nullptr;
-  size_t pending_ = 0;
-  bool open_ = true;  // false once the reply has ended or the caller has hung up
+  std::weak_ptr<const server_handlers> handlers_;
+  timer_service& timers_;
+  duration write_timeout_;
+  buffer_share reply_share_;
+  timer_id write_timer_ = 0;
+  time_point taken_at_;  // last time at which the caller took a byte, or nothing was pending
+  int64_t taken_ = 0;    // at the last check
+  size_t written_ = 0;   // bytes of the reply's body that were given to the socket
+  size_t pending_ = 0;   // bytes of the reply's body that were not
+  bool cut_ = false;     // the connection was closed by Cut()
+  bool open_ = true;     // false once the reply has ended or the caller has hung up
   bool streaming_ = false;
   bool aborting_ = false;  // the connection is closed when `pending_` has fallen to zero
   std::shared_ptr<soup_exchange> self_;
@@ -257,7 +333,7 @@
   Free(state.body.bytes);
   state.body.share.reset();
   std::vector<header> headers;
-  const std::string body = state.server->handlers.on_reject(why, headers);
+  const std::string body = state.server->handlers->on_reject(why, headers);
   std::string text = std::string("HTTP/1.1 ") + StatusLine(why) + "\r\nConnection: close\r\n";
   for (const header& entry : headers) text += entry.name + ": " + entry.value + "\r\n";
   text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
@@ -357,15 +433,16 @@
   intake* state = IntakeOf(message);
   if (state->rejected) return;
   state->body.share->Pin();
-  auto made = std::make_shared<soup_exchange>(message, std::move(state->body));
+  auto made = std::make_shared<soup_exchange>(message, std::move(state->body), *server);
   made->Start();
-  server->handlers.on_request(made);
+  server->handlers->on_request(made);
 }
 
 class soup_http_server final : public http_server {
  public:
   soup_http_server(server_limits limits, timer_service& timers, server_handlers handlers)
-      : state_{std::move(limits), &timers, std::move(handlers)},
+      : state_{std::move(limits), &timers,
+               std::make_shared<const server_handlers>(std::move(handlers))},
         server_(soup_server_new("server-header", "balsambay", nullptr)) {
     g_signal_connect(server_, "request-started", G_CALLBACK(OnRequestStarted), &state_);
     soup_server_add_handler(server_, nullptr, OnRequest, &state_, nullptr);
