net: go on accepting connections after a lack of descriptors

What callers saw: once all descriptors of the process were in use, for example by idle connections of callers, no new connection was accepted any more. That did not end when the other connections were closed: the process lived on, and no new caller reached it.

Cause: libsoup removes the watch of its listening socket after the first accept() that fails (seen in the test; the source of libsoup was not read).

Change: the server checks every 100 ms whether a connection waits while none is accepted. Then it closes an eighth of the connections that have no request, the oldest first, listens again, and logs it.

--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -10,9 +10,12 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <map>
 #include <vector>
 
 #include "details/address.h"
+#include "log/log.h"
 
 namespace balsambay::net {
 namespace {
@@ -29,10 +32,24 @@
 // Checks of a waiting reply within `write_timeout`.
 constexpr int kWriteChecks = 4;
 
+// Interval of the checks that libsoup accepts connections. It stops for good after one failure,
+// such as a lack of descriptors.
+constexpr duration kAcceptCheckInterval = 100ms;
+// One failed check may be due to a delay of the loop.
+constexpr int kMaxFailedChecks = 2;
+// Share of the idle connections that are closed when there is no descriptor for a new one.
+constexpr size_t kIdleDivisor = 8;
+
+struct intake;
+using idle_map = std::map<uint64_t, intake*>;  // by the number of the connection's request
+
 struct server_state {
   server_limits limits;
   timer_service* timers = nullptr;
   std::shared_ptr<const server_handlers> handlers;
+  // Connections that wait for the headers of a request, the oldest first. Outlives the server.
+  std::shared_ptr<idle_map> idle = std::make_shared<idle_map>();
+  uint64_t started = 0;  // connections and further requests on them
 };
 
 void ShutdownConnection(SoupServerMessage* message) {
@@ -305,11 +322,14 @@
   timer_id timer = 0;
   request_body body;
   bool rejected = false;
+  uint64_t number = 0;                       // key in `idle`
+  std::shared_ptr<idle_map> idle = nullptr;  // that it may be in
 };
 
 void DeleteIntake(gpointer data) {
   auto* state = static_cast<intake*>(data);
   Cancel(*state->timers, state->timer);
+  state->idle->erase(state->number);
   delete state;
 }
 
@@ -392,6 +412,7 @@
 
 void OnGotHeaders(SoupServerMessage* message, gpointer) {
   intake* state = IntakeOf(message);
+  state->idle->erase(state->number);
   Cancel(*state->server->timers, state->timer);
   state->timer =
       Subscribe(*state->server->timers, MonotonicNow() + state->server->limits.body_timeout,
@@ -417,7 +438,9 @@
   GSocket* socket = soup_server_message_get_socket(message);
   if (socket != nullptr) g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, TRUE, nullptr);
   soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
-  auto* state = new intake{server, server->timers, message, 0, {}, false};
+  auto* state =
+      new intake{server, server->timers, message, 0, {}, false, ++server->started, server->idle};
+  server->idle->emplace(state->number, state);
   state->body.share =
       std::make_unique<buffer_share>(server->limits.buffers, [state] { OnReclaim(*state); });
   g_object_set_data_full(G_OBJECT(message), kExchangeKey, state, DeleteIntake);
@@ -449,6 +472,8 @@
   }
 
   ~soup_http_server() override {
+    Cancel(*state_.timers, check_timer_);
+    g_clear_object(&socket_);
     soup_server_disconnect(server_);
     g_object_unref(server_);
   }
@@ -464,7 +489,14 @@
     const bool listening =
         soup_server_listen(server_, parsed, static_cast<SoupServerListenOptions>(0), &failure);
     g_object_unref(parsed);
-    if (listening) return Success();
+    if (listening) {
+      GSList* sockets = soup_server_get_listeners(server_);
+      socket_ = G_SOCKET(g_object_ref(sockets->data));
+      g_slist_free(sockets);
+      g_socket_set_blocking(socket_, FALSE);
+      CheckAcceptingLater();
+      return Success();
+    }
     std::string detail = failure->message;
     g_error_free(failure);
     return Failure(errc::kUnavailable, std::move(detail));
@@ -478,8 +510,52 @@
   }
 
  private:
+  void CheckAcceptingLater() {
+    check_timer_ = Subscribe(*state_.timers, MonotonicNow() + kAcceptCheckInterval,
+                             [this](time_point) { CheckAccepting(); });
+  }
+
+  // A connection that waits over several checks, while none is accepted, shows that libsoup does
+  // not accept any more. Listening again on the same socket leaves one unused listener behind.
+  void CheckAccepting() {
+    const bool waits = g_socket_condition_check(socket_, G_IO_IN) != 0;
+    const bool accepted = std::exchange(started_before_, state_.started) != state_.started;
+    failed_checks_ = waits && !accepted ? failed_checks_ + 1 : 0;
+    const bool stopped = failed_checks_ >= kMaxFailedChecks;
+    CheckAcceptingLater();
+    if (!stopped) return;
+    failed_checks_ = 0;
+    const size_t closed = CloseOldestIdle();
+    log::Log(log::level::kError, "no connection could be accepted; accepting is resumed",
+             {{"closed", closed}, {"idle", state_.idle->size()}});
+    GError* failure = nullptr;
+    if (soup_server_listen_socket(server_, socket_, static_cast<SoupServerListenOptions>(0),
+                                  &failure) != FALSE) {
+      return;
+    }
+    log::Log(log::level::kError, "accepting connections could not be resumed",
+             {{"detail", std::string(failure->message)}});
+    g_error_free(failure);
+  }
+
+  // Their descriptors are free when libsoup has seen the end.
+  size_t CloseOldestIdle() {
+    const size_t count = (state_.idle->size() + kIdleDivisor - 1) / kIdleDivisor;
+    auto next = state_.idle->begin();
+    for (size_t i = 0; i < count; ++i) {
+      const intake* oldest = next->second;
+      next = state_.idle->erase(next);
+      ShutdownConnection(oldest->message);
+    }
+    return count;
+  }
+
   server_state state_;
   SoupServer* server_;
+  GSocket* socket_ = nullptr;  // that the server listens on
+  timer_id check_timer_ = 0;
+  int failed_checks_ = 0;  // checks in a row that found a waiting connection and none accepted
+  uint64_t started_before_ = 0;
 };
 
 }  // namespace
