--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -237,6 +237,8 @@
     AddStreamLength(state.pace, request->events.events);
     request->exchange->End();
   } else {
+    // From here on, the bytes count as those of a reply that waits for its caller.
+    attempt->buffer.reset();
     SendReply(state, request->exchange, attempt->head.status,
               state.wire.reply_headers(attempt->head), attempt->reply_body);
   }
@@ -354,6 +356,7 @@
   // Without another attempt, the error reply of the endpoint is the best reply there is.
   if (failure == attempt_failure::kFailed && !request->streaming) {
     metrics::Increment(state.metrics.registry, state.metrics.completed);
+    failed->buffer.reset();
     SendReply(state, request->exchange, failed->head.status, state.wire.reply_headers(failed->head),
               failed->reply_body);
     return Retire(state, request);
@@ -602,6 +605,17 @@
   return std::string(refusal.reason) + "\n";
 }
 
+void LogCutReply(gateway_state& state, net::cut_reason why, size_t bytes) {
+  const std::string_view reason =
+      why == net::cut_reason::kNoMemory ? "no_memory" : "caller_does_not_read";
+  log::Log(log::level::kWarning, "reply cut before the caller had taken it",
+           {{"reason", reason},
+            {"bytes", bytes},
+            {"buffer_bytes", state.buffers->used_bytes},
+            {"buffer_limit_bytes", state.buffers->limit_bytes}});
+  CountCutReply(state.metrics, reason);
+}
+
 namespace {
 
 std::vector<call_ptr> FindCalls(const gateway_state& state, const quarantine::fingerprint& key) {
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -4,16 +4,21 @@
 #include "net/http_server.h"
 
 #include <libsoup/soup.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/eventfd.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <map>
 #include <set>
 #include <vector>
 
 #include "details/address.h"
+#include "log/log.h"
 
 namespace balsambay::net {
 namespace {
@@ -24,17 +29,34 @@
 // Time after a rejection in which the rest of a body is discarded. Closing at once would reset the
 // connection, and the caller might lose the reply.
 constexpr duration kDiscardTime = 1s;
+// Up to this size, bytes of a reply do not count toward the common limit, so that refusals and
+// events for callers that read them are sent even when there is no room.
+constexpr size_t kUncountedReplyBytes = 16384;
+// Checks of a waiting reply within `write_timeout`.
+constexpr int kWriteChecks = 4;
+
+// Interval of the checks that libsoup accepts connections. It stops for good after one failure,
+// such as a lack of descriptors.
+constexpr duration kAcceptCheckInterval = 100ms;
+// One failed check may be due to a delay of the loop.
+constexpr int kMaxFailedChecks = 2;
+// Share of the idle connections that are closed when there is no descriptor for a new one.
+constexpr size_t kIdleDivisor = 8;
 
 struct intake;
+using idle_map = std::map<uint64_t, intake*>;  // by the number of the connection's request
 
 struct server_state {
   server_limits limits;
   timer_service* timers = nullptr;
-  server_handlers handlers;
+  std::shared_ptr<const server_handlers> handlers;
   // Shared with the messages and exchanges, which may outlive the server.
   // Requests whose head has arrived, without the whole body.
   std::shared_ptr<std::set<intake*>> unread = std::make_shared<std::set<intake*>>();
   std::shared_ptr<size_t> unfinished_replies = std::make_shared<size_t>(0);
+  // Connections that wait for the headers of a request, the oldest first.
+  std::shared_ptr<idle_map> idle = std::make_shared<idle_map>();
+  uint64_t started = 0;  // connections and further requests on them
 };
 
 void ShutdownConnection(SoupServerMessage* message) {
@@ -53,16 +75,20 @@
 
 class soup_exchange final : public exchange, public std::enable_shared_from_this<soup_exchange> {
  public:
-  soup_exchange(SoupServerMessage* message, request_body body,
-                std::shared_ptr<size_t> unfinished_replies)
+  soup_exchange(SoupServerMessage* message, request_body body, const server_state& server)
       : message_(message),
         uri_(soup_server_message_get_uri(message)),
         body_(std::move(body)),
-        unfinished_replies_(std::move(unfinished_replies)) {
+        handlers_(server.handlers),
+        timers_(*server.timers),
+        write_timeout_(server.limits.write_timeout),
+        reply_share_(server.limits.reply_buffers, [this] { Cut(cut_reason::kNoMemory); }),
+        unfinished_replies_(server.unfinished_replies) {
     g_object_ref(message_);
   }
 
   ~soup_exchange() override {
+    if (write_timer_ != 0) balsambay::Cancel(timers_, write_timer_);
     StopWatching();
     g_object_unref(message_);
   }
@@ -96,7 +122,9 @@
     SetHead(status, headers);
     soup_message_body_append(soup_server_message_get_response_body(message_), SOUP_MEMORY_COPY,
                              body.data(), body.size());
+    pending_ = body.size();
     Finish();
+    if (!HoldPending()) Cut(cut_reason::kNoMemory);
   }
 
   void BeginStream(int status, std::span<const header> headers) override {
@@ -106,12 +134,14 @@
                                       SOUP_ENCODING_CHUNKED);
     soup_message_body_set_accumulate(soup_server_message_get_response_body(message_), FALSE);
     streaming_ = true;
+    WatchWriting();
     soup_server_message_unpause(message_);
   }
 
   void Write(std::string_view data) override {
-    if (!open_ || data.empty()) return;
+    if (!open_ || cut_ || data.empty()) return;
     pending_ += data.size();
+    if (!HoldPending()) return Cut(cut_reason::kNoMemory);
     soup_message_body_append(soup_server_message_get_response_body(message_), SOUP_MEMORY_COPY,
                              data.data(), data.size());
     soup_server_message_unpause(message_);
@@ -163,9 +193,53 @@
     StopWatching();
     body_ = {};
     soup_message_body_complete(soup_server_message_get_response_body(message_));
+    if (!streaming_) WatchWriting();
     soup_server_message_unpause(message_);
   }
 
+  // Accounts for the bytes that the caller has not taken. Returns false if there is no room.
+  bool HoldPending() {
+    return cut_ || reply_share_.Resize(pending_ > kUncountedReplyBytes ? pending_ : 0);
+  }
+
+  // Closes the connection, so that the reply does not look complete; libsoup then ends the message
+  // and frees what it holds.
+  void Cut(cut_reason why) {
+    if (cut_) return;
+    cut_ = true;
+    const auto handlers = handlers_.lock();
+    if (handlers && handlers->on_cut) handlers->on_cut(why, pending_);
+    ShutdownConnection(message_);
+  }
+
+  // Bytes of the reply that have left for the caller and were acknowledged.
+  int64_t TakenBytes() const {
+    GSocket* socket = soup_server_message_get_socket(message_);
+    int queued = 0;
+    if (socket != nullptr) ioctl(g_socket_get_fd(socket), SIOCOUTQ, &queued);
+    return static_cast<int64_t>(written_) - queued;
+  }
+
+  void WatchWriting() {
+    if (write_timeout_ <= duration::zero()) return;
+    taken_at_ = MonotonicNow();
+    taken_ = TakenBytes();
+    CheckWritingLater();
+  }
+
+  void CheckWritingLater() {
+    write_timer_ = Subscribe(timers_, MonotonicNow() + write_timeout_ / kWriteChecks,
+                             [this](time_point now) { CheckWriting(now); });
+  }
+
+  void CheckWriting(time_point now) {
+    const int64_t taken = TakenBytes();
+    if (pending_ == 0 || taken > taken_) taken_at_ = now;
+    taken_ = taken;
+    if (now - taken_at_ >= write_timeout_) return Cut(cut_reason::kSlowReader);
+    CheckWritingLater();
+  }
+
   void StopWatching() {
     if (watch_ == nullptr) return;
     g_source_destroy(watch_);
@@ -207,15 +281,20 @@
     auto* self = static_cast<soup_exchange*>(data);
     const auto keep = std::move(self->self_);
     --*self->unfinished_replies_;
+    Cancel(self->timers_, self->write_timer_);
+    self->pending_ = 0;
+    (void)self->reply_share_.Resize(0);
     g_signal_handlers_disconnect_by_data(message, data);
     self->HangUp();
   }
 
   static void OnWroteData(SoupServerMessage*, guint size, gpointer data) {
     auto* self = static_cast<soup_exchange*>(data);
-    if (!self->streaming_) return;
     const bool was_pending = self->pending_ > 0;
+    self->written_ += size;
     self->pending_ -= std::min<size_t>(self->pending_, size);
+    if (!self->streaming_) return;  // libsoup frees a whole reply only when it has been sent
+    (void)self->HoldPending();      // does not grow
     if (!was_pending || self->pending_ > 0) return;
     if (self->aborting_) {
       self->aborting_ = false;
@@ -229,8 +308,17 @@
   GUri* uri_;
   request_body body_;
   GSource* watch_ = nullptr;
-  size_t pending_ = 0;
-  bool open_ = true;  // false once the reply has ended or the caller has hung up
+  std::weak_ptr<const server_handlers> handlers_;
+  timer_service& timers_;
+  duration write_timeout_;
+  buffer_share reply_share_;
+  timer_id write_timer_ = 0;
+  time_point taken_at_;  // last time at which the caller took a byte, or nothing was pending
+  int64_t taken_ = 0;    // at the last check
+  size_t written_ = 0;   // bytes of the reply's body that were given to the socket
+  size_t pending_ = 0;   // bytes of the reply's body that were not
+  bool cut_ = false;     // the connection was closed by Cut()
+  bool open_ = true;     // false once the reply has ended or the caller has hung up
   bool streaming_ = false;
   bool aborting_ = false;  // the connection is closed when `pending_` has fallen to zero
   std::shared_ptr<soup_exchange> self_;
@@ -245,13 +333,16 @@
   timer_id timer = 0;
   request_body body;
   bool rejected = false;
-  std::shared_ptr<std::set<intake*>> unread;
+  std::shared_ptr<std::set<intake*>> unread = nullptr;
+  uint64_t number = 0;                       // key in `idle`
+  std::shared_ptr<idle_map> idle = nullptr;  // that it may be in
 };
 
 void DeleteIntake(gpointer data) {
   auto* state = static_cast<intake*>(data);
   state->unread->erase(state);
   Cancel(*state->timers, state->timer);
+  state->idle->erase(state->number);
   delete state;
 }
 
@@ -291,7 +382,7 @@
 void Reject(intake& state, rejection why) {
   if (state.rejected) return;
   std::vector<header> headers;
-  const std::string body = state.server->handlers.on_reject(why, headers);
+  const std::string body = state.server->handlers->on_reject(why, headers);
   RespondEarly(state, StatusLine(why), headers, body);
 }
 
@@ -340,6 +431,7 @@
 void OnGotHeaders(SoupServerMessage* message, gpointer) {
   intake* state = IntakeOf(message);
   state->unread->insert(state);
+  state->idle->erase(state->number);
   Cancel(*state->server->timers, state->timer);
   state->timer =
       Subscribe(*state->server->timers, MonotonicNow() + state->server->limits.body_timeout,
@@ -370,7 +462,10 @@
                            .timers = server->timers,
                            .message = message,
                            .body = {},
-                           .unread = server->unread};
+                           .unread = server->unread,
+                           .number = ++server->started,
+                           .idle = server->idle};
+  server->idle->emplace(state->number, state);
   state->body.share =
       std::make_unique<buffer_share>(server->limits.buffers, [state] { OnReclaim(*state); });
   g_object_set_data_full(G_OBJECT(message), kExchangeKey, state, DeleteIntake);
@@ -386,10 +481,9 @@
   intake* state = IntakeOf(message);
   if (state->rejected) return;
   state->body.share->Pin();
-  auto made =
-      std::make_shared<soup_exchange>(message, std::move(state->body), server->unfinished_replies);
+  auto made = std::make_shared<soup_exchange>(message, std::move(state->body), *server);
   made->Start();
-  server->handlers.on_request(made);
+  server->handlers->on_request(made);
 }
 
 bool IsReadable(GSocket* socket) {
@@ -408,13 +502,16 @@
 class soup_http_server final : public http_server {
  public:
   soup_http_server(server_limits limits, timer_service& timers, server_handlers handlers)
-      : state_{std::move(limits), &timers, std::move(handlers)},
+      : state_{std::move(limits), &timers,
+               std::make_shared<const server_handlers>(std::move(handlers))},
         server_(soup_server_new("server-header", "balsambay", nullptr)) {
     g_signal_connect(server_, "request-started", G_CALLBACK(OnRequestStarted), &state_);
     soup_server_add_handler(server_, nullptr, OnRequest, &state_, nullptr);
   }
 
   ~soup_http_server() override {
+    Cancel(*state_.timers, check_timer_);
+    g_clear_object(&socket_);
     soup_server_disconnect(server_);
     g_object_unref(server_);
   }
@@ -430,7 +527,14 @@
     const bool listening =
         soup_server_listen(server_, parsed, static_cast<SoupServerListenOptions>(0), &failure);
     g_object_unref(parsed);
-    if (listening) return Success();
+    if (listening) {
+      GSList* sockets = soup_server_get_listeners(server_);
+      socket_ = G_SOCKET(g_object_ref(sockets->data));
+      g_slist_free(sockets);
+      g_socket_set_blocking(socket_, FALSE);
+      CheckAcceptingLater();
+      return Success();
+    }
     std::string detail = failure->message;
     g_error_free(failure);
     return Failure(errc::kUnavailable, std::move(detail));
@@ -465,8 +569,52 @@
   }
 
  private:
+  void CheckAcceptingLater() {
+    check_timer_ = Subscribe(*state_.timers, MonotonicNow() + kAcceptCheckInterval,
+                             [this](time_point) { CheckAccepting(); });
+  }
+
+  // A connection that waits over several checks, while none is accepted, shows that libsoup does
+  // not accept any more. Listening again on the same socket leaves one unused listener behind.
+  void CheckAccepting() {
+    const bool waits = g_socket_condition_check(socket_, G_IO_IN) != 0;
+    const bool accepted = std::exchange(started_before_, state_.started) != state_.started;
+    failed_checks_ = waits && !accepted ? failed_checks_ + 1 : 0;
+    const bool stopped = failed_checks_ >= kMaxFailedChecks;
+    CheckAcceptingLater();
+    if (!stopped) return;
+    failed_checks_ = 0;
+    const size_t closed = CloseOldestIdle();
+    log::Log(log::level::kError, "no connection could be accepted; accepting is resumed",
+             {{"closed", closed}, {"idle", state_.idle->size()}});
+    GError* failure = nullptr;
+    if (soup_server_listen_socket(server_, socket_, static_cast<SoupServerListenOptions>(0),
+                                  &failure) != FALSE) {
+      return;
+    }
+    log::Log(log::level::kError, "accepting connections could not be resumed",
+             {{"detail", std::string(failure->message)}});
+    g_error_free(failure);
+  }
+
+  // Their descriptors are free when libsoup has seen the end.
+  size_t CloseOldestIdle() {
+    const size_t count = (state_.idle->size() + kIdleDivisor - 1) / kIdleDivisor;
+    auto next = state_.idle->begin();
+    for (size_t i = 0; i < count; ++i) {
+      const intake* oldest = next->second;
+      next = state_.idle->erase(next);
+      ShutdownConnection(oldest->message);
+    }
+    return count;
+  }
+
   server_state state_;
   SoupServer* server_;
+  GSocket* socket_ = nullptr;  // that the server listens on
+  timer_id check_timer_ = 0;
+  int failed_checks_ = 0;  // checks in a row that found a waiting connection and none accepted
+  uint64_t started_before_ = 0;
 };
 
 }  // namespace
