gateway: bound the bytes of streams that wait in the process together

Callers of a machine lost their requests when its gateway ran out of memory: each stream whose caller does not read held 256 KB and a read of up to 64 KB, and none of this was bounded together. Assigning an empty text to a reply that was failed also kept its capacity until the attempt was gone.

Change: reading from the endpoint pauses at 256 KB, or earlier with many requests (half of the common limit, divided by the open requests); streams are read 16 KB at once. The start of an event that has not ended counts towards the common limit, keeps no spare capacity, and is no longer copied for each output. Failed replies are freed at once.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -25,6 +25,8 @@
 constexpr int kMaxReroutes = 2;
 // A reply that is not streamed is held in memory; a larger one fails the attempt.
 constexpr size_t kMaxReplyBytes = size_t{16} << 20;
+// Received at once of a stream: its bytes wait in memory when the caller does not read them.
+constexpr size_t kStreamReadBytes = 16384;
 // Longer announced lengths are taken for this one.
 constexpr double kMaxAnnouncedBytes = 1e18;
 // Why a reply has more bytes than can be held; values of the label "reason" of
@@ -323,6 +325,9 @@
   return static_cast<uint64_t>(std::clamp(announced, 0.0, kMaxAnnouncedBytes));
 }
 
+// Frees the memory of the text. Assigning an empty one would keep its capacity.
+void Free(std::string& text) { std::string().swap(text); }
+
 // Fails an attempt whose reply cannot be held. `bytes`: size of the reply as far as it is known.
 void FailTooLarge(gateway_state& state, const call_ptr& request, const attempt_ptr& attempt,
                   std::string_view reason, uint64_t bytes, const attempt_callbacks& callbacks) {
@@ -336,7 +341,8 @@
             {"limit_bytes", MaxReplyBytes(state)},
             {"buffer_bytes", state.buffers->used_bytes},
             {"buffer_limit_bytes", state.buffers->limit_bytes}});
-  attempt->reply_body = {};
+  Free(attempt->reply_body);
+  Free(attempt->events.partial);
   attempt->buffer.reset();
   callbacks.on_failure(state, request, attempt, attempt_failure::kBroken);
 }
@@ -351,8 +357,9 @@
                       weak_attempt = std::weak_ptr(owner), callbacks] {
         const attempt_ptr reclaimed = weak_attempt.lock();
         if (!reclaimed) return;
-        const size_t bytes = reclaimed->reply_body.size();
-        reclaimed->reply_body = {};
+        const size_t bytes = reclaimed->reply_body.size() + reclaimed->events.partial.size();
+        Free(reclaimed->reply_body);
+        Free(reclaimed->events.partial);
         Subscribe(state.loop.Timers(), MonotonicNow(),
                   [&state, weak_request, weak_attempt, callbacks, bytes](time_point) {
                     const call_ptr locked_request = weak_request.lock();
@@ -410,6 +417,17 @@
   }
 }
 
+// Accounts for the start of an event. Returns false if there is no room for it.
+bool HoldPartialEvent(gateway_state& state, const call_ptr& request, const attempt_ptr& attempt,
+                      const attempt_callbacks& callbacks) {
+  const std::string& partial = attempt->events.partial;
+  if (!attempt->buffer) {
+    if (partial.empty()) return true;
+    attempt->buffer = MakeBuffer(state, request, attempt, callbacks);
+  }
+  return attempt->buffer->Resize(partial.capacity());
+}
+
 void CollectReply(gateway_state& state, const call_ptr& request, const attempt_ptr& attempt,
                   std::string_view data, const attempt_callbacks& callbacks) {
   if (!attempt->buffer) attempt->buffer = MakeBuffer(state, request, attempt, callbacks);
@@ -426,7 +444,12 @@
   if (!IsStreamedReply(*request, *attempt)) {
     return CollectReply(state, request, attempt, data, callbacks);
   }
+  if (attempt->buffer && attempt->buffer->IsReclaimed()) return;
   const std::string complete_events = TakeCompleteEvents(attempt->events, data);
+  if (!HoldPartialEvent(state, request, attempt, callbacks)) {
+    const size_t bytes = attempt->events.partial.size();
+    return FailTooLarge(state, request, attempt, kCommonLimit, bytes, callbacks);
+  }
   const bool unusable =
       attempt->events.malformed || attempt->events.partial.size() > kMaxEventBytes;
   if (complete_events.empty()) {
@@ -649,6 +672,7 @@
   net::client_request upstream_request = state.wire.write_attempt(
       request->incoming, request->body, MakeSpec(*request, *new_attempt, request->due - now));
   upstream_request.header_timeout = request->due - now;
+  if (request->route->streamed) upstream_request.read_bytes = kStreamReadBytes;
   new_attempt->upstream = state.client->Send(std::move(upstream_request),
                                              MakeCallbacks(state, request, new_attempt, callbacks));
   return start_result::kStarted;
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -17,8 +17,10 @@
 
 using std::chrono_literals::operator""ms;
 
-// Bytes that are buffered for a slow caller before reading from the endpoint pauses.
+// Bytes that are buffered for a slow caller before reading from the endpoint pauses, and share of
+// the common limit that all callers together may use. Reading pauses earlier with many requests.
 constexpr size_t kMaxPendingBytes = size_t{256} * 1024;
+constexpr size_t kPendingDivisor = 2;
 // Callers that were refused for lack of room are told to retry after the first time plus a random
 // part of the second. The first of the running requests end within this time.
 constexpr duration kRoomRetryAfter = 600ms;
@@ -170,6 +172,11 @@
 
 void TryStart(gateway_state& state, const call_ptr& request);
 
+size_t MaxPendingBytes(const gateway_state& state) {
+  const size_t requests = std::max<size_t>(state.calls.size(), 1);
+  return std::min(kMaxPendingBytes, state.buffers->limit_bytes / kPendingDivisor / requests);
+}
+
 // --- Outcomes of attempts.
 
 // Logs a complete reply that missed a latency goal of its route.
@@ -217,7 +224,7 @@
     PromoteSuccessor(state, request);
   } else if (request->successor && MustWithhold(*request, MonotonicNow())) {
     attempt->withheld += events;
-    if (attempt->withheld.size() > kMaxPendingBytes) attempt->upstream->PauseReading();
+    if (attempt->withheld.size() > MaxPendingBytes(state)) attempt->upstream->PauseReading();
     return;
   } else if (request->successor) {
     attempt->withheld += events;
@@ -495,7 +502,10 @@
     request->longest_gap = std::max(request->longest_gap, now - request->last_output);
   }
   request->last_output = now;
-  request->events = attempt.events;
+  // The start of the next event is held by the attempt only.
+  request->events.last_id = attempt.events.last_id;
+  request->events.events = attempt.events.events;
+  request->events.malformed = attempt.events.malformed;
   if (!request->streaming) {
     request->streaming = true;
     request->first_output = now - request->arrived;
@@ -506,7 +516,7 @@
     request->exchange->BeginStream(attempt.head.status, headers);
   }
   request->exchange->Write(events);
-  if (request->exchange->PendingBytes() > kMaxPendingBytes) attempt.upstream->PauseReading();
+  if (request->exchange->PendingBytes() > MaxPendingBytes(state)) attempt.upstream->PauseReading();
 }
 
 void AcceptCall(gateway_state& state, const net::exchange_ptr& exchange) {
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -115,7 +115,7 @@
   net::reply_head head;
   reply_metadata facts;
   std::string reply_body;  // of replies that are passed on whole
-  // Memory of `reply_body`, by its capacity; null: none yet.
+  // Memory of `reply_body` and of the start of an event, by capacity; null: none yet.
   std::unique_ptr<buffer_share> buffer;
   event_splitter events;  // the whole stream so far, including that of earlier attempts
   std::string withheld;   // complete events that are not passed on yet
--- a/libs/gateway/src/event_stream.cc
+++ b/libs/gateway/src/event_stream.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <charconv>
 #include <optional>
+#include <utility>
 
 namespace balsambay::gateway {
 namespace {
@@ -76,8 +77,12 @@
     splitter.last_id = id;
     ++splitter.events;
   }
-  std::string complete_events = splitter.partial.substr(0, length);
-  splitter.partial.erase(0, length);
+  if (length == 0) return {};
+  // The rest moves to memory of its own size; erasing would keep that of the whole text.
+  std::string remainder = splitter.partial.substr(length);
+  std::string complete_events = std::exchange(splitter.partial, std::move(remainder));
+  if (splitter.partial.empty()) std::string().swap(splitter.partial);
+  complete_events.resize(length);
   return complete_events;
 }
 
--- a/libs/net/include/net/http_client.h
+++ b/libs/net/include/net/http_client.h
@@ -22,6 +22,8 @@
   duration header_timeout = std::chrono::seconds(10);  // until the reply's headers
   // Until the first byte is written; nothing has reached the peer before.
   duration connect_timeout = duration::max();
+  // Most bytes of the reply that are received at once, and so after PauseReading(); at most 64 KB.
+  size_t read_bytes = 65536;
 };
 
 // Head of a reply, in the order received.
--- a/libs/net/src/direct_call.cc
+++ b/libs/net/src/direct_call.cc
@@ -70,6 +70,7 @@
   void Start(const client_request& request) {
     is_head_ = request.method == "HEAD";
     output_ = RenderRequest(request);
+    read_bytes_ = std::min(request.read_bytes, kReadBufferBytes);
     header_deadline_ = MonotonicNow() + request.header_timeout;
     WaitUntil(MonotonicNow() + std::min(request.connect_timeout, request.header_timeout));
     self_ = shared_from_this();
@@ -213,7 +214,7 @@
   void Read() {
     static std::array<char, kReadBufferBytes> buffer;
     GError* failure = nullptr;
-    const gssize size = g_socket_receive(socket_, buffer.data(), buffer.size(), nullptr, &failure);
+    const gssize size = g_socket_receive(socket_, buffer.data(), read_bytes_, nullptr, &failure);
     if (size < 0) {
       const bool later = g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE;
       if (!later) Fail(failure->message);
@@ -290,6 +291,7 @@
 
   timer_service& timers_;
   client_callbacks callbacks_;
+  size_t read_bytes_ = kReadBufferBytes;
   http_parser parser_{};
   GSocket* socket_ = nullptr;
   GSource* source_ = nullptr;
