router: bound the memory of all requests and their answers together

Requests of other callers end with the process when a faulty endpoint sends bytes without end, or many requests are large at the same time.

Cause: each reply, line, token and body has a limit of its own, but nothing bounds their sum; the tokens of one answer had no limit at all. A reply of a service above its limit was read on until the deadline.

A quarter of it is the common limit for prompts, bodies, tokens, replies of services and incomplete lines of engines. The largest request loses: memory_limit, 503 if it was not run, otherwise 502, with a log line; gauges for the bytes held and their limit. A reply of a service above its own limit ends its attempt at once. The copy of the body that each service call kept, and the memory of a request that has been sent, are freed. Replies to status requests, of the VM list and of the table have explicit limits.

--- a/apps/balsambayd/flags.cc
+++ b/apps/balsambayd/flags.cc
@@ -35,6 +35,9 @@
 ABSL_FLAG(int, token_timeout_ms, 1000, "largest pause between two tokens of an attempt, ms");
 ABSL_FLAG(int, unready_delay_ms, 2000,
           "how long requests are still taken after SIGTERM, ms (0 to 60000)");
+ABSL_FLAG(int, memory_limit_mb, 1000,
+          "memory at which the process would be ended, MB (64 to 1000000); requests and replies "
+          "hold a quarter of it at most");
 ABSL_FLAG(int, shards, 8, "shards of at-most-once records; the same for all daemons (1 to 1024)");
 ABSL_FLAG(int, metrics_port, 0,
           "balsambayd platform: port of the VM's address for GET /metrics; 0 serves none");
@@ -60,6 +63,7 @@
                                    "first_token_timeout_ms",
                                    "token_timeout_ms",
                                    "unready_delay_ms",
+                                   "memory_limit_mb",
                                    "shards",
                                    "seed"};
 
@@ -131,6 +135,11 @@
       CheckRange("token_timeout_ms", absl::GetFlag(FLAGS_token_timeout_ms), 10, 600000, errors));
   settings.unready_delay = Milliseconds(
       CheckRange("unready_delay_ms", absl::GetFlag(FLAGS_unready_delay_ms), 0, 60000, errors));
+  constexpr size_t kBytesPerMb = 1'000'000;
+  settings.memory_limit_bytes =
+      static_cast<size_t>(CheckRange("memory_limit_mb", absl::GetFlag(FLAGS_memory_limit_mb), 64,
+                                     1'000'000, errors)) *
+      kBytesPerMb;
   settings.shards =
       static_cast<uint32_t>(CheckRange("shards", absl::GetFlag(FLAGS_shards), 1, 1024, errors));
 }
--- a/libs/net/include/net/engine_client.h
+++ b/libs/net/include/net/engine_client.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "base/buffer_budget.h"
 #include "net/http_client.h"
 
 namespace balsambay::net {
@@ -34,6 +35,8 @@
   bool repeatable = true;
   duration connect_timeout = std::chrono::seconds(10);  // until the first byte is written
   duration header_timeout = std::chrono::seconds(10);
+  // Common limit of the incomplete lines of all runs; null: none.
+  std::shared_ptr<buffer_budget> buffers = nullptr;
 };
 
 enum class run_failure : uint8_t {
@@ -43,6 +46,7 @@
   kStageLost,  // the head lost another stage, named in `endpoint`
   kTimeout,    // no reply headers in time
   kBroken,     // connection broken, truncated or malformed reply
+  kNoMemory,   // `buffers` has no room for a line of the reply
 };
 
 struct run_events {
--- a/libs/net/src/direct_call.cc
+++ b/libs/net/src/direct_call.cc
@@ -204,7 +204,7 @@
     }
     written_ += static_cast<size_t>(size);
     if (written_ < output_.size()) return;
-    output_.clear();
+    std::string().swap(output_);  // frees the memory, which clear() does not
     sent_ = true;
     Unwatch();
     if (!paused_) Watch(G_IO_IN);
--- a/libs/net/src/engine_client.cc
+++ b/libs/net/src/engine_client.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr size_t kMaxLineBytes = 1 << 20;
+// The reply to the cancellation of a run is not used.
+constexpr size_t kMaxCancelReplyBytes = size_t{64} << 10;
 
 std::string EncodeRun(const run_request& request) {
   nlohmann::json route = nlohmann::json::array();
@@ -45,7 +47,10 @@
 class http_run final : public engine_run, public std::enable_shared_from_this<http_run> {
  public:
   http_run(http_client& client, run_request request, run_events events)
-      : client_(client), request_(std::move(request)), events_(std::move(events)) {}
+      : client_(client),
+        request_(std::move(request)),
+        events_(std::move(events)),
+        share_(request_.buffers, [this] { OnReclaimed(); }) {}
 
   void Start() {
     client_request call;
@@ -82,7 +87,8 @@
     cancel.url = "http://" + request_.stages.front().address + "/v1/runs/" + request_.run_id + "-" +
                  std::to_string(request_.attempt);
     cancel.header_timeout = std::chrono::seconds(2);
-    Fetch(client_, std::move(cancel), [](const whole_reply&) {});
+    Fetch(client_, std::move(cancel), [](const whole_reply&) {},
+          {.body_bytes = kMaxCancelReplyBytes});
   }
 
   void Close() {
@@ -113,6 +119,7 @@
   }
 
   void OnData(std::string_view data) {
+    if (share_.IsReclaimed()) return;  // a timer ends the run
     buffer_ += data;
     size_t begin = 0;
     for (size_t end = buffer_.find('\n'); end != std::string::npos && !done_;
@@ -122,8 +129,18 @@
     }
     buffer_.erase(0, begin);
     Flush();
-    if (!done_ && buffer_.size() > kMaxLineBytes)
-      Fail(run_failure::kBroken, Head(), "line too long");
+    if (done_) return;
+    if (buffer_.size() > kMaxLineBytes) return Fail(run_failure::kBroken, Head(), "line too long");
+    if (!share_.Resize(buffer_.size())) Fail(run_failure::kNoMemory, Head(), "line too long");
+  }
+
+  // The bytes of the line were given to another buffer.
+  void OnReclaimed() {
+    std::string().swap(buffer_);  // frees the memory
+    Subscribe(client_.Timers(), MonotonicNow(), [weak = weak_from_this()](time_point) {
+      const auto self = weak.lock();
+      if (self) self->Fail(run_failure::kNoMemory, self->Head(), "line reclaimed");
+    });
   }
 
   // What came before an unusable line is part of the answer.
@@ -187,6 +204,7 @@
 
   void OnCallEnd(const call_end& end) {
     call_.reset();
+    if (share_.IsReclaimed()) return;  // a timer ends the run
     Flush();
     const std::string detail = end.detail.empty() ? "reply ended without an end mark" : end.detail;
     Fail(ToRunFailure(end.failure), Head(), detail);
@@ -196,7 +214,8 @@
   run_request request_;
   run_events events_;
   std::shared_ptr<client_call> call_;
-  std::string buffer_;
+  std::string buffer_;  // an incomplete line
+  buffer_share share_;  // of `buffer_`
   std::vector<std::string> batch_;
   uint32_t batch_attempt_ = 0;
   uint32_t batch_first_ = 0;
--- a/libs/router/include/router/settings.h
+++ b/libs/router/include/router/settings.h
@@ -28,6 +28,9 @@
   size_t max_pending_bytes =
       size_t{256} * 1024;  // buffered for one slow caller before engine output is paused
   duration slow_reader_timeout = std::chrono::seconds(30);
+  // Memory at which the process is ended by whoever runs it; requests and replies hold a fixed
+  // share of it together.
+  size_t memory_limit_bytes = 1'000'000'000;
   uint32_t shards = 8;  // shards of at-most-once records; the same for all daemons
   uint64_t seed = 0;    // seed of the random generator; 0: taken from std::random_device
 };
--- a/libs/router/src/caller_api.cc
+++ b/libs/router/src/caller_api.cc
@@ -124,7 +124,6 @@
   if (json::parse(request.exchange->Body(), nullptr, false).is_discarded()) {
     return BadRequest("the body is not JSON in UTF-8");
   }
-  request.body = request.exchange->Body();
   return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
--- a/libs/router/src/details/endpoint_monitor.h
+++ b/libs/router/src/details/endpoint_monitor.h
@@ -5,6 +5,9 @@
 
 namespace balsambay::router {
 
+// Largest reply of an endpoint to a status request.
+inline constexpr size_t kMaxStatusBytes = size_t{64} << 10;
+
 // Starts polling of the VM list if a platform is configured. Call once.
 void StartMonitor(router_state& state);
 
--- a/libs/router/src/details/requests.h
+++ b/libs/router/src/details/requests.h
@@ -12,6 +12,13 @@
 // Call when the gate has admitted the request.
 void OnAdmitted(router_state& state, const request_ptr& request);
 
+// Sets the bytes of the answer that the request holds. Returns false if the common limit of all
+// requests leaves no room; the request has then failed, or fails in the next turn of the loop.
+bool HoldAnswer(router_state& state, const request_ptr& request, size_t bytes);
+
+// Ends a request whose memory was needed for smaller requests.
+void FailForMemory(router_state& state, const request_ptr& request);
+
 // Call when the whole response has been passed to the HTTP server. `stored_result` is stored for
 // duplicates of a non-repeatable request.
 void CompleteRequest(router_state& state, const request_ptr& request, std::string stored_result);
--- a/libs/router/src/details/state.h
+++ b/libs/router/src/details/state.h
@@ -13,6 +13,7 @@
 #include "admission/gate.h"
 #include "admission/retry.h"
 #include "attempts/attempts.h"
+#include "base/buffer_budget.h"
 #include "base/random.h"
 #include "configsync/configsync.h"
 #include "details/telemetry.h"
@@ -46,6 +47,10 @@
   std::set<std::string, std::less<>> silent_endpoints = {};
 };
 
+// Share of the memory limit that the buffers of all requests may hold together. The rest is for
+// copies that are made while data is passed on, unused capacity, and the process itself.
+constexpr size_t kBufferMemoryDivisor = 4;
+
 // One request of a caller. Owned by router_state::requests from acceptance to removal; timers and
 // callbacks hold weak pointers, so that they do not act on a request that has ended.
 struct caller_request {
@@ -55,7 +60,6 @@
   std::string model;    // empty for services
   std::string service;  // empty for model requests
   std::string prompt;   // model requests only
-  std::string body;     // service calls only
   std::string body_digest;
   uint32_t max_tokens = 0;
   bool stream = false;
@@ -83,6 +87,11 @@
   time_point last_progress;
   std::set<std::string, std::less<>> excluded_endpoints;  // endpoints that failed for this request
 
+  // Bytes of the prompt, the body and the answer as far as it is held.
+  std::unique_ptr<buffer_share> buffer;
+  size_t token_bytes = 0;  // of response.tokens
+  std::string reply_body;  // of the open service call, as far as received
+
   timer_id deadline_timer = 0;
   timer_id progress_timer = 0;
   timer_id backoff_timer = 0;
@@ -127,6 +136,7 @@
         loop(main_loop),
         client(net::MakeHttpClient(main_loop.Timers())),
         rng(values.seed != 0 ? values.seed : std::random_device{}()),
+        buffers(std::make_shared<buffer_budget>(values.memory_limit_bytes / kBufferMemoryDivisor)),
         start_id(std::to_string(WallClockMs())),
         instance_id(values.id + "#" + start_id) {}
 
@@ -135,6 +145,7 @@
   std::unique_ptr<net::http_client> client;
   std::unique_ptr<net::http_server> server;
   random_generator rng;
+  std::shared_ptr<buffer_budget> buffers;  // of all requests and their answers
   std::string start_id;     // distinguishes this process from an earlier one with the same id
   std::string instance_id;  // "ID#START": how other daemons know this process
 
--- a/libs/router/src/details/telemetry.h
+++ b/libs/router/src/details/telemetry.h
@@ -27,6 +27,8 @@
   metrics::gauge_id in_flight;
   metrics::gauge_id config_version;
   metrics::gauge_id throughput_bound;
+  metrics::gauge_id buffer_bytes;  // held by requests and their answers, of the common limit
+  metrics::gauge_id buffer_limit;  // bytes
   metrics::histogram_id first_token;
   metrics::histogram_id duration_seconds;
   metrics::histogram_id claim;
--- a/libs/router/src/dispatch.cc
+++ b/libs/router/src/dispatch.cc
@@ -177,6 +177,7 @@
 }  // namespace
 
 void Dispatch(router_state& state, const request_ptr& request) {
+  if (request->buffer->IsReclaimed()) return FailForMemory(state, request);
   const run_permission permission = AdmitAttempt(state, request);
   if (permission == run_permission::kNotNow) return;
   request->quarantine_registered = true;
--- a/libs/router/src/endpoint_monitor.cc
+++ b/libs/router/src/endpoint_monitor.cc
@@ -17,6 +17,7 @@
 using nlohmann::json;
 
 constexpr duration kVmListInterval = std::chrono::seconds(1);
+constexpr size_t kMaxVmListBytes = size_t{16} << 20;
 constexpr duration kVmListTimeout = std::chrono::milliseconds(800);
 
 std::string HealthGroupName(const inventory::endpoint& endpoint) {
@@ -93,9 +94,10 @@
   call.method = "GET";
   call.url = "http://" + it->second.address + "/v1/status";
   call.header_timeout = state.health.config.probe_timeout;
-  net::Fetch(*state.client, std::move(call), [&state, endpoint](const net::whole_reply& reply) {
-    OnProbeReply(state, endpoint, reply);
-  });
+  net::Fetch(
+      *state.client, std::move(call),
+      [&state, endpoint](const net::whole_reply& reply) { OnProbeReply(state, endpoint, reply); },
+      {.body_bytes = kMaxStatusBytes});
 }
 
 void RunTick(router_state& state) {
@@ -145,13 +147,15 @@
   call.method = "GET";
   call.url = "http://" + state.config.platform + "/v1/vms";
   call.header_timeout = kVmListTimeout;
-  net::Fetch(*state.client, std::move(call), [&state](const net::whole_reply& reply) {
-    if (reply.status != 200) return;
-    const auto list = ParseVmList(reply.body);
-    // An empty list indicates a fault of the platform, not the loss of all VMs.
-    if (list.empty()) return;
-    ApplyHealthChanges(state, health::OnVmList(state.health, list, MonotonicNow()));
-  });
+  net::Fetch(*state.client, std::move(call),
+             [&state](const net::whole_reply& reply) {
+               if (reply.status != 200) return;
+               const auto list = ParseVmList(reply.body);
+               // An empty list indicates a fault of the platform, not the loss of all VMs.
+               if (list.empty()) return;
+               ApplyHealthChanges(state, health::OnVmList(state.health, list, MonotonicNow()));
+             },
+             {.body_bytes = kMaxVmListBytes});
 }
 
 }  // namespace
--- a/libs/router/src/model_attempt.cc
+++ b/libs/router/src/model_attempt.cc
@@ -33,6 +33,7 @@
     case net::run_failure::kTimeout:
       return {attempt_failure::kStalled, retry_reason::kStalled};
     case net::run_failure::kBroken:
+    case net::run_failure::kNoMemory:  // ends the request instead
       break;
   }
   return {attempt_failure::kBroken, retry_reason::kReset};
@@ -80,7 +81,8 @@
                 endpoint = stage.endpoint](const net::whole_reply& reply) {
                  if (const auto locked = weak.lock())
                    OnStageStatus(state, locked, attempt, endpoint, reply);
-               });
+               },
+               {.body_bytes = kMaxStatusBytes});
   }
 }
 
@@ -153,6 +155,7 @@
 // Writes all accepted tokens to the caller at once.
 void OnTokens(router_state& state, const request_ptr& request, uint32_t attempt,
               uint32_t first_index, std::span<const std::string> tokens) {
+  if (request->buffer->IsReclaimed()) return;  // a timer ends the request
   const size_t previous_count = request->response.tokens.size();
   uint32_t index = first_index;
   for (const std::string& token : tokens) {
@@ -166,6 +169,9 @@
   }
   const size_t delivered = request->response.tokens.size() - previous_count;
   if (delivered == 0) return;
+  for (const std::string& token : std::span(request->response.tokens).subspan(previous_count))
+    request->token_bytes += sizeof token + token.size();
+  if (!HoldAnswer(state, request, request->token_bytes + request->exchange->PendingBytes())) return;
   CloseOtherAttempts(state, *request, attempt);
   request->open_attempts.front().silent_endpoints.clear();
   request->last_progress = MonotonicNow();
@@ -178,6 +184,7 @@
 
 void OnEnd(router_state& state, const request_ptr& request, uint32_t attempt, uint32_t count,
            std::string_view finish_reason) {
+  if (request->buffer->IsReclaimed()) return;  // a timer ends the request
   if (attempts::OnEnd(request->response, attempt, count) != attempts::end_verdict::kComplete) {
     return HandleProtocolError(state, request, attempt, "end mark does not match the tokens");
   }
@@ -203,6 +210,7 @@
   run.delivered = request.response.tokens;
   run.max_tokens = request.max_tokens;
   run.repeatable = request.response.repeatable;
+  run.buffers = state.buffers;
   run.connect_timeout = state.config.first_token_timeout;
   // After the request is sent, CheckProgress() detects stalls.
   run.header_timeout = request.deadline - attempt.started;
@@ -225,6 +233,7 @@
                                     std::string_view endpoint, std::string_view detail) {
     const auto locked = weak.lock();
     if (!locked) return;
+    if (failure == net::run_failure::kNoMemory) return FailForMemory(state, locked);
     attempt_error error = Classify(failure);
     error.endpoint = endpoint;
     error.detail = detail;
--- a/libs/router/src/quarantine_driver.cc
+++ b/libs/router/src/quarantine_driver.cc
@@ -21,8 +21,9 @@
 constexpr duration kTickInterval = std::chrono::seconds(1);
 
 quarantine::fingerprint ComputeFingerprint(const caller_request& request) {
-  const std::string content = request.service.empty() ? request.model + "\n" + request.prompt
-                                                      : request.service + "\n" + request.body;
+  const std::string content = request.service.empty()
+                                  ? request.model + "\n" + request.prompt
+                                  : request.service + "\n" + std::string(request.exchange->Body());
   return quarantine::MakeFingerprint(request.workspace, content);
 }
 
--- a/libs/router/src/requests.cc
+++ b/libs/router/src/requests.cc
@@ -22,6 +22,20 @@
   Cancel(timers, request.claim_timer);
 }
 
+constexpr duration kMemoryRetryAfter = std::chrono::seconds(1);
+
+// Frees the answer of the request at once. What the caller sent is freed when the request fails in
+// the next turn of the loop, because the end of a run is reported by it.
+void OnReclaimed(router_state& state, const request_ptr& request) {
+  // Assignment of an empty value would keep the memory.
+  std::string().swap(request->reply_body);
+  std::vector<std::string>().swap(request->response.tokens);
+  const std::weak_ptr<caller_request> weak = request;
+  Subscribe(state.loop.Timers(), MonotonicNow(), [&state, weak](time_point) {
+    if (const auto locked = weak.lock()) FailForMemory(state, locked);
+  });
+}
+
 void OnHangup(router_state& state, const request_ptr& request) {
   metrics::Increment(state.metrics.registry, state.metrics.cancelled);
   log::Log(log::level::kDebug, "caller closed the connection",
@@ -44,7 +58,31 @@
         if (const auto locked = weak.lock())
           FailRequest(state, locked, "deadline", "the deadline has passed");
       });
-  OfferRequest(state, request);
+  request->buffer = std::make_unique<buffer_share>(state.buffers, [&state, weak] {
+    if (const auto locked = weak.lock()) OnReclaimed(state, locked);
+  });
+  if (HoldAnswer(state, request, 0)) OfferRequest(state, request);
+}
+
+bool HoldAnswer(router_state& state, const request_ptr& request, size_t bytes) {
+  buffer_share& buffer = *request->buffer;
+  if (buffer.IsReclaimed()) return false;
+  if (buffer.Resize(request->prompt.size() + request->exchange->Body().size() + bytes)) return true;
+  FailForMemory(state, request);
+  return false;
+}
+
+void FailForMemory(router_state& state, const request_ptr& request) {
+  if (request->phase == attempts::phase::kDone) return;
+  log::Log(log::level::kWarning, "request ended for lack of memory",
+           {{"request", request->id},
+            {"reclaimed", request->buffer->IsReclaimed()},
+            {"bytes", request->buffer->Bytes()},
+            {"buffer_bytes", state.buffers->used_bytes},
+            {"buffer_limit_bytes", state.buffers->limit_bytes}});
+  const bool not_run = attempts::OutcomeOf(request->response) == attempts::outcome::kNotRun;
+  FailRequest(state, request, "memory_limit", "the request and its answer need too much memory",
+              not_run ? std::optional<duration>(kMemoryRetryAfter) : std::nullopt);
 }
 
 void OnAdmitted(router_state& state, const request_ptr& request) {
@@ -94,6 +132,7 @@
   CancelTimers(state, *request);
   request->exchange->on_hangup = nullptr;
   request->exchange->on_drained = nullptr;
+  static_cast<void>(request->buffer->Resize(0));
   state.requests.erase(request->id);
   state.requests_by_gate_id.erase(request->gate_id);
   ReleaseAdmission(state, *request);
--- a/libs/router/src/service_calls.cc
+++ b/libs/router/src/service_calls.cc
@@ -2,6 +2,7 @@
 // buffered and passed to the caller as a whole.
 #include "details/service_calls.h"
 
+#include <algorithm>
 #include <array>
 
 #include "details/dispatch.h"
@@ -25,7 +26,6 @@
   bool leaving = false;
   bool ends_with_connection = false;  // has neither a length nor chunks
   std::string content_type;
-  std::string body;
 };
 
 // Whether only the end of the connection marks the end of the reply.
@@ -38,6 +38,7 @@
 
 void FinishCall(router_state& state, const request_ptr& request, uint32_t attempt,
                 const service_reply& reply) {
+  const std::string& body = request->reply_body;
   const open_attempt* const current = FindOpenAttempt(*request, attempt);
   if (current == nullptr) return;
   attempts::OnEnd(request->response, attempt, 0);
@@ -47,12 +48,13 @@
   const std::array<net::header, 3> headers = {net::header{"Content-Type", type},
                                               net::header{"Balsambay-Outcome", "ran"},
                                               net::header{"Balsambay-Request-Id", request->id}};
-  request->exchange->Respond(reply.status, headers, reply.body);
+  request->exchange->Respond(reply.status, headers, body);
   CompleteRequest(state, request,
-                  request->submission ? EncodeServiceResult(reply.status, type, reply.body) : "");
+                  request->submission ? EncodeServiceResult(reply.status, type, body) : "");
 }
 
-std::optional<attempt_error> ToAttemptError(const service_reply& reply, const net::call_end& end) {
+std::optional<attempt_error> ToAttemptError(const service_reply& reply, bool is_empty,
+                                            const net::call_end& end) {
   switch (end.failure) {
     case net::call_failure::kConnect:
       return attempt_error{attempt_failure::kNotSent, retry_reason::kConnectFailed, "", end.detail};
@@ -69,28 +71,50 @@
                          "refused before starting"};
   }
   // The end of the connection right after the head does not show that the endpoint has sent all.
-  if (reply.ends_with_connection && reply.body.empty())
+  if (reply.ends_with_connection && is_empty)
     return attempt_error{attempt_failure::kBroken, retry_reason::kReset, "",
                          "reply without a length ended after its head"};
-  if (reply.body.size() <= kMaxReplyBytes) return std::nullopt;
-  return attempt_error{attempt_failure::kBroken, retry_reason::kReset, "", "reply too large"};
+  return std::nullopt;
 }
 
-void OnReplyEnd(router_state& state, const request_ptr& request, uint32_t attempt,
-                const service_reply& reply, const net::call_end& end) {
-  auto error = ToAttemptError(reply, end);
-  if (!error) return FinishCall(state, request, attempt, reply);
+void FailCall(router_state& state, const request_ptr& request, uint32_t attempt,
+              attempt_error error) {
   const open_attempt* const current = FindOpenAttempt(*request, attempt);
   if (current == nullptr) return;
-  error->endpoint = current->route.front().endpoint;
-  HandleAttemptFailure(state, request, attempt, *error);
+  error.endpoint = current->route.front().endpoint;
+  HandleAttemptFailure(state, request, attempt, error);
+}
+
+void OnReplyData(router_state& state, const request_ptr& request, uint32_t attempt,
+                 std::string_view data) {
+  std::string& body = request->reply_body;
+  const size_t needed = body.size() + data.size();
+  if (needed > kMaxReplyBytes) {
+    return FailCall(state, request, attempt,
+                    {attempt_failure::kBroken, retry_reason::kReset, "", "reply too large"});
+  }
+  if (needed > body.capacity()) {
+    const size_t capacity = std::min(std::max(needed, 2 * body.capacity()), kMaxReplyBytes);
+    if (!HoldAnswer(state, request, capacity)) return;
+    body.reserve(capacity);
+  }
+  body += data;
+}
+
+void OnReplyEnd(router_state& state, const request_ptr& request, uint32_t attempt,
+                const service_reply& reply, const net::call_end& end) {
+  if (request->buffer->IsReclaimed()) return FailForMemory(state, request);
+  const auto error = ToAttemptError(reply, request->reply_body.empty(), end);
+  if (error) return FailCall(state, request, attempt, *error);
+  FinishCall(state, request, attempt, reply);
 }
 
 net::client_request MakeCall(const caller_request& request, const open_attempt& attempt) {
   net::client_request call;
   call.url = "http://" + attempt.route.front().address + "/v1/call/" + request.service;
   call.headers = {{"Balsambay-Request-Id", request.id}};
-  call.body = request.body.empty() ? "{}" : request.body;
+  const std::string_view body = request.exchange->Body();
+  call.body = body.empty() ? "{}" : body;
   // The only limit on the time to the reply headers is the caller's deadline.
   call.header_timeout = request.deadline - attempt.started;
   return call;
@@ -107,13 +131,11 @@
     reply->ends_with_connection = EndsWithConnection(head);
     reply->content_type = head.Get("Content-Type");
   };
-  callbacks.on_data = [reply](std::string_view data) {
-    // The piece that exceeds the limit is still appended, so that ToAttemptError() detects the
-    // oversized reply.
-    if (reply->body.size() <= kMaxReplyBytes) reply->body += data;
+  const uint32_t attempt = request->response.attempt;
+  callbacks.on_data = [&state, weak, attempt](std::string_view data) {
+    if (const auto locked = weak.lock()) OnReplyData(state, locked, attempt, data);
   };
-  callbacks.on_end = [&state, weak, reply,
-                      attempt = request->response.attempt](const net::call_end& end) {
+  callbacks.on_end = [&state, weak, reply, attempt](const net::call_end& end) {
     if (const auto locked = weak.lock()) OnReplyEnd(state, locked, attempt, *reply, end);
   };
   return callbacks;
@@ -131,6 +153,7 @@
   open_attempt* const attempt =
       BeginDispatch(state, request, {{chosen->id, chosen->address, 0, 0}});
   if (attempt == nullptr) return;
+  request->reply_body.clear();
   attempt->call = state.client->Send(MakeCall(*request, *attempt), MakeCallbacks(state, request));
 }
 
--- a/libs/router/src/table_client.cc
+++ b/libs/router/src/table_client.cc
@@ -9,6 +9,7 @@
 using nlohmann::json;
 
 constexpr duration kTableTimeout = std::chrono::seconds(2);
+constexpr size_t kMaxTableReplyBytes = size_t{64} << 20;  // a shard with its stored results
 
 template <class Decoded>
 lease::table_outcome ToOutcome(Decoded decoded) {
@@ -38,7 +39,8 @@
   net::Fetch(*state.client, std::move(request),
              [is_transaction, done = std::move(done)](const net::whole_reply& reply) {
                done(DecodeReply(is_transaction, reply));
-             });
+             },
+             {.body_bytes = kMaxTableReplyBytes});
 }
 
 }  // namespace balsambay::router
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -272,6 +272,7 @@
   };
   callbacks.on_end = [out](const net::call_end& end) {
     out->failure = end.failure;
+    out->failure_detail = end.detail;
     out->ended = true;
   };
   client_->Send(std::move(request), std::move(callbacks));
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -50,6 +50,7 @@
 
 struct reply {
   net::call_failure failure = net::call_failure::kNone;
+  std::string failure_detail;
   int status = 0;
   std::string outcome;      // header Balsambay-Outcome
   std::string retry_after;  // header Retry-After
--- a/tests/support/scripted_endpoint.cc
+++ b/tests/support/scripted_endpoint.cc
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr guint kPumpIntervalMs = 1;
-constexpr int kEndlessWritesPerPump = 16;
+constexpr int kWritesPerPump = 8;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
 size_t LengthOf(std::string_view head) {
@@ -35,8 +35,9 @@
 
 }  // namespace
 
-scripted_endpoint::scripted_endpoint(reply_function reply_to)
+scripted_endpoint::scripted_endpoint(reply_function reply_to, scripted_faults how)
     : reply_to_(std::move(reply_to)),
+      how_(std::move(how)),
       listener_(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -76,8 +77,9 @@
 
 void scripted_endpoint::Pump(connection& open) {
   if (!open.replying) return ReadRequest(open);
-  if (open.is_endless) return SendEndless(open);
-  if (!Write(open, piece_bytes) || open.output.empty()) End(open);
+  const bool ends = !how_.more || open.is_status;
+  if (!ends) return SendMore(open);
+  if (!Write(open, how_.piece_bytes) || open.output.empty()) End(open);
 }
 
 void scripted_endpoint::ReadRequest(connection& open) {
@@ -88,7 +90,7 @@
   if (!IsWhole(open.request)) return;
   open.replying = true;
   open.output = reply_to_(open.request);
-  open.is_endless = !endless.empty() && open.output.ends_with(endless);
+  open.is_status = open.request.starts_with("GET /v1/status");
 }
 
 bool scripted_endpoint::Write(connection& open, size_t limit) {
@@ -99,17 +101,19 @@
   return true;
 }
 
-void scripted_endpoint::SendEndless(connection& open) const {
-  for (int i = 0; i < kEndlessWritesPerPump; ++i) {
-    if (open.output.empty()) open.output = endless;
+void scripted_endpoint::SendMore(connection& open) const {
+  for (int i = 0; i < kWritesPerPump; ++i) {
+    if (open.output.empty()) open.output = how_.more(open.request, open.pieces++);
     if (!Write(open, open.output.size())) return End(open);
     if (!open.output.empty()) return;
   }
+  char byte = 0;
+  if (recv(open.fd, &byte, 1, 0) == 0) End(open);
 }
 
 void scripted_endpoint::End(connection& open) const {
   const linger abort{.l_onoff = 1, .l_linger = 0};
-  if (resets) setsockopt(open.fd, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+  if (how_.resets) setsockopt(open.fd, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
   close(open.fd);
   open.fd = -1;
 }
--- a/tests/system/ended_replies_test.cc
+++ b/tests/system/ended_replies_test.cc
@@ -2,99 +2,18 @@
 // one piece or many, with a clean end of the connection or a reset. No caller may get a reply that
 // looks whole, or one that promises that the request was not run.
 #include <catch2/catch.hpp>
-#include <regex>
 
 #include "cluster.h"
-#include "scripted_endpoint.h"
+#include "scripted_installation.h"
 
 namespace balsambay::system_test {
 namespace {
 
 using nlohmann::json;
 
-constexpr const char* kTimeoutMs = "1500";
 constexpr int kReplyTimeoutMs = 10000;
 constexpr size_t kCutStep = 7;  // bytes
 
-struct faults {
-  size_t piece_bytes = std::string::npos;
-  bool resets = false;
-};
-
-// A daemon with scripted endpoints, each for a service or model of its own, so that a failure of
-// one does not affect the requests of the others.
-struct scripted_installation {
-  explicit scripted_installation(const std::string& name) : c(name) {
-    c.document["zones"]["z1"] = {{"region", "r1"}};
-    c.document["models"] = json::object();
-    c.AddDaemon("d1");
-  }
-
-  // `reply_to` is not asked for status requests.
-  void AddService(const std::string& name, const faults& how, const std::string& reply) {
-    json entry = Add(name, how, [reply](std::string_view) { return reply; });
-    entry.update({{"kind", "service"}, {"service", name}});
-    c.document["endpoints"][name] = entry;
-    c.document["services"][name] = {{"repeatable", true}};
-  }
-
-  void AddModel(const std::string& name, const faults& how,
-                const scripted_endpoint::reply_function& reply_to) {
-    constexpr int kLayers = 8;
-    c.document["models"][name] = {{"layers", kLayers}};
-    for (const std::string& id : {name + "-a", name + "-b"}) {
-      json entry = Add(id, how, reply_to);
-      entry.update({{"kind", "engine"},
-                    {"accelerator", "a"},
-                    {"model", name},
-                    {"layers", {0, kLayers}},
-                    {"tokens_per_second", 1000},
-                    {"prefill_tokens_per_second", 50000},
-                    {"checks_fencing", true}});
-      c.document["endpoints"][id] = entry;
-    }
-  }
-
-  reply_ptr CallService(const std::string& name, bool repeatable) {
-    std::vector<net::header> headers = {{"Balsambay-Timeout-Ms", kTimeoutMs}};
-    if (!repeatable) {
-      headers.push_back({"Balsambay-Repeatable", "no"});
-      headers.push_back({"Idempotency-Key", name});
-    }
-    return c.SendCall("d1", "/v1/services/" + name, {{"for", name}}, std::move(headers));
-  }
-
-  reply_ptr CallModel(const std::string& name, bool stream) {
-    const json body = {{"model", name},
-                       {"messages", json::array({{{"role", "user"}, {"content", name}}})},
-                       {"max_tokens", 8},
-                       {"stream", stream}};
-    return c.SendCall("d1", "/v1/chat/completions", body, {{"Balsambay-Timeout-Ms", kTimeoutMs}});
-  }
-
-  cluster c;
-  std::map<std::string, int> requests;  // by endpoint, without status requests
-
- private:
-  json Add(const std::string& id, const faults& how, scripted_endpoint::reply_function reply_to) {
-    auto reply = [this, id, reply_to = std::move(reply_to)](std::string_view request) {
-      if (request.starts_with("GET /v1/status"))
-        return WholeReply(R"({"state":"ready","active":0,"started_ms":1})");
-      ++requests[id];
-      return reply_to(request);
-    };
-    auto& added = *endpoints_.emplace_back(std::make_unique<scripted_endpoint>(std::move(reply)));
-    added.piece_bytes = how.piece_bytes;
-    added.resets = how.resets;
-    c.document["vms"]["vm-" + id] = {{"zone", "z1"}};
-    return {{"vm", "vm-" + id},
-            {"address", "127.0.0.1:" + std::to_string(added.Port())},
-            {"max_runs", 64}};
-  }
-
-  std::vector<std::unique_ptr<scripted_endpoint>> endpoints_;
-};
-
 std::string Head(const std::string& framing) {
   return "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + framing + "\r\n";
 }
@@ -130,8 +49,8 @@
       {{"Content-Length: 15\r\n", R"({"whole": true})"},
        {"Transfer-Encoding: chunked\r\n", Chunk(R"({"whole")") + Chunk(R"(: true})") + "0\r\n\r\n"},
        {"", R"({"whole": true})"}}));
-  const faults how{.piece_bytes = GENERATE(size_t{16}, std::string::npos),
-                   .resets = GENERATE(false, true)};
+  const scripted_faults how{.piece_bytes = GENERATE(size_t{16}, std::string::npos),
+                            .resets = GENERATE(false, true)};
   CAPTURE(framing, how.piece_bytes, how.resets);
   const bool ends_with_connection = framing.empty();
   const std::string head = Head(framing);
@@ -196,13 +115,6 @@
          "\n";
 }
 
-int AttemptOf(std::string_view request) {
-  const std::string text(request);
-  std::smatch found;
-  const bool has_attempt = std::regex_search(text, found, std::regex(R"("attempt":(\d+))"));
-  return has_attempt ? std::stoi(found[1]) : 0;
-}
-
 struct run_script {
   std::string framing;
   bool ends_within_first = false;  // the first attempt sends one token and ends; others are cut
@@ -231,8 +143,8 @@
 TEST_CASE("an answer without an end mark never looks whole") {
   const run_script script{.framing = GENERATE("Transfer-Encoding: chunked\r\n", ""),
                           .ends_within_first = GENERATE(false, true)};
-  const faults how{.piece_bytes = GENERATE(size_t{16}, std::string::npos),
-                   .resets = GENERATE(false, true)};
+  const scripted_faults how{.piece_bytes = GENERATE(size_t{16}, std::string::npos),
+                            .resets = GENERATE(false, true)};
   CAPTURE(script.framing, script.ends_within_first, how.piece_bytes, how.resets);
   scripted_installation site("ended-runs");
   std::vector<std::pair<std::string, size_t>> models;
