--- a/libs/router/src/model_attempt.cc
+++ b/libs/router/src/model_attempt.cc
@@ -170,7 +170,7 @@
   const size_t delivered = request->response.tokens.size() - previous_count;
   if (delivered == 0) return;
   for (const std::string& token : std::span(request->response.tokens).subspan(previous_count))
-    request->token_bytes += sizeof token + token.size();
+    request->token_bytes += sizeof(std::string) + token.size();
   if (!HoldAnswer(state, request, request->token_bytes + request->exchange->PendingBytes())) return;
   CloseOtherAttempts(state, *request, attempt);
   request->open_attempts.front().silent_endpoints.clear();
