net: let more connections wait to be accepted

Callers that connected at the same moment as many others waited a second or longer, or gave up: harmless calls beside large bodies timed out before they were accepted.

Cause: GIO's listening sockets queue ten connections.

Change: the queue holds 1024.

Result: net_test, 100 connections while the loop is busy: before, 11 were established at once; after, all. test_net passes, 167 checks.

--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -35,6 +35,8 @@
 // Checks of a waiting reply within `write_timeout`.
 constexpr int kWriteChecks = 4;
 
+// Connections that may wait to be accepted.
+constexpr int kAcceptQueue = 1024;
 // Interval of the checks that libsoup accepts connections. It stops for good after one failure,
 // such as a lack of descriptors.
 constexpr duration kAcceptCheckInterval = 100ms;
@@ -532,6 +534,9 @@
       socket_ = G_SOCKET(g_object_ref(sockets->data));
       g_slist_free(sockets);
       g_socket_set_blocking(socket_, FALSE);
+      // GIO queues ten connections; more that come at the same moment would have to try again after
+      // a second.
+      listen(g_socket_get_fd(socket_), kAcceptQueue);
       CheckAcceptingLater();
       return Success();
     }
--- a/libs/net/tests/net_test.cc
+++ b/libs/net/tests/net_test.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
 
@@ -158,6 +159,28 @@
   CHECK(f.Get({.url = f.Url("/"), .headers = {}, .body = "small"}).status == 200);
 }
 
+// Guards against callers whose connections time out because many of them come at the same moment.
+TEST_CASE("connections that arrive while the loop is busy wait to be accepted") {
+  constexpr int kCallers = 100;
+  fixture f([](const exchange_ptr& request) { request->Respond(200, {}, "ok"); });
+  std::vector<int> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<uint16_t>(f.server->Port()));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    connect(callers.back(), reinterpret_cast<sockaddr*>(&address), sizeof address);
+  }
+  const auto established = std::ranges::count_if(callers, [](int fd) {
+    sockaddr_in peer{};
+    socklen_t size = sizeof peer;
+    return getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) == 0;
+  });
+  CHECK(established == kCallers);
+  std::ranges::for_each(callers, [](int fd) { close(fd); });
+}
+
 TEST_CASE("a cancelled call runs no callback") {
   std::vector<exchange_ptr> held;
   fixture f([&](const exchange_ptr& request) { held.push_back(request); });
