gateway: write the refusals of the last turn before a stop ends

Callers on kept connections got neither an answer nor a refusal to requests that the process read in the last turn of its loop.

Cause: timers run first in a turn, so the one that ends the process could not see the requests that the same turn read and refused, and their replies were not written any more.

--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -681,6 +681,23 @@
   state.server->RefuseUnread(headers, "stopping\n");
 }
 
+namespace {
+
+// Calls `on_stopped` after `delay`, when no reply was due at two checks in a row; at the latest at
+// the forced end. A single check would miss the requests that wait in sockets when the loop is
+// late, because timers run first. `was_idle`: no reply was due at the last check.
+void EndWhenWritten(gateway_state& state, const std::function<void(int)>& on_stopped,
+                    duration delay, bool was_idle) {
+  Subscribe(state.loop.Timers(), MonotonicNow() + delay,
+            [&state, on_stopped, was_idle](time_point now) {
+              const bool idle = state.server->UnfinishedReplies() == 0;
+              if ((idle && was_idle) || now >= *state.forced_end) return on_stopped(0);
+              EndWhenWritten(state, on_stopped, kIdleCheckInterval, idle);
+            });
+}
+
+}  // namespace
+
 void FinishStopIfIdle(gateway_state& state) {
   if (!state.draining || !state.calls.empty() || !state.on_stopped) return;
   timer_service& timers = state.loop.Timers();
@@ -692,9 +709,8 @@
                                        [&state](time_point) { FinishStopIfIdle(state); });
     return;
   }
-  const auto on_stopped = std::exchange(state.on_stopped, nullptr);
   // Open connections get their refusals meanwhile.
-  Subscribe(timers, MonotonicNow() + kLastReplyTime, [on_stopped](time_point) { on_stopped(0); });
+  EndWhenWritten(state, std::exchange(state.on_stopped, nullptr), kLastReplyTime, false);
 }
 
 }  // namespace balsambay::gateway
