gateway: do not take an empty plain reply without a length for a whole one

Callers got a 200 with an empty body when an endpoint of a plain service ended its connection cleanly right after a head that has neither a length nor chunks. Found in review.

Cause: as for streams, the end of the connection was taken for the end of the reply.

Change: such a success counts as broken, except for HEAD and 204.

Result: cut_replies_test, "a plain reply without a length that ends after its head is not whole": 200 instead of 502 for both kinds of calls before; passes now.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -7,6 +7,7 @@
 #include "base/text.h"
 #include "details/containment.h"
 #include "details/fleet.h"
+#include "details/monitor.h"
 #include "log/log.h"
 
 namespace balsambay::gateway {
@@ -467,12 +468,19 @@
   }
 }
 
-// Whether a streamed reply that has ended without an error is complete. Without a length or chunks,
-// the end of the connection before the first event does not show that the endpoint has sent all.
-bool IsCompleteStream(const attempt& attempt) {
+// Whether a reply that has ended without an error is complete. Without a length or chunks, the end
+// of the connection right after the head, or before the first event of a stream, does not show that
+// the endpoint has sent all.
+bool IsCompleteReply(const call& request, const attempt& attempt) {
+  constexpr int kNoContent = 204;
   const bool ends_with_connection =
       attempt.head.Get("Content-Length").empty() && attempt.head.Get("Transfer-Encoding").empty();
-  return attempt.events.partial.empty() && (attempt.progressed || !ends_with_connection);
+  if (IsStreamedReply(request, attempt)) {
+    return attempt.events.partial.empty() && (attempt.progressed || !ends_with_connection);
+  }
+  const bool has_body = request.incoming.method != "HEAD" && attempt.head.status != kNoContent;
+  const bool success = attempt.head.status >= 200 && attempt.head.status < 300;
+  return !(success && has_body && ends_with_connection && attempt.reply_body.empty());
 }
 
 void OnEnd(gateway_state& state, const call_ptr& request, const attempt_ptr& attempt,
@@ -492,9 +500,8 @@
       break;
   }
   const bool reclaimed = attempt->buffer && attempt->buffer->IsReclaimed();
-  const bool incomplete = IsStreamedReply(*request, *attempt) && !IsCompleteStream(*attempt);
   if (reclaimed) return FailTooLarge(state, request, attempt, kReclaimed, 0, callbacks);
-  if (incomplete) return fail(attempt_failure::kBroken);
+  if (!IsCompleteReply(*request, *attempt)) return fail(attempt_failure::kBroken);
   // An error reply cannot end a stream that has begun.
   const bool misplaced = request->streaming && attempt->head.status != 200;
   if (misplaced || attempt->head.status >= 500) return fail(attempt_failure::kFailed);
@@ -728,32 +735,34 @@
   metrics::Increment(state.metrics.registry, state.metrics.rerouted);
   const std::weak_ptr<call> weak_request = request;
   const std::weak_ptr<attempt> weak_attempt = open;
-  net::Fetch(*state.client, std::move(order),
-             [&state, weak_request, weak_attempt, path = std::move(path),
-              callbacks](const net::whole_reply& reply) {
-               const call_ptr locked_request = weak_request.lock();
-               const attempt_ptr open = weak_attempt.lock();
-               if (!open || !locked_request || locked_request->open != open) return;
-               open->rerouting = false;
-               if (endpoint* engine = FindEndpoint(state, path.front().endpoint_id)) {
-                 ApplyReplyMetadata(state, *engine, state.wire.read_reply(reply.head));
-               }
-               const bool accepted = reply.end.failure == net::call_failure::kNone &&
-                                     (reply.status == 200 || reply.status == 202);
-               log::Log(log::level::kInfo, "reroute order completed",
-                        {{"request", locked_request->incoming.id},
-                         {"attempt", open->number},
-                         {"head", path.front().endpoint_id},
-                         {"status", reply.status},
-                         {"detail", reply.end.detail}});
-               if (!accepted) {
-                 RecordAttemptPath(state, *locked_request, open->path);
-                 return OnRerouteRefused(state, locked_request, reply, callbacks);
-               }
-               open->reroutes = 0;
-               open->last_progress = MonotonicNow();
-               AdoptPath(state, *locked_request, path);
-             });
+  net::Fetch(
+      *state.client, std::move(order),
+      [&state, weak_request, weak_attempt, path = std::move(path),
+       callbacks](const net::whole_reply& reply) {
+        const call_ptr locked_request = weak_request.lock();
+        const attempt_ptr open = weak_attempt.lock();
+        if (!open || !locked_request || locked_request->open != open) return;
+        open->rerouting = false;
+        if (endpoint* engine = FindEndpoint(state, path.front().endpoint_id)) {
+          ApplyReplyMetadata(state, *engine, state.wire.read_reply(reply.head));
+        }
+        const bool accepted = reply.end.failure == net::call_failure::kNone &&
+                              (reply.status == 200 || reply.status == 202);
+        log::Log(log::level::kInfo, "reroute order completed",
+                 {{"request", locked_request->incoming.id},
+                  {"attempt", open->number},
+                  {"head", path.front().endpoint_id},
+                  {"status", reply.status},
+                  {"detail", reply.end.detail}});
+        if (!accepted) {
+          RecordAttemptPath(state, *locked_request, open->path);
+          return OnRerouteRefused(state, locked_request, reply, callbacks);
+        }
+        open->reroutes = 0;
+        open->last_progress = MonotonicNow();
+        AdoptPath(state, *locked_request, path);
+      },
+      kShortReplyLimits);
   return true;
 }
 
