gateway: do not take a lack of sockets for the loss of an endpoint

Callers got 503 "no_endpoint" from a gateway that had no descriptor left for a connection to an endpoint, and went on to get it when descriptors were free again: all endpoints that it had tried were out of use.

Cause: a local failure to create a socket was reported as a connection that could not be made, which is proof that the endpoint is down.

Change: it is a failure of its own. The request is refused at once with 503 "no_descriptors" and Retry-After, a stream that has begun waits, and nothing is concluded about the endpoint, by requests or by reports.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -492,6 +492,9 @@
     callbacks.on_failure(state, request, attempt, reason);
   };
   switch (end.failure) {
+    case net::call_failure::kNoSocket:
+      attempt->no_socket = true;
+      return fail(attempt_failure::kNotSent);
     case net::call_failure::kConnect:
       return fail(attempt_failure::kNotSent);
     case net::call_failure::kTimeout:
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -291,6 +291,7 @@
             {"status", attempt.head.status},
             {"events", request.events.events},
             {"silent_ms", WholeMilliseconds(now - attempt.last_progress)},
+            {"no_socket", attempt.no_socket},
             {"list_version", EndpointListVersion(state)},
             {"list_age_ms", WholeMilliseconds(EndpointListAge(state, now))}});
 }
@@ -309,6 +310,8 @@
   } else if (failure != attempt_failure::kNotExecuted) {
     request.may_have_run = true;
   }
+  // A lack of sockets says nothing about the endpoint.
+  if (attempt.no_socket) return fault;
   request.avoided.insert(fault.faulty_id);
   // The connections of an endpoint break when it ends, so one that has left the list has ended now.
   if (attempt.cut || failure == attempt_failure::kNotSent) state.unlisted.erase(fault.endpoint_id);
@@ -405,6 +408,16 @@
   RetryOrEnd(state, request, ended, request->replaced_for);
 }
 
+bool WaitForEndpoint(gateway_state& state, const call_ptr& request);
+
+// Ends a request that could not be sent because this process has no socket left. A stream that has
+// begun waits instead, because sockets are soon free again.
+void WaitOrRefuseWithoutSocket(gateway_state& state, const call_ptr& request) {
+  if (WaitForEndpoint(state, request)) return;
+  GiveUp(state, request,
+         {.status = 503, .reason = "no_descriptors", .retry_after = RandomRetryAfter(state)});
+}
+
 void OnFailure(gateway_state& state, const call_ptr& request, const attempt_ptr& attempt,
                attempt_failure failure) {
   const bool was_open = attempt == request->open;
@@ -420,13 +433,16 @@
   if (!was_open) {
     if (RegisterRun(state, request)) RecordAttemptPath(state, *request, request->open->path);
     ContinueOpenAttempt(state, request, kRefusalBackoff);
+    if (attempt->no_socket) return;
     return CheckFaultyEndpoint(state, fault, IsPipelined(*attempt));
   }
   Cancel(state.loop.Timers(), request->retry_timer);
   if (request->successor) {
     Promote(state, request);
+    if (attempt->no_socket) return;
     return CheckFaultyEndpoint(state, fault, IsPipelined(*attempt));
   }
+  if (attempt->no_socket) return WaitOrRefuseWithoutSocket(state, request);
   CheckFaultyEndpoint(state, fault, IsPipelined(*attempt));
   if (state.calls.contains(request->number)) RetryOrEnd(state, request, attempt, failure);
 }
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -126,6 +126,7 @@
   int outputs = 0;          // since the engines last changed or the quarantine restarted its run
   bool first_at_endpoint = false;  // no earlier attempt was sent to the same endpoint
   bool cut = false;                // the connection broke
+  bool no_socket = false;          // not sent, because this process has no socket left
   bool rerouting = false;
   int reroutes = 0;  // refused reroute orders in a row
 };
--- a/libs/gateway/src/monitor.cc
+++ b/libs/gateway/src/monitor.cc
@@ -103,6 +103,11 @@
   endpoint* target = FindEndpoint(state, id);
   if (target == nullptr || target->listed.address != address) return;
   target->probing = false;
+  if (reply.end.failure == net::call_failure::kNoSocket) {
+    // Says nothing about the engine.
+    log::Log(log::level::kWarning, "no socket left to request a report", {{"endpoint", id}});
+    return;
+  }
   ApplyReplyMetadata(state, *target, state.wire.read_reply(reply.head));
   if (reply.end.failure != net::call_failure::kNone || reply.status != 200) {
     const time_point now = MonotonicNow();
--- a/libs/net/include/net/http_client.h
+++ b/libs/net/include/net/http_client.h
@@ -36,9 +36,10 @@
 
 enum class call_failure {
   kNone,
-  kConnect,  // no byte of the request was written
-  kTimeout,  // headers did not come in time; the request may have arrived
-  kBroken,   // the connection broke after the request was started
+  kConnect,   // no byte of the request was written
+  kTimeout,   // headers did not come in time; the request may have arrived
+  kBroken,    // the connection broke after the request was started
+  kNoSocket,  // this process has no socket left; nothing was sent, nothing is known of the peer
 };
 
 struct call_end {
--- a/libs/net/src/direct_call.cc
+++ b/libs/net/src/direct_call.cc
@@ -91,7 +91,8 @@
     }
     g_object_unref(address);
     if (failure == nullptr) return;
-    FailLater(failure->message);
+    FailLater(failure->message,
+              socket_ == nullptr ? call_failure::kNoSocket : call_failure::kConnect);
     g_error_free(failure);
   }
 
@@ -148,12 +149,13 @@
   }
 
   // Callers expect no callback before Send() has returned.
-  void FailLater(std::string detail) {
+  void FailLater(std::string detail, call_failure failure = call_failure::kConnect) {
     const std::weak_ptr<direct_call> weak = weak_from_this();
     balsambay::Cancel(timers_, timer_);
-    timer_ = Subscribe(timers_, MonotonicNow(), [weak, detail = std::move(detail)](time_point) {
-      if (const auto self = weak.lock()) self->Finish({call_failure::kConnect, detail});
-    });
+    timer_ =
+        Subscribe(timers_, MonotonicNow(), [weak, failure, detail = std::move(detail)](time_point) {
+          if (const auto self = weak.lock()) self->Finish({failure, detail});
+        });
   }
 
   void WaitUntil(time_point due) {
--- a/libs/net/src/engine_client.cc
+++ b/libs/net/src/engine_client.cc
@@ -34,6 +34,7 @@
 run_failure ToRunFailure(call_failure failure) {
   switch (failure) {
     case call_failure::kConnect:
+    case call_failure::kNoSocket:
       return run_failure::kNotSent;
     case call_failure::kTimeout:
       return run_failure::kTimeout;
--- a/libs/router/src/service_calls.cc
+++ b/libs/router/src/service_calls.cc
@@ -57,6 +57,7 @@
                                             const net::call_end& end) {
   switch (end.failure) {
     case net::call_failure::kConnect:
+    case net::call_failure::kNoSocket:
       return attempt_error{attempt_failure::kNotSent, retry_reason::kConnectFailed, "", end.detail};
     case net::call_failure::kTimeout:
       return attempt_error{attempt_failure::kStalled, retry_reason::kStalled, "", end.detail};
