gateway, net: name the budgets of bodies and replies apart

Cause: `buffers` was the name of the replies' budget in the gateway and of the bodies' budget in the server.

Change: reply_buffers and body_buffers; no other change.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -314,7 +314,7 @@
 
 // Bytes that a reply which is not streamed may have.
 size_t MaxReplyBytes(const gateway_state& state) {
-  return std::min(kMaxReplyBytes, state.buffers->limit_bytes);
+  return std::min(kMaxReplyBytes, state.reply_buffers->limit_bytes);
 }
 
 // Length of the body that the head announces; 0: none, or there is no body.
@@ -340,8 +340,8 @@
             {"reason", reason},
             {"bytes", bytes},
             {"limit_bytes", MaxReplyBytes(state)},
-            {"buffer_bytes", state.buffers->used_bytes},
-            {"buffer_limit_bytes", state.buffers->limit_bytes}});
+            {"buffer_bytes", state.reply_buffers->used_bytes},
+            {"buffer_limit_bytes", state.reply_buffers->limit_bytes}});
   Free(attempt->reply_body);
   Free(attempt->events.partial);
   attempt->buffer.reset();
@@ -354,8 +354,8 @@
                                          const attempt_ptr& owner,
                                          const attempt_callbacks& callbacks) {
   return std::make_unique<buffer_share>(
-      state.buffers, [&state, weak_request = std::weak_ptr(request),
-                      weak_attempt = std::weak_ptr(owner), callbacks] {
+      state.reply_buffers, [&state, weak_request = std::weak_ptr(request),
+                            weak_attempt = std::weak_ptr(owner), callbacks] {
         const attempt_ptr reclaimed = weak_attempt.lock();
         if (!reclaimed) return;
         const size_t bytes = reclaimed->reply_body.size() + reclaimed->events.partial.size();
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -208,7 +208,7 @@
 
 size_t MaxPendingBytes(const gateway_state& state) {
   const size_t requests = std::max<size_t>(state.calls.size(), 1);
-  return std::min(kMaxPendingBytes, state.buffers->limit_bytes / kPendingDivisor / requests);
+  return std::min(kMaxPendingBytes, state.reply_buffers->limit_bytes / kPendingDivisor / requests);
 }
 
 // --- Outcomes of attempts.
@@ -637,8 +637,8 @@
   log::Log(log::level::kWarning, "reply cut before the caller had taken it",
            {{"reason", reason},
             {"bytes", bytes},
-            {"buffer_bytes", state.buffers->used_bytes},
-            {"buffer_limit_bytes", state.buffers->limit_bytes}});
+            {"buffer_bytes", state.reply_buffers->used_bytes},
+            {"buffer_limit_bytes", state.reply_buffers->limit_bytes}});
   CountCutReply(state.metrics, reason);
 }
 
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -245,7 +245,8 @@
         rng(values.seed != 0 ? values.seed : std::random_device{}()),
         request_buffers(
             std::make_shared<buffer_budget>(values.memory_limit_bytes / kRequestMemoryDivisor)),
-        buffers(std::make_shared<buffer_budget>(values.memory_limit_bytes / kReplyMemoryDivisor)) {}
+        reply_buffers(
+            std::make_shared<buffer_budget>(values.memory_limit_bytes / kReplyMemoryDivisor)) {}
 
   settings config;
   quarantine::table quarantine;
@@ -261,7 +262,7 @@
   // Bodies of requests. Apart from those of replies: a body that an endpoint may be executing
   // cannot be given up, and without room for its reply the execution would be in vain.
   std::shared_ptr<buffer_budget> request_buffers;
-  std::shared_ptr<buffer_budget> buffers;  // replies
+  std::shared_ptr<buffer_budget> reply_buffers;
 
   std::shared_ptr<const catalog::catalog> configuration;  // null: none yet
   // The configuration table is reachable, so newer versions are noticed.
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -52,8 +52,8 @@
     net::server_limits limits{.max_body_bytes = kMaxBodyBytes,
                               .body_timeout = std::chrono::seconds(30),
                               .idle_timeout = kIdleTimeout,
-                              .buffers = state_.request_buffers,
-                              .reply_buffers = state_.buffers,
+                              .body_buffers = state_.request_buffers,
+                              .reply_buffers = state_.reply_buffers,
                               .write_timeout = kWriteTimeout};
     net::server_handlers calls;
     calls.on_request = [this](const net::exchange_ptr& exchange) { AcceptCall(state_, exchange); };
@@ -158,7 +158,7 @@
     state_.config.change_propagation_limit = settings.change_propagation_limit;
     state_.config.memory_limit_bytes = settings.memory_limit_bytes;
     state_.request_buffers->limit_bytes = settings.memory_limit_bytes / kRequestMemoryDivisor;
-    state_.buffers->limit_bytes = settings.memory_limit_bytes / kReplyMemoryDivisor;
+    state_.reply_buffers->limit_bytes = settings.memory_limit_bytes / kReplyMemoryDivisor;
     state_.config.max_sockets = settings.max_sockets;
     ApplyBudgetSettings();
     AdaptFeeds(state_);
@@ -217,10 +217,10 @@
                  static_cast<double>(state_.calls.size()));
     metrics::Set(
         state_.metrics.registry, state_.metrics.buffer_bytes,
-        static_cast<double>(state_.request_buffers->used_bytes + state_.buffers->used_bytes));
-    metrics::Set(
-        state_.metrics.registry, state_.metrics.buffer_limit,
-        static_cast<double>(state_.request_buffers->limit_bytes + state_.buffers->limit_bytes));
+        static_cast<double>(state_.request_buffers->used_bytes + state_.reply_buffers->used_bytes));
+    metrics::Set(state_.metrics.registry, state_.metrics.buffer_limit,
+                 static_cast<double>(state_.request_buffers->limit_bytes +
+                                     state_.reply_buffers->limit_bytes));
     metrics::Set(state_.metrics.registry, state_.metrics.peak_memory_bytes, PeakMemoryBytes());
     const std::vector<net::header> headers = {{"Content-Type", std::string(metrics::kContentType)}};
     exchange->Respond(200, headers, metrics::PrometheusText(state_.metrics.registry));
--- a/libs/net/include/net/http_server.h
+++ b/libs/net/include/net/http_server.h
@@ -25,7 +25,7 @@
   duration idle_timeout = std::chrono::seconds(120);  // for the headers of the next request
   // Common limit of the bodies of all requests; null: none. A body that has arrived is not
   // reclaimed.
-  std::shared_ptr<buffer_budget> buffers = nullptr;
+  std::shared_ptr<buffer_budget> body_buffers = nullptr;
   // Common limit of all replies that callers have not taken yet; null: none.
   std::shared_ptr<buffer_budget> reply_buffers = nullptr;
   // Callers that take no byte of a waiting reply for this time are disconnected; 0: never.
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -469,7 +469,7 @@
                            .idle = server->idle};
   server->idle->emplace(state->number, state);
   state->body.share =
-      std::make_unique<buffer_share>(server->limits.buffers, [state] { OnReclaim(*state); });
+      std::make_unique<buffer_share>(server->limits.body_buffers, [state] { OnReclaim(*state); });
   g_object_set_data_full(G_OBJECT(message), kExchangeKey, state, DeleteIntake);
   state->timer = Subscribe(*server->timers, MonotonicNow() + server->limits.idle_timeout,
                            [state](time_point) { ShutdownConnection(state->message); });
