--- a/libs/gateway/include/gateway/wire.h
+++ b/libs/gateway/include/gateway/wire.h
@@ -16,6 +16,9 @@
 
 namespace balsambay::gateway {
 
+// Callers choose the parts of their prompts, so further ones are ignored.
+inline constexpr size_t kMaxSharedPromptParts = 16;
+
 // A request as received from a caller.
 struct incoming_call {
   std::string id;  // differs for each repetition by the caller
@@ -29,6 +32,10 @@
   double max_answer_tokens = 0;
   double expected_answer_tokens = 0;  // estimate by the caller; 0: none
   std::string last_event_id;  // to resume an interrupted stream after this event; empty: none
+  // Ids of the parts of the prompt that other requests may have in common with this one, in order
+  // and without repetition; not the last part, which is the request's own. At most
+  // kMaxSharedPromptParts.
+  std::vector<std::string> shared_prompt_parts;
   std::vector<net::header> headers;  // to be forwarded to the endpoint
 };
 
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -161,6 +161,7 @@
             {"attempts", request->attempts},
             {"may_have_run", request->may_have_run},
             {"fingerprint", quarantine::ToString(request->fingerprint)},
+            {"prompt_parts", PromptPartsText(*request)},
             {"tokens", request->open ? request->open->committed_tokens : 0},
             {"age_ms", WholeMilliseconds(MonotonicNow() - request->arrived)},
             {"open_requests", state.calls.size()}});
@@ -283,7 +284,9 @@
   log::Log(log::level::kInfo, "attempt failed",
            {{"request", request.incoming.id},
             {"fingerprint", quarantine::ToString(request.fingerprint)},
+            {"prompt_parts", PromptPartsText(request)},
             {"attempt", attempt.number},
+            {"outputs", attempt.outputs},
             {"successor", &attempt == request.successor.get()},
             {"endpoint", fault.endpoint_id},
             {"fault", fault.faulty_id},
--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -115,6 +115,16 @@
 
 // --- Decisions of the quarantine.
 
+// "ID@INCARNATION ..." of the endpoints.
+std::string InstancesText(std::span<const quarantine::endpoint_instance> instances) {
+  std::string text;
+  for (const quarantine::endpoint_instance& instance : instances) {
+    if (!text.empty()) text += ' ';
+    text += instance.endpoint + "@" + std::to_string(instance.incarnation);
+  }
+  return text;
+}
+
 // Which gateway writes the record of a request that enters quarantine.
 enum class record_writer : uint8_t { kSelf, kPeer, kNone };
 
@@ -126,6 +136,8 @@
              {{"fingerprint", quarantine::ToString(fingerprint)},
               {"losses", update ? update->losses.size() : 0},
               {"half_losses", update ? update->half_losses.size() : 0},
+              {"lost", update ? InstancesText(update->losses) : ""},
+              {"lost_half", update ? InstancesText(update->half_losses) : ""},
               {"told", writer != record_writer::kSelf}});
     if (writer == record_writer::kSelf) WriteRecord(state, fingerprint);
     if (writer == record_writer::kPeer) ScheduleWrite(state, fingerprint, kRecordGrace);
@@ -179,6 +191,7 @@
   log::Log(log::level::kInfo, "request was on a lost endpoint",
            {{"request", active.incoming.id},
             {"fingerprint", quarantine::ToString(active.fingerprint)},
+            {"prompt_parts", PromptPartsText(active)},
             {"endpoint", target.listed.id},
             {"incarnation", target.listed.incarnation},
             {"part", hop - sent.path.begin()},
@@ -212,6 +225,15 @@
 
 }  // namespace
 
+std::string PromptPartsText(const call& request) {
+  std::string text;
+  for (const std::string& part : request.incoming.shared_prompt_parts) {
+    if (!text.empty()) text += ' ';
+    text += part;
+  }
+  return text;
+}
+
 quarantine::fingerprint ComputeFingerprint(const call& request) {
   const std::string& caller = request.workspace.empty() ? request.incoming.key : request.workspace;
   std::string content = request.incoming.target + "\n";
--- a/libs/gateway/src/details/containment.h
+++ b/libs/gateway/src/details/containment.h
@@ -14,6 +14,9 @@
 // repeated requests have the same fingerprint.
 quarantine::fingerprint ComputeFingerprint(const call& request);
 
+// The shared parts of the request's prompt, for logs.
+std::string PromptPartsText(const call& request);
+
 // Starts the periodic work. Call once.
 void StartContainment(gateway_state& state);
 
