--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -162,6 +162,7 @@
             {"may_have_run", request->may_have_run},
             {"fingerprint", quarantine::ToString(request->fingerprint)},
             {"prompt_parts", PromptPartsText(*request)},
+            {"quarantined_part", QuarantinedPart(state, *request)},
             {"tokens", request->open ? request->open->committed_tokens : 0},
             {"age_ms", WholeMilliseconds(MonotonicNow() - request->arrived)},
             {"open_requests", state.calls.size()}});
@@ -611,6 +612,7 @@
     request->due = std::min(request->due, request->arrived + *request->incoming.time_left);
   }
   request->fingerprint = ComputeFingerprint(*request);
+  request->features = ComputeFeatures(*request);
   CountRequest(state.budget, request->service, request->arrived);
   Register(state, request);
   if (const auto decision = CheckAgainstStop(state, *request, request->arrived);
@@ -650,7 +652,7 @@
 std::vector<call_ptr> FindCalls(const gateway_state& state, const quarantine::fingerprint& key) {
   std::vector<call_ptr> matches;
   for (const auto& [number, request] : state.calls) {
-    if (request->fingerprint == key) matches.push_back(request);
+    if (HasKey(*request, key)) matches.push_back(request);
   }
   return matches;
 }
@@ -659,8 +661,10 @@
 
 void EndQuarantinedCalls(gateway_state& state, const quarantine::fingerprint& key) {
   for (const call_ptr& request : FindCalls(state, key)) {
-    if (!IsQuarantined(state, *request)) return;
-    if (HasShownProgress(*request)) continue;
+    if (!IsQuarantined(state, *request)) continue;
+    // A stream with a quarantined part that has begun continues where it is, but does not move.
+    const bool begun = request->fingerprint != key && request->streaming;
+    if (HasShownProgress(*request) || (begun && request->open)) continue;
     if (request->open) request->may_have_run = true;
     GiveUpQuarantined(state, request);
   }
--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -4,11 +4,13 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "base/hash.h"
 #include "details/attempt.h"
 #include "details/calls.h"
 #include "details/fleet.h"
 #include "details/monitor.h"
 #include "log/log.h"
+#include "quarantine/message.h"
 
 namespace balsambay::gateway {
 namespace {
@@ -36,6 +38,8 @@
 constexpr duration kEvidenceLifetime = 1000ms;
 // From the end of the longest silence of a healthy endpoint until its loss is reported.
 constexpr duration kSilenceGrace = 200ms;
+// More prompt parts than are usually on the endpoints that are lost within some minutes.
+constexpr size_t kMaxPartIds = 1024;
 // Time that a gateway gives the peer from which it learned of a quarantine to write the record.
 constexpr duration kRecordGrace = 1500ms;
 constexpr duration kRecordRetryDelay = 1000ms;
@@ -44,6 +48,13 @@
 // all gateways.
 constexpr std::chrono::milliseconds kExpiredRecordRetention = std::chrono::minutes(1);
 
+// Keeps the keys of prompt parts apart from those of contents, whose scope is a workspace.
+constexpr std::string_view kPartScope = "prompt part\n";
+
+quarantine::run_identity IdentityOf(const call& request) {
+  return {request.fingerprint, request.features, request.streaming};
+}
+
 quarantine::endpoint_instance LifeOf(const endpoint& target) {
   return {target.listed.id, target.listed.incarnation};
 }
@@ -58,6 +69,21 @@
          quarantine::fingerprint_state::kQuarantined;
 }
 
+// Remembers the ids of the parts of the request's prompt, which may be quarantined after it has
+// ended.
+void RememberParts(gateway_state& state, const call& request) {
+  if (state.part_ids.size() + request.features.size() > kMaxPartIds) state.part_ids.clear();
+  for (size_t i = 0; i < request.features.size(); ++i) {
+    state.part_ids[request.features[i].key] = request.incoming.shared_prompt_parts.at(i);
+  }
+}
+
+// Empty if no request with the part was on a lost endpoint here, and no record tells the id.
+std::string PartId(const gateway_state& state, const quarantine::fingerprint& key) {
+  const auto found = state.part_ids.find(key);
+  return found == state.part_ids.end() ? std::string() : found->second;
+}
+
 // --- Records in the shared table.
 
 void WriteRecord(gateway_state& state, const quarantine::fingerprint& fingerprint);
@@ -87,8 +113,11 @@
   json losses = json::array();
   for (const auto& life : entry->second.losses) losses.push_back(life.endpoint);
   const duration remaining = entry->second.loss_expires - MonotonicNow();
-  const json value = {{"until_ms", WallClockMs() + WholeMilliseconds(remaining)},
-                      {"losses", losses}};
+  json value = {{"until_ms", WallClockMs() + WholeMilliseconds(remaining)}, {"losses", losses}};
+  if (entry->second.is_feature) {
+    value["part"] = PartId(state, fingerprint);
+    value["sources"] = quarantine::ToJson(entry->second.sources);
+  }
   WriteTable(state, {key, value.dump()}, [&state, fingerprint](bool committed) {
     if (committed) return;
     log::Log(log::level::kWarning, "quarantine record was not written; will retry",
@@ -128,24 +157,53 @@
 // Which gateway writes the record of a request that enters quarantine.
 enum class record_writer : uint8_t { kSelf, kPeer, kNone };
 
+// Removes the record of a quarantine that has ended, unless the gateway that found out does so in
+// time.
+void ScheduleRemoval(gateway_state& state, const quarantine::fingerprint& fingerprint) {
+  Subscribe(state.loop.Timers(), MonotonicNow() + Jitter(state.rng, kRecordGrace, kRecordJitter),
+            [&state, fingerprint](time_point) {
+              if (!IsFingerprintQuarantined(state, fingerprint))
+                RemoveRecord(state, RecordKey(fingerprint));
+            });
+}
+
+void LogQuarantined(gateway_state& state, const quarantine::fingerprint& fingerprint,
+                    record_writer writer) {
+  const auto update = quarantine::UpdateOf(state.quarantine, fingerprint);
+  if (!update) return;
+  if (quarantine::IsFeature(state.quarantine, fingerprint)) {
+    metrics::Increment(state.metrics.registry, state.metrics.quarantined_parts);
+    log::Log(log::level::kWarning, "prompt part quarantined",
+             {{"fingerprint", quarantine::ToString(fingerprint)},
+              {"part", PartId(state, fingerprint)},
+              {"rounds", update->loss_rounds},
+              {"requests", update->sources.size()},
+              {"lost", InstancesText(update->losses)},
+              {"told", writer != record_writer::kSelf}});
+    return;
+  }
+  log::Log(log::level::kWarning, "request quarantined",
+           {{"fingerprint", quarantine::ToString(fingerprint)},
+            {"losses", update->losses.size()},
+            {"half_losses", update->half_losses.size()},
+            {"lost", InstancesText(update->losses)},
+            {"lost_half", InstancesText(update->half_losses)},
+            {"told", writer != record_writer::kSelf}});
+}
+
 void Process(gateway_state& state, const quarantine::side_effects& outputs, record_writer writer) {
   AnnounceSuspects(state, outputs.publish);
   for (const quarantine::fingerprint& fingerprint : outputs.quarantined) {
-    const auto update = quarantine::UpdateOf(state.quarantine, fingerprint);
-    log::Log(log::level::kWarning, "request quarantined",
-             {{"fingerprint", quarantine::ToString(fingerprint)},
-              {"losses", update ? update->losses.size() : 0},
-              {"half_losses", update ? update->half_losses.size() : 0},
-              {"lost", update ? InstancesText(update->losses) : ""},
-              {"lost_half", update ? InstancesText(update->half_losses) : ""},
-              {"told", writer != record_writer::kSelf}});
+    LogQuarantined(state, fingerprint, writer);
     if (writer == record_writer::kSelf) WriteRecord(state, fingerprint);
     if (writer == record_writer::kPeer) ScheduleWrite(state, fingerprint, kRecordGrace);
   }
   for (const quarantine::fingerprint& fingerprint : outputs.released) {
     log::Log(log::level::kWarning, "quarantine lifted",
-             {{"fingerprint", quarantine::ToString(fingerprint)}});
+             {{"fingerprint", quarantine::ToString(fingerprint)},
+              {"told", writer != record_writer::kSelf}});
     if (writer == record_writer::kSelf) RemoveRecord(state, RecordKey(fingerprint));
+    if (writer != record_writer::kNone) ScheduleRemoval(state, fingerprint);
   }
   if (outputs.quarantined.empty() && outputs.wake.empty()) return;
   // Deferred, because requests that resume or end call the quarantine again.
@@ -187,6 +245,7 @@
                   const endpoint& target) {
   const auto hop = std::ranges::find(sent.path, target.listed.id, &call_hop::endpoint_id);
   if (hop == sent.path.end()) return;
+  RememberParts(state, active);
   metrics::Increment(state.metrics.registry, state.metrics.on_lost_endpoints);
   log::Log(log::level::kInfo, "request was on a lost endpoint",
            {{"request", active.incoming.id},
@@ -210,7 +269,9 @@
 
 struct decoded_record {
   quarantine::fingerprint fingerprint;
-  int64_t until_ms = 0;  // Unix time
+  int64_t until_ms = 0;                             // Unix time
+  std::vector<quarantine::feature_source> sources;  // empty: the record is that of a content
+  std::string part;                                 // id of the prompt part
 };
 
 std::optional<decoded_record> DecodeRecord(const quarantine_record& record) {
@@ -220,7 +281,11 @@
   const json body = json::parse(record.value, nullptr, false);
   const json until = body.is_object() ? body.value("until_ms", json()) : json();
   if (!fingerprint || !until.is_number_integer()) return std::nullopt;
-  return decoded_record{*fingerprint, until.get<int64_t>()};
+  const json part = body.value("part", json());
+  return decoded_record{*fingerprint, until.get<int64_t>(),
+                        quarantine::ParseSources(body.value("sources", json::array()))
+                            .value_or(std::vector<quarantine::feature_source>()),
+                        part.is_string() ? part.get<std::string>() : std::string()};
 }
 
 }  // namespace
@@ -241,6 +306,24 @@
   return quarantine::MakeFingerprint(caller, content);
 }
 
+std::vector<quarantine::shared_feature> ComputeFeatures(const call& request) {
+  const std::string& caller = request.workspace.empty() ? request.incoming.key : request.workspace;
+  const quarantine::feature_source source{static_cast<uint32_t>(Hash64(caller)),
+                                          static_cast<uint32_t>(request.fingerprint.low)};
+  const std::string scope = std::string(kPartScope) + request.service;
+  std::vector<quarantine::shared_feature> features;
+  for (const std::string& part : request.incoming.shared_prompt_parts) {
+    features.push_back({quarantine::MakeFingerprint(scope, part), source});
+  }
+  return features;
+}
+
+bool HasKey(const call& request, const quarantine::fingerprint& key) {
+  return request.fingerprint == key ||
+         std::ranges::find(request.features, key, &quarantine::shared_feature::key) !=
+             request.features.end();
+}
+
 quarantine::settings QuarantineSettings(const settings& values) {
   return {.daemon = values.id,
           .suspect_policy = quarantine::suspect_policy::kConcurrent,
@@ -255,22 +338,31 @@
 quarantine::decision AdmitAttempt(gateway_state& state, const call& request) {
   quarantine::side_effects outputs;
   const quarantine::decision decision = quarantine::Start(
-      state.quarantine, request.number, request.fingerprint, MonotonicNow(), outputs);
+      state.quarantine, request.number, IdentityOf(request), MonotonicNow(), outputs);
   Process(state, outputs, record_writer::kSelf);
   return decision;
 }
 
 quarantine::verdict PredictAdmission(const gateway_state& state, const call& request) {
-  return quarantine::PreviewStart(state.quarantine, request.fingerprint, MonotonicNow());
+  return quarantine::PreviewStart(state.quarantine, IdentityOf(request), MonotonicNow());
 }
 
 bool IsQuarantined(const gateway_state& state, const call& request) {
-  return IsFingerprintQuarantined(state, request.fingerprint);
+  return quarantine::QuarantinedKey(state.quarantine, IdentityOf(request)).has_value();
 }
 
 time_point QuarantinedUntil(const gateway_state& state, const call& request) {
-  const auto entry = state.quarantine.entries.find(request.fingerprint);
-  return entry == state.quarantine.entries.end() ? time_point() : entry->second.loss_expires;
+  const auto key = quarantine::QuarantinedKey(state.quarantine, IdentityOf(request));
+  return key ? state.quarantine.entries.find(*key)->second.loss_expires : time_point();
+}
+
+std::string_view QuarantinedPart(const gateway_state& state, const call& request) {
+  const auto key = quarantine::QuarantinedKey(state.quarantine, IdentityOf(request));
+  if (!key) return {};
+  const auto found = std::ranges::find(request.features, *key, &quarantine::shared_feature::key);
+  if (found == request.features.end()) return {};
+  return request.incoming.shared_prompt_parts.at(
+      static_cast<size_t>(found - request.features.begin()));
 }
 
 bool HasShownProgress(const call& request) {
@@ -302,6 +394,7 @@
 }
 
 void OnConnectionBroken(gateway_state& state, const call& request, endpoint& target) {
+  RememberParts(state, request);
   quarantine::side_effects outputs;
   quarantine::End(state.quarantine, request.number, quarantine::run_end::kBroken, LifeOf(target),
                   MonotonicNow(), outputs);
@@ -374,8 +467,9 @@
     const duration remaining = std::chrono::milliseconds(decoded->until_ms - WallClockMs());
     if (remaining <= duration::zero()) continue;
     const duration max_remaining = state.quarantine.config.loss_lifetime;
+    if (!decoded->part.empty()) state.part_ids[decoded->fingerprint] = decoded->part;
     quarantine::Restore(state.quarantine, decoded->fingerprint,
-                        now + std::min(remaining, max_remaining), outputs);
+                        now + std::min(remaining, max_remaining), outputs, decoded->sources);
   }
   // A record that is gone was removed by an operator, or by the gateway that cleared the request.
   for (const auto& [key, until_ms] : previous) {
--- a/libs/gateway/src/details/containment.h
+++ b/libs/gateway/src/details/containment.h
@@ -17,6 +17,13 @@
 // The shared parts of the request's prompt, for logs.
 std::string PromptPartsText(const call& request);
 
+// Keys of the shared parts of the request's prompt. Two requests for the same service have the same
+// key for the same part, also in different workspaces. Precondition: the fingerprint is set.
+std::vector<quarantine::shared_feature> ComputeFeatures(const call& request);
+
+// Whether the request's content or a part of its prompt has this key.
+bool HasKey(const call& request, const quarantine::fingerprint& key);
+
 // Starts the periodic work. Call once.
 void StartContainment(gateway_state& state);
 
@@ -29,9 +36,12 @@
 
 bool IsQuarantined(const gateway_state& state, const call& request);
 
-// When the quarantine of the request ends; time_point() if its fingerprint is not known.
+// When the quarantine of the request ends; time_point() if it is not quarantined.
 time_point QuarantinedUntil(const gateway_state& state, const call& request);
 
+// The quarantined part of the request's prompt; empty: none.
+std::string_view QuarantinedPart(const gateway_state& state, const call& request);
+
 // Whether the open attempt has passed enough outputs on to show that the request does not crash its
 // engines.
 bool HasShownProgress(const call& request);
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -147,8 +147,11 @@
 struct call {
   uint64_t number = 0;
   incoming_call incoming;
-  std::string_view body;                // of `exchange`, which keeps it until the reply has ended
-  quarantine::fingerprint fingerprint;  // the same for each repetition by the caller
+  std::string_view body;  // of `exchange`, which keeps it until the reply has ended
+  // For the quarantine: of the content, the same for each repetition by the caller, and of the
+  // shared parts of the prompt, in the order of `incoming.shared_prompt_parts`.
+  quarantine::fingerprint fingerprint;
+  std::vector<quarantine::shared_feature> features;
   net::exchange_ptr exchange;
   std::shared_ptr<const catalog::catalog> configuration;  // the version in force on arrival
   const catalog::route* route = nullptr;                  // in `configuration`
@@ -294,6 +297,9 @@
   // Updates of suspected requests that are to be sent to other gateways.
   std::map<quarantine::fingerprint, quarantine::update> suspects;
   size_t snapshot_cursor = 0;  // position in the quarantine's snapshot, which is sent repeatedly
+  // Ids of prompt parts that were on lost endpoints or are quarantined, for logs and records;
+  // bounded.
+  std::map<quarantine::fingerprint, std::string> part_ids;
   // End of each record of the quarantine in the shared table: Unix ms by key.
   std::map<std::string, int64_t> quarantine_records;
   time_point started_at;
--- a/libs/gateway/src/details/telemetry.h
+++ b/libs/gateway/src/details/telemetry.h
@@ -15,6 +15,7 @@
   metrics::counter_id truncated_replies;   // replies to callers that ended early
   metrics::counter_id caller_disconnects;  // callers that closed the connection
   metrics::counter_id on_lost_endpoints;   // requests that ran on an endpoint when it was lost
+  metrics::counter_id quarantined_parts;   // prompt parts, here or by another gateway
   metrics::counter_id rerouted;
   metrics::counter_id
       denied_attempts;         // requests that ended because a limit forbade another attempt
--- a/libs/gateway/src/telemetry.cc
+++ b/libs/gateway/src/telemetry.cc
@@ -24,6 +24,8 @@
                                              "Requests whose caller closed the connection.")),
       on_lost_endpoints(metrics::AddCounter(registry, "gateway_on_lost_endpoints_total",
                                             "Requests that were on an endpoint when it was lost.")),
+      quarantined_parts(metrics::AddCounter(registry, "gateway_quarantined_parts_total",
+                                            "Prompt parts that crash endpoints.")),
       rerouted(metrics::AddCounter(registry, "gateway_rerouted_total",
                                    "Running requests that were moved to other engines.")),
       denied_attempts(
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -4,6 +4,14 @@
 // fingerprint becomes a suspect. After two lost endpoints (`settings::max_losses`) it is refused. A
 // completed run clears it. The setting `suspect_policy` states how suspects run until then.
 //
+// Requests that have a feature in common, such as a part of their prompts, may crash endpoints
+// because of it, no two of them alike. With kConcurrent, losses of endpoints also count against the
+// features of the requests that had made no output on them: after
+// `settings::max_loss_rounds` rounds of losses, without an answer of a request with the feature in
+// between, requests with it are refused: those of the workspace that caused the losses, or of all
+// workspaces if several did, so that no caller gets the requests of others refused. The losses that
+// this explains are cleared for all other fingerprints.
+//
 // Daemons exchange updates about losses and claims (which daemon runs a suspect, and on which
 // endpoints). The caller sends the updates that functions return to the peers.
 //
@@ -21,6 +29,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/time.h"
@@ -50,6 +59,32 @@
   size_t operator()(const fingerprint& key) const { return key.low; }
 };
 
+// A request as evidence against its features. Hashes.
+struct feature_source {
+  uint32_t workspace = 0;
+  uint32_t content = 0;
+  bool operator==(const feature_source&) const = default;
+};
+
+// A feature that the request `source` has in common with others.
+struct shared_feature {
+  fingerprint key;  // does not depend on the workspace
+  feature_source source;
+};
+
+// What the quarantine knows of a run.
+struct run_identity {
+  // Implicit, because many requests are known by their content alone.
+  // NOLINTNEXTLINE(google-explicit-constructor)
+  run_identity(const fingerprint& content, std::vector<shared_feature> shared = {},
+               bool answer_begun = false)
+      : key(content), features(std::move(shared)), resumed(answer_begun) {}
+
+  fingerprint key;                       // of the whole content
+  std::vector<shared_feature> features;  // used with kConcurrent
+  bool resumed = false;  // continues an answer of which the caller has received a part
+};
+
 // An endpoint between two of its restarts. Identifies the loss of the endpoint. Precondition: each
 // restart changes the incarnation; otherwise a second loss is taken for a repeated report of the
 // first.
@@ -85,6 +120,7 @@
   //   new route.
   // - While many endpoints are lost on which the fingerprint was not running, one more loss of
   //   weight 1/2 is needed for quarantine.
+  // - A loss without progress has weight 1/2 if the request had made output on endpoints before.
   kConcurrent,
 };
 
@@ -92,6 +128,9 @@
   std::string daemon;  // own id; of claims made at the same time, the lowest id has priority
   enum suspect_policy suspect_policy = suspect_policy::kSingleCopy;
   int max_losses = 2;  // losses of full weight after which a fingerprint is refused
+  // Rounds of losses after which a feature is refused. Each round consists of runs that were placed
+  // when the round before was known, so endpoints that are lost together make one round.
+  size_t max_loss_rounds = 3;
   // Maximum number of concurrent runs on this daemon without a first token, per fingerprint that
   // is not proven harmless. 1 prevents simultaneous copies from losing one endpoint each; 0 means
   // no limit. Applies with kSingleCopy.
@@ -139,6 +178,11 @@
   std::vector<std::string> endpoints;  // endpoints on which the sender runs it as a suspect
   std::vector<endpoint_instance> half_losses{};  // losses of weight 1/2
   duration lost_after{};  // longest time from progress to loss among `half_losses`
+  // Of a feature: requests that its losses are known of, the number of rounds of the losses, and
+  // the number of runs with the feature since the first loss on the daemon that has seen most.
+  std::vector<feature_source> sources{};
+  size_t loss_rounds = 0;
+  uint64_t feature_runs = 0;
   bool operator==(const update&) const = default;
 };
 
@@ -173,6 +217,9 @@
   bool progressed = false;         // the run had progressed on this endpoint; kConcurrent only
   time_point progressing_since{};  // see `run`
   uint64_t start_number = 0;       // see `run`; of several endpoints of one start, one counts
+  std::vector<shared_feature> features{};  // see `run`; empty if the answer had begun
+  time_point placed_at{};                  // see `route_hop`
+  bool answer_begun = false;               // see `run`; kConcurrent only
 };
 
 // A loss after progress while copies continue that progressed before the lost one. It is decided
@@ -206,7 +253,12 @@
   time_point proven_until{};      // set when a copy produces a token or completes
   time_point completed_until{};   // set when a copy completes
   int completions = 0;            // until `completed_until`, less the losses that they outweighed
-  bool flagged = false;           // in the list `flagged` rather than `unflagged`
+  // Of a feature. Its `losses` are those at which it was present without output.
+  bool is_feature = false;
+  std::vector<feature_source> sources;        // of the losses
+  std::vector<time_point> rounds;             // when each round of the losses became known here
+  uint64_t feature_runs = 0;                  // see `update`
+  bool flagged = false;                       // in the list `flagged` rather than `unflagged`
   std::list<fingerprint>::iterator position;  // in that list
 };
 
@@ -220,6 +272,9 @@
 
 struct run {
   fingerprint key;
+  std::vector<shared_feature> features;
+  // Part of the answer was made, by this run or by one that it continues.
+  bool answer_begun = false;
   std::vector<route_hop> route;
   uint64_t start_number = 0;  // differs for each start, also for starts with the same run id
   bool as_suspect = false;    // the fingerprint was a suspect when the run started
@@ -249,6 +304,8 @@
   // Endpoints with a suspected run that has not progressed, on this daemon or on a peer.
   std::set<std::string, std::less<>> suspect_endpoints;
   std::deque<lost_instance> recent_losses;  // with kConcurrent; oldest first
+  // Of `recent_losses`, those that quarantined features explain.
+  std::deque<endpoint_instance> explained;
   time_point next_sweep{};
   uint64_t start_count = 0;  // runs started so far
 };
@@ -258,11 +315,18 @@
 
 // Decides whether the run `id` may start now and, on kAllow and kAllowIsolated, registers it. The
 // id must not be in use. Cost: O(1); O(n) when the table is full of suspects.
-decision Start(table& state, run_id id, const fingerprint& key, time_point now,
+decision Start(table& state, run_id id, const run_identity& identity, time_point now,
                side_effects& effects);
 
 // The verdict that Start() would give now with kConcurrent. Changes nothing.
-verdict PreviewStart(const table& state, const fingerprint& key, time_point now);
+verdict PreviewStart(const table& state, const run_identity& identity, time_point now);
+
+// The quarantined key of the request: that of its content or of one of its features. Of several,
+// the one whose quarantine ends last. nullopt: none is quarantined.
+std::optional<fingerprint> QuarantinedKey(const table& state, const run_identity& identity);
+
+// Whether the key is known as that of a feature.
+bool IsFeature(const table& state, const fingerprint& key);
 
 // Sets the endpoints that the run uses. Call before the run is sent to them, and whenever they
 // change. The run's progress on endpoints that stay in the route is kept. `now` is used only with
@@ -315,7 +379,9 @@
 bool Merge(table& state, const update& received, time_point now, side_effects& effects);
 
 // Quarantines the fingerprint until the time stated by a stored record, without publishing it.
-void Restore(table& state, const fingerprint& key, time_point until, side_effects& effects);
+// `sources`: of a feature; empty for a content.
+void Restore(table& state, const fingerprint& key, time_point until, side_effects& effects,
+             std::span<const feature_source> sources = {});
 
 // Ends the quarantine of the fingerprint and clears all its losses, without publishing it.
 void Lift(table& state, const fingerprint& key, side_effects& effects);
--- a/libs/quarantine/src/details/blame.cc
+++ b/libs/quarantine/src/details/blame.cc
@@ -80,7 +80,7 @@
   for (route_hop& sibling : active.route) sibling.loss_counted = true;
   const bool shares_endpoint = active.as_suspect && HadOtherSuspect(state, active.key, instance);
   AddGradedLoss(state, active.key, entry, &active,
-                {instance, progressed || shares_endpoint, active.as_suspect, progressed,
+                {instance, active.answer_begun || shares_endpoint, active.as_suspect, progressed,
                  active.progressing_since},
                 losses);
 }
@@ -93,7 +93,7 @@
     if (pending.instance != instance) continue;
     const bool shares_endpoint = pending.as_suspect && HadOtherSuspect(state, key, instance);
     AddGradedLoss(state, key, entry, nullptr,
-                  {instance, pending.progressed || shares_endpoint, pending.as_suspect,
+                  {instance, pending.answer_begun || shares_endpoint, pending.as_suspect,
                    pending.progressed, pending.progressing_since},
                   losses);
   }
@@ -146,13 +146,21 @@
     if (hop == active.route.end() || hop->loss_counted || hop->placed_at > alive_until) continue;
     const table_entry& entry = state.entries.find(active.key)->second;
     if (Contains(entry.losses, instance) || Contains(entry.cleared, instance)) continue;
-    losses.emplace(active.key,
-                   pending_loss{instance, now, until, active.as_suspect, hop->progressed,
-                                active.progressing_since, active.start_number});
+    losses.emplace(
+        active.key,
+        pending_loss{instance, now, until, active.as_suspect, hop->progressed,
+                     active.progressing_since, active.start_number,
+                     active.answer_begun ? std::vector<shared_feature>() : active.features,
+                     hop->placed_at, active.answer_begun});
   }
   return losses;
 }
 
+time_point PlacedAt(const run& active, const endpoint_instance& instance) {
+  const auto hop = std::ranges::find(active.route, instance, &route_hop::instance);
+  return hop == active.route.end() ? time_point() : hop->placed_at;
+}
+
 bool HasProgressedOn(const run& active, const endpoint_instance& instance) {
   const auto hop = std::ranges::find(active.route, instance, &route_hop::instance);
   return hop != active.route.end() && hop->progressed;
--- a/libs/quarantine/src/details/blame.h
+++ b/libs/quarantine/src/details/blame.h
@@ -25,6 +25,9 @@
                                                     time_point now, time_point until,
                                                     time_point alive_until);
 
+// When the run was placed on this instance; time_point() if it is not on its route.
+time_point PlacedAt(const run& active, const endpoint_instance& instance);
+
 // Whether the run has progressed on this instance of an endpoint.
 bool HasProgressedOn(const run& active, const endpoint_instance& instance);
 
--- a/libs/quarantine/src/details/entries.cc
+++ b/libs/quarantine/src/details/entries.cc
@@ -165,6 +165,7 @@
 
 bool AddLoss(const table& state, table_entry& entry, const attributed_loss& loss, time_point now) {
   if (entry.quarantined || Contains(entry.cleared, loss.instance)) return false;
+  if (std::ranges::find(state.explained, loss.instance) != state.explained.end()) return false;
   if (Contains(entry.losses, loss.instance) && !state.config.test_faults.no_deduplication)
     return false;
   if (loss.half_weight && Contains(entry.half_losses, loss.instance)) return false;
@@ -187,6 +188,7 @@
   const bool was_counted =
       std::erase(entry.losses, instance) + std::erase(entry.half_losses, instance) > 0;
   if (entry.losses.empty() && !entry.restored) entry.quarantined = false;
+  if (entry.losses.empty()) entry.rounds.clear();
   if (entry.half_losses.empty()) entry.lost_after = duration(0);
   if (Contains(entry.cleared, instance)) return was_counted;
   AppendBounded(entry.cleared, instance);
@@ -194,7 +196,9 @@
 }
 
 void WithdrawUnsupportedQuarantine(const table& state, table_entry& entry) {
-  if (!entry.restored && LossScore(entry) < BaseThreshold(state)) entry.quarantined = false;
+  const bool supported = entry.is_feature ? entry.losses.size() >= state.config.max_loss_rounds
+                                          : LossScore(entry) >= BaseThreshold(state);
+  if (!entry.restored && !supported) entry.quarantined = false;
 }
 
 void ClearLosses(table_entry& entry) {
@@ -247,7 +251,10 @@
                  .claim = OwnClaim(entry),
                  .endpoints = SuspectEndpoints(state, key),
                  .half_losses = entry.half_losses,
-                 .lost_after = entry.lost_after};
+                 .lost_after = entry.lost_after,
+                 .sources = entry.sources,
+                 .loss_rounds = entry.rounds.size(),
+                 .feature_runs = entry.feature_runs};
   const bool concurrent = state.config.suspect_policy == suspect_policy::kConcurrent;
   if (concurrent && !current.endpoints.empty()) current.claim = claim_kind::kHolding;
   return current;
--- /dev/null
+++ b/libs/quarantine/src/details/features.cc
@@ -0,0 +1,254 @@
+// Attribution of lost endpoints to features that requests have in common.
+//
+// A feature that crashes each endpoint that begins an answer is present at all losses that it
+// causes, and no request with it makes output in between. Common sound features are cleared by the
+// next answer of any request with them. Rare ones may be present at a few losses by chance, so the
+// losses have to come in rounds, from different requests, and more of them while endpoints are also
+// lost without the feature. Sound features that most of the requests with the cause have in common,
+// such as the first part of their prompts, are told from it by their other runs.
+#include "details/features.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace balsambay::quarantine::details {
+namespace {
+
+// Different sources, and thus different requests, whose losses show that a feature is the cause.
+constexpr size_t kMinSources = 2;
+// Sources that are kept and exchanged: enough to compare those of several daemons.
+constexpr size_t kMaxSources = 4;
+// Losses without the feature within kUnrelatedWindow show another cause; those that follow each
+// other within kOutageSpread count once. kUnrelatedPerRound of them require one more round, up to
+// kMaxExtraRounds.
+constexpr duration kUnrelatedWindow = 10s;
+constexpr duration kOutageSpread = 500ms;
+constexpr size_t kUnrelatedPerRound = 2;
+constexpr size_t kMaxExtraRounds = 2;
+constexpr size_t kMaxExplained = 64;
+
+bool IsPresentAt(const table_entry& entry, const endpoint_instance& instance) {
+  return Contains(entry.losses, instance) || Contains(entry.cleared, instance);
+}
+
+size_t CountWorkspaces(const table_entry& entry) {
+  std::set<uint32_t> workspaces;
+  for (const feature_source& source : entry.sources) workspaces.insert(source.workspace);
+  return workspaces.size();
+}
+
+// Number of outages within kUnrelatedWindow at which the feature was not present, and which no
+// quarantined feature explains.
+size_t CountUnrelatedOutages(const table& state, const table_entry& entry, time_point now) {
+  size_t outages = 0;
+  std::optional<time_point> last;
+  for (const lost_instance& lost : state.recent_losses) {
+    const bool explained =
+        std::ranges::find(state.explained, lost.instance) != state.explained.end();
+    if (now - lost.at > kUnrelatedWindow || explained || IsPresentAt(entry, lost.instance))
+      continue;
+    if (!last || lost.at - *last >= kOutageSpread) ++outages;
+    last = lost.at;
+  }
+  return outages;
+}
+
+size_t RequiredRounds(const table& state, const table_entry& entry, time_point now) {
+  const size_t extra =
+      std::min(CountUnrelatedOutages(state, entry, now) / kUnrelatedPerRound, kMaxExtraRounds);
+  return state.config.max_loss_rounds + extra;
+}
+
+// Whether `other` explains most losses of the feature and is rarer. With as many runs the two
+// cannot be told apart; `tie` is returned.
+bool IsLikelierCause(const table_entry& other, const table_entry& entry, bool tie) {
+  if (!other.is_feature || other.sources.size() < kMinSources) return false;
+  if (other.feature_runs > entry.feature_runs) return false;
+  if (other.feature_runs == entry.feature_runs && !tie) return false;
+  const auto shared = std::ranges::count_if(entry.losses, [&](const endpoint_instance& instance) {
+    return Contains(other.losses, instance);
+  });
+  return 2 * static_cast<size_t>(shared) > entry.losses.size();
+}
+
+bool IsProvenCause(const table& state, const table_entry& entry, time_point now) {
+  const size_t required = RequiredRounds(state, entry, now);
+  if (entry.sources.size() < kMinSources || entry.rounds.size() < required) return false;
+  // Of features that always come together, none is refused before there are further losses.
+  const bool tie = entry.rounds.size() < required + kMaxExtraRounds;
+  return std::ranges::none_of(state.flagged, [&](const fingerprint& key) {
+    const table_entry& other = state.entries.find(key)->second;
+    return &other != &entry && IsLikelierCause(other, entry, tie);
+  });
+}
+
+uint64_t CountRuns(const table& state, const fingerprint& key) {
+  return static_cast<uint64_t>(std::ranges::count_if(state.runs, [&](const auto& pair) {
+    const std::vector<shared_feature>& features = pair.second.features;
+    return std::ranges::find(features, key, &shared_feature::key) != features.end();
+  }));
+}
+
+table_entry& TouchFeature(table& state, const fingerprint& key) {
+  table_entry& entry = Touch(state, key);
+  if (!std::exchange(entry.is_feature, true)) entry.feature_runs = CountRuns(state, key);
+  return entry;
+}
+
+// Clears the losses that a quarantined feature explains for all other fingerprints. They need not
+// be published, because each daemon does the same when it learns of the feature.
+void ClearExplainedLosses(table& state, const fingerprint& cause, side_effects& effects) {
+  const std::vector<endpoint_instance> explained = Find(state, cause)->losses;
+  for (const endpoint_instance& instance : explained) {
+    if (std::ranges::find(state.explained, instance) != state.explained.end()) continue;
+    if (state.explained.size() >= kMaxExplained) state.explained.pop_front();
+    state.explained.push_back(instance);
+  }
+  for (auto& [key, entry] : state.entries) {
+    if (key == cause) continue;
+    bool changed = false;
+    for (const endpoint_instance& instance : explained) {
+      changed |= std::erase_if(entry.disputed, [&](const disputed_loss& loss) {
+                   return loss.instance == instance;
+                 }) > 0;
+      changed |= HasLoss(entry, instance) && MoveToCleared(entry, instance);
+    }
+    if (!changed) continue;
+    WithdrawUnsupportedQuarantine(state, entry);
+    Reassess(state, key, entry, effects);
+  }
+}
+
+void Publish(table& state, const fingerprint& key, table_entry& entry, side_effects& effects) {
+  Reassess(state, key, entry, effects);
+  effects.publish.push_back(MakeUpdate(state, key, entry));
+}
+
+// Returns whether the loss is new.
+bool CountLoss(table& state, const fingerprint& key, const feature_loss& loss, time_point now,
+               side_effects& effects) {
+  table_entry& entry = TouchFeature(state, key);
+  if (IsPresentAt(entry, loss.instance)) return false;
+  for (const feature_source& source : loss.sources) AddSource(entry, source);
+  AppendBounded(entry.losses, loss.instance);
+  const auto known_rounds = static_cast<size_t>(std::ranges::count_if(
+      entry.rounds, [&](time_point known_at) { return known_at < loss.placed_at; }));
+  if (known_rounds == entry.rounds.size()) entry.rounds.push_back(loss.noticed_at);
+  entry.loss_expires = now + state.config.loss_lifetime;
+  // Flags the entry, so that it is compared with others.
+  Reassess(state, key, entry, effects);
+  return true;
+}
+
+}  // namespace
+
+bool IsCovered(const table_entry& entry, const feature_source& request) {
+  return CountWorkspaces(entry) != 1 || entry.sources.front().workspace == request.workspace;
+}
+
+void AddSource(table_entry& entry, const feature_source& source) {
+  if (std::ranges::find(entry.sources, source) != entry.sources.end()) return;
+  if (entry.sources.size() < kMaxSources) return entry.sources.push_back(source);
+  const bool same_workspace = std::ranges::find(entry.sources, source.workspace,
+                                                &feature_source::workspace) != entry.sources.end();
+  if (!same_workspace && CountWorkspaces(entry) == 1) entry.sources.back() = source;
+}
+
+feature_losses AttributeToFeatures(const table& state, const endpoint_instance& instance,
+                                   time_point now, time_point alive_until) {
+  feature_losses losses;
+  const auto add = [&](std::span<const shared_feature> features, time_point placed_at,
+                       time_point noticed_at) {
+    for (const shared_feature& feature : features) {
+      feature_loss& loss =
+          losses.try_emplace(feature.key, feature_loss{instance, {}, placed_at, noticed_at})
+              .first->second;
+      loss.sources.push_back(feature.source);
+      loss.placed_at = std::max(loss.placed_at, placed_at);
+      loss.noticed_at = std::min(loss.noticed_at, noticed_at);
+    }
+  };
+  for (const auto& [id, active] : state.runs) {
+    if (active.answer_begun || active.features.empty()) continue;
+    const auto hop = std::ranges::find(active.route, instance, &route_hop::instance);
+    if (hop == active.route.end() || hop->placed_at > alive_until) continue;
+    add(active.features, hop->placed_at, now);
+  }
+  for (const fingerprint& key : state.flagged) {
+    for (const pending_loss& pending : state.entries.find(key)->second.pending) {
+      if (pending.instance == instance)
+        add(pending.features, pending.placed_at, pending.reported_at);
+    }
+  }
+  return losses;
+}
+
+void AddFeatureLosses(table& state, const feature_losses& losses, time_point now,
+                      side_effects& effects) {
+  std::vector<fingerprint> changed;
+  for (const auto& [key, loss] : losses) {
+    if (CountLoss(state, key, loss, now, effects)) changed.push_back(key);
+  }
+  // Only when all are counted, since they are compared with each other.
+  for (const fingerprint& key : changed) {
+    table_entry* found = Find(state, key);
+    if (found == nullptr) continue;  // evicted
+    table_entry& entry = *found;
+    entry.quarantined = entry.quarantined || IsProvenCause(state, entry, now);
+    Publish(state, key, entry, effects);
+    if (entry.quarantined) ClearExplainedLosses(state, key, effects);
+  }
+}
+
+void CountFeatureRun(table& state, std::span<const shared_feature> features) {
+  for (const shared_feature& feature : features) {
+    table_entry* entry = Find(state, feature.key);
+    if (entry != nullptr && entry->is_feature) ++entry->feature_runs;
+  }
+}
+
+void ClearFeatures(table& state, std::span<const shared_feature> features, side_effects& effects) {
+  for (const shared_feature& feature : features) {
+    table_entry* entry = Find(state, feature.key);
+    if (entry == nullptr || entry->losses.empty() || entry->quarantined) continue;
+    ClearFullLosses(*entry);
+    entry->sources.clear();
+    Publish(state, feature.key, *entry, effects);
+  }
+}
+
+bool MergeFeature(table& state, const update& received, time_point now, side_effects& effects) {
+  table_entry& entry = TouchFeature(state, received.key);
+  const bool was_quarantined = entry.quarantined;
+  bool changed = false;
+  for (const endpoint_instance& instance : received.cleared) {
+    changed |= MoveToCleared(entry, instance);
+  }
+  if (changed) WithdrawUnsupportedQuarantine(state, entry);
+  for (const feature_source& source : received.sources) AddSource(entry, source);
+  size_t supporting = 0;
+  for (const endpoint_instance& instance : received.losses) {
+    if (Contains(entry.cleared, instance)) continue;
+    ++supporting;
+    if (Contains(entry.losses, instance)) continue;
+    AppendBounded(entry.losses, instance);
+    changed = true;
+  }
+  // Each round has at least one loss.
+  const size_t rounds = std::min(received.loss_rounds, supporting);
+  while (entry.rounds.size() < rounds) entry.rounds.push_back(now);
+  entry.rounds.resize(std::min(entry.rounds.size(), entry.losses.size()));
+  if (changed) entry.loss_expires = now + state.config.loss_lifetime;
+  entry.feature_runs = std::max(entry.feature_runs, received.feature_runs);
+  // Whether a feature is the cause is decided where a loss was seen: updates about the features
+  // that it has to be compared with may still be on their way.
+  entry.quarantined =
+      entry.quarantined || (received.quarantined && rounds >= state.config.max_loss_rounds);
+  changed |= was_quarantined != entry.quarantined;
+  Reassess(state, received.key, entry, effects);
+  if (entry.quarantined && changed) ClearExplainedLosses(state, received.key, effects);
+  return changed;
+}
+
+}  // namespace balsambay::quarantine::details
--- /dev/null
+++ b/libs/quarantine/src/details/features.h
@@ -0,0 +1,46 @@
+// Attribution of lost endpoints to features that requests have in common. With kConcurrent only.
+#pragma once
+
+#include <map>
+
+#include "details/entries.h"
+
+namespace balsambay::quarantine::details {
+
+// A lost endpoint on which runs with a feature had made no output.
+struct feature_loss {
+  endpoint_instance instance;
+  std::vector<feature_source> sources;
+  time_point placed_at{};   // when the latest of the runs was placed on the endpoint
+  time_point noticed_at{};  // when the first of the runs showed the loss
+};
+
+using feature_losses = std::map<fingerprint, feature_loss>;
+
+// The features of the runs that may have crashed `instance`: those without any output so far, that
+// were placed on it until `alive_until`. Cost: O(runs + pending entries).
+feature_losses AttributeToFeatures(const table& state, const endpoint_instance& instance,
+                                   time_point now, time_point alive_until);
+
+// Counts the losses against the features, and quarantines those that are proven to be the cause.
+void AddFeatureLosses(table& state, const feature_losses& losses, time_point now,
+                      side_effects& effects);
+
+// Counts the start of a run for its features that have losses.
+void CountFeatureRun(table& state, std::span<const shared_feature> features);
+
+// A run with the features made output, so they do not crash endpoints: clears their losses.
+// No effect on quarantined ones.
+void ClearFeatures(table& state, std::span<const shared_feature> features, side_effects& effects);
+
+// Whether a quarantine of the feature covers the request: it crashed endpoints itself, or requests
+// of its workspace or of several workspaces did.
+bool IsCovered(const table_entry& entry, const feature_source& request);
+
+// Keeps the source if it is among the first kMaxSources or of a further workspace.
+void AddSource(table_entry& entry, const feature_source& source);
+
+// Merges a peer's update about a feature. Returns whether its losses or quarantine changed.
+bool MergeFeature(table& state, const update& received, time_point now, side_effects& effects);
+
+}  // namespace balsambay::quarantine::details
--- a/libs/quarantine/src/message.cc
+++ b/libs/quarantine/src/message.cc
@@ -3,6 +3,7 @@
 #include "quarantine/message.h"
 
 #include <algorithm>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace balsambay::quarantine {
@@ -55,6 +56,11 @@
   return found->get<std::vector<std::string>>();
 }
 
+bool IsHash(const json& value) {
+  return value.is_number_unsigned() &&
+         value.get<uint64_t>() <= std::numeric_limits<uint32_t>::max();
+}
+
 // `fallback` if the number is absent or invalid.
 uint64_t ReadNumber(const json& body, const char* name, uint64_t fallback) {
   const json value = body.value(name, json());
@@ -63,6 +69,24 @@
 
 }  // namespace
 
+json ToJson(std::span<const feature_source> sources) {
+  json list = json::array();
+  for (const feature_source& source : sources) list.push_back({source.workspace, source.content});
+  return list;
+}
+
+std::optional<std::vector<feature_source>> ParseSources(const json& list) {
+  if (!list.is_array() || list.size() > kMaxInstances) return std::nullopt;
+  std::vector<feature_source> sources;
+  for (const json& source : list) {
+    const bool valid =
+        source.is_array() && source.size() == 2 && IsHash(source[0]) && IsHash(source[1]);
+    if (!valid) return std::nullopt;
+    sources.push_back({source[0], source[1]});
+  }
+  return sources;
+}
+
 json ToJson(const update& message) {
   json body = {{"high", message.key.high},
                {"low", message.key.low},
@@ -77,6 +101,9 @@
   // The field name differs from the member name: peers of other versions read it.
   if (message.quarantined) body["condemned"] = true;
   const auto lost_after = std::chrono::ceil<std::chrono::milliseconds>(message.lost_after);
+  add_list("sources", ToJson(message.sources));
+  if (message.loss_rounds > 0) body["rounds"] = message.loss_rounds;
+  if (message.feature_runs > 0) body["runs"] = message.feature_runs;
   if (lost_after.count() > 0) body["lost_after_ms"] = static_cast<uint64_t>(lost_after.count());
   return body;
 }
@@ -89,9 +116,11 @@
   auto half_losses = ReadInstances(value, "half");
   auto cleared = ReadInstances(value, "cleared");
   auto endpoints = ReadIds(value, "endpoints");
+  auto sources = ParseSources(value.value("sources", json::array()));
   constexpr auto kLastClaim = static_cast<uint64_t>(claim_kind::kHolding);
   const uint64_t claim = ReadNumber(value, "claim", kLastClaim + 1);
-  if (!has_key || !losses || !half_losses || !cleared || !endpoints || claim > kLastClaim) {
+  if (!has_key || !losses || !half_losses || !cleared || !endpoints || !sources ||
+      claim > kLastClaim) {
     return std::nullopt;
   }
   return update{.daemon = std::string(daemon),
@@ -103,7 +132,10 @@
                 .endpoints = *std::move(endpoints),
                 .half_losses = *std::move(half_losses),
                 .lost_after = std::chrono::milliseconds(
-                    std::min(ReadNumber(value, "lost_after_ms", 0), kMaxLostAfterMs))};
+                    std::min(ReadNumber(value, "lost_after_ms", 0), kMaxLostAfterMs)),
+                .sources = *std::move(sources),
+                .loss_rounds = ReadNumber(value, "rounds", 0),
+                .feature_runs = ReadNumber(value, "runs", 0)};
 }
 
 }  // namespace balsambay::quarantine
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -13,6 +13,7 @@
 #include "base/result.h"
 #include "details/blame.h"
 #include "details/entries.h"
+#include "details/features.h"
 
 namespace balsambay::quarantine {
 namespace {
@@ -34,13 +35,15 @@
   return {verdict::kHold, until};
 }
 
-decision BeginRun(table& state, run_id id, const fingerprint& key, table_entry& entry,
+decision BeginRun(table& state, run_id id, const run_identity& identity, table_entry& entry,
                   bool as_suspect) {
   CheckInvariant(!state.runs.contains(id), "quarantine: the run id is in use");
   entry.runs += 1;
   entry.runs_without_progress += 1;
   run& active = state.runs[id];
-  active.key = key;
+  active.key = identity.key;
+  active.features = identity.features;
+  active.answer_begun = identity.resumed;
   active.start_number = ++state.start_count;
   active.as_suspect = as_suspect;
   return {as_suspect ? verdict::kAllowIsolated : verdict::kAllow};
@@ -69,8 +72,8 @@
   std::map<uint64_t, int> weights;  // by start number of the run
   for (const pending_loss& pending : entry.pending) {
     int& weight = weights[pending.start_number];
-    weight =
-        std::max(weight, pending.progressed ? details::kHalfLossWeight : details::kFullLossWeight);
+    weight = std::max(weight,
+                      pending.answer_begun ? details::kHalfLossWeight : details::kFullLossWeight);
   }
   const int sum =
       std::accumulate(weights.begin(), weights.end(), 0,
@@ -104,7 +107,7 @@
   const time_point settled = *entry.claimed_at + ClaimSettleTime(state);
   if (now < settled) return Hold(entry, settled);
   if (IsClaimBlocked(state, entry)) return Hold(entry, kNever);
-  const decision begun = BeginRun(state, id, key, entry, true);
+  const decision begun = BeginRun(state, id, {key}, entry, true);
   PublishUpdate(state, key, entry, effects);
   return begun;
 }
@@ -117,12 +120,12 @@
   return !has_progressing_copy || std::ranges::any_of(entry.pending, &pending_loss::progressed);
 }
 
-decision StartConcurrent(table& state, run_id id, const fingerprint& key, table_entry& entry,
+decision StartConcurrent(table& state, run_id id, const run_identity& identity, table_entry& entry,
                          time_point now) {
   if (MustWait(state, entry, now)) {
     return Hold(entry, std::ranges::min(entry.pending, {}, &pending_loss::expires).expires);
   }
-  return BeginRun(state, id, key, entry, entry.state == fingerprint_state::kSuspected);
+  return BeginRun(state, id, identity, entry, entry.state == fingerprint_state::kSuspected);
 }
 
 bool IsProven(const settings& config, const table_entry& entry, time_point now) {
@@ -407,11 +410,16 @@
 
 void SetHasPeers(table& state, bool has_peers) { state.has_peers = has_peers; }
 
-decision Start(table& state, run_id id, const fingerprint& key, time_point now,
+decision Start(table& state, run_id id, const run_identity& identity, time_point now,
                side_effects& effects) {
+  const fingerprint& key = identity.key;
   table_entry& entry = details::Touch(state, key);
-  if (entry.state == fingerprint_state::kQuarantined) return {verdict::kRefuse, entry.loss_expires};
-  if (AllowsConcurrentSuspects(state)) return StartConcurrent(state, id, key, entry, now);
+  if (const auto refused = QuarantinedKey(state, identity))
+    return {verdict::kRefuse, state.entries.find(*refused)->second.loss_expires};
+  if (AllowsConcurrentSuspects(state)) {
+    details::CountFeatureRun(state, identity.features);
+    return StartConcurrent(state, id, identity, entry, now);
+  }
   const bool suspected = entry.state == fingerprint_state::kSuspected;
   if (suspected && !state.config.test_faults.no_claims) {
     return StartExclusive(state, id, key, entry, now, effects);
@@ -420,18 +428,41 @@
                            entry.runs_without_progress >= state.config.max_unproven_runs &&
                            !state.config.test_faults.no_claims;
   if (copies_wait) return Hold(entry, kNever);
-  return BeginRun(state, id, key, entry, false);
+  return BeginRun(state, id, identity, entry, false);
 }
 
-verdict PreviewStart(const table& state, const fingerprint& key, time_point now) {
-  const auto found = state.entries.find(key);
+verdict PreviewStart(const table& state, const run_identity& identity, time_point now) {
+  if (QuarantinedKey(state, identity)) return verdict::kRefuse;
+  const auto found = state.entries.find(identity.key);
   if (found == state.entries.end()) return verdict::kAllow;
   const table_entry& entry = found->second;
-  if (entry.state == fingerprint_state::kQuarantined) return verdict::kRefuse;
   if (MustWait(state, entry, now)) return verdict::kHold;
   return entry.state == fingerprint_state::kSuspected ? verdict::kAllowIsolated : verdict::kAllow;
 }
 
+std::optional<fingerprint> QuarantinedKey(const table& state, const run_identity& identity) {
+  std::optional<fingerprint> refused;
+  time_point until{};
+  const auto check = [&](const fingerprint& key, const feature_source& source) {
+    const auto found = state.entries.find(key);
+    if (found == state.entries.end()) return;
+    const table_entry& entry = found->second;
+    if (entry.state != fingerprint_state::kQuarantined) return;
+    if (entry.is_feature && !details::IsCovered(entry, source)) return;
+    if (refused && entry.loss_expires <= until) return;
+    refused = key;
+    until = entry.loss_expires;
+  };
+  check(identity.key, {});
+  for (const shared_feature& feature : identity.features) check(feature.key, feature.source);
+  return refused;
+}
+
+bool IsFeature(const table& state, const fingerprint& key) {
+  const auto found = state.entries.find(key);
+  return found != state.entries.end() && found->second.is_feature;
+}
+
 void SetRoute(table& state, run_id id, std::span<const endpoint_instance> route,
               side_effects& effects, time_point now) {
   const auto found = state.runs.find(id);
@@ -457,6 +488,9 @@
   const auto found = state.runs.find(id);
   if (found == state.runs.end() || found->second.progressed) return;
   run& active = found->second;
+  // A resumed answer may have begun before its features became the cause of crashes.
+  if (!std::exchange(active.answer_begun, true))
+    details::ClearFeatures(state, active.features, effects);
   active.progressed = true;
   active.progressing_since = now;
   for (route_hop& hop : active.route) hop.progressed = true;
@@ -488,6 +522,10 @@
   const uint64_t start = found->second.start_number;
   const bool progressed_there =
       AllowsConcurrentSuspects(state) && broken && details::HasProgressedOn(found->second, *broken);
+  const bool answer_begun = AllowsConcurrentSuspects(state) && found->second.answer_begun;
+  std::vector<shared_feature> features;
+  if (!answer_begun) features = found->second.features;
+  const time_point placed_at = broken ? details::PlacedAt(found->second, *broken) : time_point();
   state.runs.erase(found);
   if (as_suspect) details::RebuildSuspectEndpoints(state);
   table_entry& entry = details::Touch(state, key);
@@ -499,7 +537,7 @@
     CheckInvariant(broken.has_value(), "quarantine: end of a broken run without its endpoint");
     EndBroken(state, key, entry,
               {*broken, now, now + state.config.confirmation_timeout, as_suspect, progressed_there,
-               progressing_since, start},
+               progressing_since, start, std::move(features), placed_at, answer_begun},
               now, effects);
   } else {
     EndFailed(state, key, entry, as_suspect, now, effects);
@@ -508,9 +546,14 @@
 
 void ReportLost(table& state, const endpoint_instance& instance, time_point now,
                 side_effects& effects, time_point alive_until) {
+  const auto features = AllowsConcurrentSuspects(state)
+                            ? details::AttributeToFeatures(state, instance, now, alive_until)
+                            : details::feature_losses();
   const auto attributed = AllowsConcurrentSuspects(state)
                               ? details::GradeLoss(state, instance, now, alive_until)
                               : details::AttributeToAllRuns(state, instance);
+  // First, so that a loss that a feature explains is counted for no content.
+  details::AddFeatureLosses(state, features, now, effects);
   for (const auto& [key, loss] : attributed) {
     ConfirmLoss(state, key, state.entries.find(key)->second, loss, now, effects);
   }
@@ -551,7 +594,11 @@
 bool Merge(table& state, const update& received, time_point now, side_effects& effects) {
   const bool has_content = received.claim != claim_kind::kNone || !received.losses.empty() ||
                            !received.half_losses.empty() || received.quarantined;
-  if (!has_content && details::Find(state, received.key) == nullptr) return false;
+  const table_entry* known = details::Find(state, received.key);
+  if (!has_content && known == nullptr) return false;
+  // The update of a feature that is no longer suspected has no sources.
+  if (!received.sources.empty() || (known != nullptr && known->is_feature))
+    return details::MergeFeature(state, received, now, effects);
   table_entry& entry = details::Touch(state, received.key);
   const std::vector<endpoint_instance> cleared = entry.cleared;
   const bool changed = MergeLosses(state, entry, received, now);
@@ -578,8 +625,11 @@
   return changed;
 }
 
-void Restore(table& state, const fingerprint& key, time_point until, side_effects& effects) {
+void Restore(table& state, const fingerprint& key, time_point until, side_effects& effects,
+             std::span<const feature_source> sources) {
   table_entry& entry = details::Touch(state, key);
+  entry.is_feature = entry.is_feature || !sources.empty();
+  for (const feature_source& source : sources) details::AddSource(entry, source);
   entry.quarantined = entry.restored = true;
   entry.loss_expires = std::max(entry.loss_expires, until);
   details::Reassess(state, key, entry, effects);
--- /dev/null
+++ b/libs/quarantine/tests/features_test.cc
@@ -0,0 +1,213 @@
+// Features that requests have in common, such as parts of prompts, as causes of lost endpoints.
+#include <array>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "quarantine/message.h"
+
+namespace balsambay::quarantine {
+namespace {
+
+const fingerprint kCause = MakeFingerprint("part", "cause");
+const fingerprint kCommon = MakeFingerprint("part", "common");
+
+// A daemon. Each run has a content of its own and the features that are named.
+struct daemon_fixture {
+  explicit daemon_fixture(const std::string& id)
+      : state(settings{
+            .daemon = id, .suspect_policy = suspect_policy::kConcurrent, .max_unproven_runs = 0}) {}
+
+  verdict Place(std::span<const fingerprint> features, const endpoint_instance& instance,
+                uint32_t workspace = 1) {
+    const run_id id = ++last_run;
+    const fingerprint key = MakeFingerprint(state.config.daemon, std::to_string(id));
+    const auto content = static_cast<uint32_t>(key.low);
+    std::vector<shared_feature> shared;
+    for (const fingerprint& feature : features) shared.push_back({feature, {workspace, content}});
+    const verdict answer = Start(state, id, {key, shared}, now, effects).answer;
+    if (answer != verdict::kRefuse) SetRoute(state, id, std::array{instance}, effects, now);
+    return answer;
+  }
+  // The endpoint is lost, and the runs on it end.
+  void Lose(const endpoint_instance& instance) {
+    now += 100ms;
+    ReportLost(state, instance, now, effects);
+    now += 100ms;
+  }
+  void EndAll(run_end how) {
+    for (run_id id = 1; id <= last_run; ++id) End(state, id, how, std::nullopt, now, effects);
+  }
+  bool IsRefused(const fingerprint& key) const {
+    return StateOf(state, key) == fingerprint_state::kQuarantined;
+  }
+
+  table state;
+  side_effects effects;
+  time_point now{10s};
+  run_id last_run = 0;
+};
+
+endpoint_instance Endpoint(size_t number) { return {"e" + std::to_string(number), 1}; }
+
+// Guards against requests that are alike only in a part of their prompts and crash one endpoint
+// each.
+TEST_CASE("a feature of different requests that lose endpoints in a row is refused") {
+  daemon_fixture d("a");
+  for (size_t i = 0; i < 3; ++i) {
+    CHECK_FALSE(d.IsRefused(kCause));
+    CHECK(d.Place(std::array{kCause}, Endpoint(i)) != verdict::kRefuse);
+    d.Lose(Endpoint(i));
+  }
+  CHECK(d.IsRefused(kCause));
+  CHECK(d.Place(std::array{kCause}, Endpoint(9)) == verdict::kRefuse);
+}
+
+// Guards against features that many requests have in common and that are refused because endpoints
+// are lost together, as when a zone loses power.
+TEST_CASE("endpoints that are lost together count once") {
+  daemon_fixture d("a");
+  for (size_t i = 0; i < 10; ++i) d.Place(std::array{kCommon}, Endpoint(i));
+  for (size_t i = 0; i < 10; ++i) d.Lose(Endpoint(i));
+  CHECK_FALSE(d.IsRefused(kCommon));
+}
+
+// Guards against one request that is sent again and again and gets its sound parts refused.
+TEST_CASE("losses of one source are not blamed on its features") {
+  daemon_fixture d("a");
+  constexpr feature_source kSource{1, 7};
+  for (size_t i = 0; i < 5; ++i) {
+    const fingerprint content = MakeFingerprint("w", std::to_string(i));
+    Start(d.state, 1, {content, {{kCommon, kSource}}}, d.now, d.effects);
+    SetRoute(d.state, 1, std::array{Endpoint(i)}, d.effects, d.now);
+    d.Lose(Endpoint(i));
+    End(d.state, 1, run_end::kFailed, std::nullopt, d.now, d.effects);
+  }
+  CHECK_FALSE(d.IsRefused(kCommon));
+}
+
+// Guards against sound features that are blamed while their requests are answered.
+TEST_CASE("an answer clears the features of its request, also those of an earlier suspicion") {
+  daemon_fixture d("a");
+  for (size_t i = 0; i < 8; ++i) {
+    d.Place(std::array{kCommon}, Endpoint(i));
+    d.Lose(Endpoint(i));
+    if (i % 2 == 1) continue;
+    d.Place(std::array{kCommon}, Endpoint(100 + i));
+    Progress(d.state, d.last_run, d.now, d.effects);
+  }
+  CHECK_FALSE(d.IsRefused(kCommon));
+}
+
+// Guards against a cause that is protected by the answers that it let through before, or by those
+// that go on.
+TEST_CASE("a feature that begins to lose endpoints after answers is refused") {
+  daemon_fixture d("a");
+  d.Place(std::array{kCause}, Endpoint(50));
+  Progress(d.state, d.last_run, d.now, d.effects);
+  for (size_t i = 0; i < 3; ++i) {
+    d.Place(std::array{kCause}, Endpoint(i));
+    d.Lose(Endpoint(i));
+  }
+  CHECK(d.IsRefused(kCause));
+}
+
+// Guards against the first part of the prompt being refused in place of the cause, when all
+// requests with the cause have it and none of its sound requests is answered in between.
+TEST_CASE("of the features that are present at all losses the rarest is refused") {
+  daemon_fixture d("a");
+  for (size_t i = 0; i < 5; ++i) {
+    d.Place(std::array{kCommon}, Endpoint(i));
+    d.Place(std::array{kCommon, kCause}, Endpoint(i));
+    d.Lose(Endpoint(i));
+  }
+  CHECK(d.IsRefused(kCause));
+  CHECK_FALSE(d.IsRefused(kCommon));
+  CHECK(d.Place(std::array{kCommon}, Endpoint(9)) != verdict::kRefuse);
+}
+
+// Guards against sound requests that stay refused for the losses of the cause.
+TEST_CASE("contents are not refused for losses that a feature explains") {
+  daemon_fixture d("a");
+  const fingerprint bystander = MakeFingerprint("w", "bystander");
+  for (size_t i = 0; i < 3; ++i) {
+    d.Place(std::array{kCause}, Endpoint(i));
+    if (Start(d.state, 99, bystander, d.now, d.effects).answer != verdict::kRefuse)
+      SetRoute(d.state, 99, std::array{Endpoint(i)}, d.effects, d.now);
+    d.Lose(Endpoint(i));
+    End(d.state, 99, run_end::kFailed, std::nullopt, d.now, d.effects);
+    if (i == 1) CHECK(d.IsRefused(bystander));
+  }
+  CHECK(d.IsRefused(kCause));
+  CHECK_FALSE(d.IsRefused(bystander));
+}
+
+// Guards against a caller that gets the requests of another workspace refused by naming its parts.
+TEST_CASE("a feature is refused to other workspaces only if it loses endpoints in several") {
+  daemon_fixture d("a");
+  for (size_t i = 0; i < 3; ++i) {
+    d.Place(std::array{kCause}, Endpoint(i), 1);
+    d.Lose(Endpoint(i));
+  }
+  CHECK(d.Place(std::array{kCause}, Endpoint(9), 1) == verdict::kRefuse);
+  CHECK(d.Place(std::array{kCause}, Endpoint(9), 2) != verdict::kRefuse);
+  d.Lose(Endpoint(9));
+  CHECK(d.Place(std::array{kCause}, Endpoint(10), 3) == verdict::kRefuse);
+}
+
+// Guards against a cause whose requests come at a different daemon each time.
+TEST_CASE("losses on several daemons add up, and all refuse the feature") {
+  std::vector<std::unique_ptr<daemon_fixture>> daemons;
+  for (const char* id : {"a", "b", "c", "d"}) {
+    daemons.push_back(std::make_unique<daemon_fixture>(id));
+  }
+  const auto exchange = [&] {
+    for (const auto& sender : daemons) {
+      const auto sent = std::exchange(sender->effects.publish, {});
+      for (const auto& receiver : daemons) {
+        for (const update& message : sent) {
+          const auto parsed = ParseUpdate(sender->state.config.daemon, ToJson(message));
+          REQUIRE(parsed);
+          if (receiver != sender) Merge(receiver->state, *parsed, receiver->now, receiver->effects);
+        }
+      }
+    }
+  };
+  for (size_t i = 0; i < 3; ++i) {
+    daemon_fixture& d = *daemons[i];
+    for (const auto& other : daemons) other->now = std::max(other->now, d.now);
+    d.now += 10ms;
+    d.Place(std::array{kCause}, Endpoint(i));
+    d.Lose(Endpoint(i));
+    exchange();
+    for (const auto& other : daemons) other->now = d.now;
+  }
+  for (const auto& d : daemons) {
+    CHECK(d->Place(std::array{kCause}, Endpoint(9)) == verdict::kRefuse);
+  }
+}
+
+// Guards against an operator's removal of the record, or its expiry, that leaves the feature
+// refused.
+TEST_CASE("a restored feature is refused to its workspaces until it is lifted") {
+  daemon_fixture d("a");
+  const std::array sources{feature_source{1, 1}, feature_source{1, 2}};
+  Restore(d.state, kCause, d.now + 10min, d.effects, sources);
+  CHECK(d.Place(std::array{kCause}, Endpoint(1), 1) == verdict::kRefuse);
+  CHECK(d.Place(std::array{kCause}, Endpoint(1), 2) != verdict::kRefuse);
+  Lift(d.state, kCause, d.effects);
+  CHECK(d.Place(std::array{kCause}, Endpoint(1), 1) != verdict::kRefuse);
+}
+
+// Guards against state that grows with the features that callers name.
+TEST_CASE("features without losses take no memory") {
+  daemon_fixture d("a");
+  for (size_t i = 0; i < 1000; ++i) {
+    d.Place(std::array{MakeFingerprint("part", std::to_string(i))}, Endpoint(1));
+    Progress(d.state, d.last_run, d.now, d.effects);
+  }
+  d.EndAll(run_end::kCompleted);
+  CHECK(d.state.entries.size() <= 1000);
+}
+
+}  // namespace
+}  // namespace balsambay::quarantine
--- a/libs/quarantine/tests/fleet_model.h
+++ b/libs/quarantine/tests/fleet_model.h
@@ -338,7 +338,8 @@
   fleet.streams[stream->id] = stream;
   table& quarantine = *fleet.gateways[stream->gateway].quarantine;
   side_effects effects;
-  const decision decided = Start(quarantine, stream->id, stream->key, now, effects);
+  const bool resumed = stream->tokens_left < kTokensPerStream;
+  const decision decided = Start(quarantine, stream->id, {stream->key, {}, resumed}, now, effects);
   CarryOut(fleet, stream->gateway, effects, now);
   const auto retry_after = [&](duration delay) {
     Subscribe(fleet.timers, now + delay,
