exchange, quarantine: send updates of features apart from contents

Cause: older builds, present while gateways are replaced one by one, would take an update of a common feature for one of a content, refuse it after two losses and store a record about it. Change: updates of features have a member of their own in messages between gateways, which older builds ignore. Sources of a feature end with its last loss.

--- a/libs/exchange/src/message.cc
+++ b/libs/exchange/src/message.cc
@@ -31,6 +31,11 @@
 constexpr uint64_t kMaxSequences = 1'000'000;
 constexpr std::chrono::milliseconds kMaxAge{600'000};
 
+// Members with updates of the quarantine. Older builds ignore those of features, which they would
+// take for contents.
+constexpr const char* kContents = "q";
+constexpr const char* kFeatures = "t";
+
 using numbers = std::vector<uint64_t>;
 
 uint64_t RoundToUnsigned(double value) {
@@ -137,6 +142,19 @@
   if (!values.empty()) body[key] = values;
 }
 
+// Appends the updates of contents or of features. Returns false if one of them is invalid.
+bool ReadSuspects(const json& body, bool features, message& decoded) {
+  const json suspects = body.value(features ? kFeatures : kContents, json::array());
+  if (!suspects.is_array() || suspects.size() > kMaxSuspects) return false;
+  return std::ranges::all_of(suspects, [&](const json& entry) {
+    auto update = quarantine::ParseUpdate("", entry);
+    if (!update) return false;
+    update->is_feature = features;
+    decoded.suspects.push_back(std::move(*update));
+    return true;
+  });
+}
+
 }  // namespace
 
 uint32_t IdHash(std::string_view id) { return static_cast<uint32_t>(Hash64(id)); }
@@ -179,7 +197,7 @@
   AddIfNotEmpty(body, "n", events);
   if (message.rows) body["r"] = EncodeTableChange(*message.rows);
   for (const quarantine::update& update : message.suspects) {
-    body["q"].push_back(quarantine::ToJson(update));
+    body[update.is_feature ? kFeatures : kContents].push_back(quarantine::ToJson(update));
   }
   std::string encoded;
   json::to_cbor(body, encoded);
@@ -236,13 +254,8 @@
   const auto rows = body.find("r");
   if (rows != body.end()) decoded.rows = ReadTableChange(*rows);
   if (!valid || (rows != body.end() && !decoded.rows)) return std::nullopt;
-  const json suspects = body.value("q", json::array());
-  if (!suspects.is_array() || suspects.size() > kMaxSuspects) return std::nullopt;
-  for (const json& entry : suspects) {
-    auto update = quarantine::ParseUpdate("", entry);
-    if (!update) return std::nullopt;
-    decoded.suspects.push_back(std::move(*update));
-  }
+  if (!ReadSuspects(body, false, decoded) || !ReadSuspects(body, true, decoded))
+    return std::nullopt;
   return decoded;
 }
 
--- a/libs/exchange/tests/exchange_test.cc
+++ b/libs/exchange/tests/exchange_test.cc
@@ -3,6 +3,7 @@
 #include <rapidcheck/catch.h>
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 #include "installation.h"
 
@@ -234,5 +235,28 @@
   CHECK_FALSE(Decode("nonsense").has_value());
 }
 
+// Guards against older builds that take the features of requests for contents: they would refuse
+// common ones, and store records about them.
+TEST_CASE("updates of features are encoded apart from those of contents") {
+  quarantine::update content;
+  content.key = {1, 2};
+  content.losses = {{"e1", 1}};
+  quarantine::update feature;
+  feature.key = {3, 4};
+  feature.losses = {{"e2", 7}};
+  feature.quarantined = feature.is_feature = true;
+  feature.sources = {{5, 6}, {7, 8}};
+  feature.loss_rounds = 1;
+  feature.feature_runs = 9;
+  message sent;
+  sent.sender = IdHash("g1");
+  sent.suspects = {content, feature};
+  const std::string data = Encode(sent);
+  const auto received = Decode(data);
+  REQUIRE(received);
+  CHECK(received->suspects == sent.suspects);
+  CHECK(nlohmann::json::from_cbor(data).at("q").size() == 1);
+}
+
 }  // namespace
 }  // namespace balsambay::exchange
--- a/libs/quarantine/include/quarantine/message.h
+++ b/libs/quarantine/include/quarantine/message.h
@@ -18,7 +18,7 @@
 nlohmann::json ToJson(std::span<const feature_source> sources);
 std::optional<std::vector<feature_source>> ParseSources(const nlohmann::json& list);
 
-// Decodes an update that `daemon` sent; nullopt if `value` is not a valid update.
+// Decodes an update of a content that `daemon` sent; nullopt if `value` is not a valid update.
 std::optional<update> ParseUpdate(std::string_view daemon, const nlohmann::json& value);
 
 }  // namespace balsambay::quarantine
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -177,7 +177,8 @@
   claim_kind claim = claim_kind::kNone;
   std::vector<std::string> endpoints;  // endpoints on which the sender runs it as a suspect
   std::vector<endpoint_instance> half_losses{};  // losses of weight 1/2
-  duration lost_after{};  // longest time from progress to loss among `half_losses`
+  duration lost_after{};    // longest time from progress to loss among `half_losses`
+  bool is_feature = false;  // not encoded by ToJson(): features are sent apart from contents
   // Of a feature: requests that its losses are known of, the number of rounds of the losses, and
   // the number of runs with the feature since the first loss on the daemon that has seen most.
   std::vector<feature_source> sources{};
--- a/libs/quarantine/src/details/entries.cc
+++ b/libs/quarantine/src/details/entries.cc
@@ -189,6 +189,7 @@
       std::erase(entry.losses, instance) + std::erase(entry.half_losses, instance) > 0;
   if (entry.losses.empty() && !entry.restored) entry.quarantined = false;
   if (entry.losses.empty()) entry.rounds.clear();
+  if (entry.losses.empty() && !entry.restored) entry.sources.clear();
   if (entry.half_losses.empty()) entry.lost_after = duration(0);
   if (Contains(entry.cleared, instance)) return was_counted;
   AppendBounded(entry.cleared, instance);
@@ -252,6 +253,7 @@
                  .endpoints = SuspectEndpoints(state, key),
                  .half_losses = entry.half_losses,
                  .lost_after = entry.lost_after,
+                 .is_feature = entry.is_feature,
                  .sources = entry.sources,
                  .loss_rounds = entry.rounds.size(),
                  .feature_runs = entry.feature_runs};
--- a/libs/quarantine/src/details/features.cc
+++ b/libs/quarantine/src/details/features.cc
@@ -213,7 +213,6 @@
     table_entry* entry = Find(state, feature.key);
     if (entry == nullptr || entry->losses.empty() || entry->quarantined) continue;
     ClearFullLosses(*entry);
-    entry->sources.clear();
     Publish(state, feature.key, *entry, effects);
   }
 }
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -594,11 +594,8 @@
 bool Merge(table& state, const update& received, time_point now, side_effects& effects) {
   const bool has_content = received.claim != claim_kind::kNone || !received.losses.empty() ||
                            !received.half_losses.empty() || received.quarantined;
-  const table_entry* known = details::Find(state, received.key);
-  if (!has_content && known == nullptr) return false;
-  // The update of a feature that is no longer suspected has no sources.
-  if (!received.sources.empty() || (known != nullptr && known->is_feature))
-    return details::MergeFeature(state, received, now, effects);
+  if (!has_content && details::Find(state, received.key) == nullptr) return false;
+  if (received.is_feature) return details::MergeFeature(state, received, now, effects);
   table_entry& entry = details::Touch(state, received.key);
   const std::vector<endpoint_instance> cleared = entry.cleared;
   const bool changed = MergeLosses(state, entry, received, now);
--- a/libs/quarantine/tests/features_test.cc
+++ b/libs/quarantine/tests/features_test.cc
@@ -165,8 +165,9 @@
       const auto sent = std::exchange(sender->effects.publish, {});
       for (const auto& receiver : daemons) {
         for (const update& message : sent) {
-          const auto parsed = ParseUpdate(sender->state.config.daemon, ToJson(message));
+          auto parsed = ParseUpdate(sender->state.config.daemon, ToJson(message));
           REQUIRE(parsed);
+          parsed->is_feature = message.is_feature;
           if (receiver != sender) Merge(receiver->state, *parsed, receiver->now, receiver->effects);
         }
       }
