quarantine: wait for late updates before a feature is refused; remove records of ended quarantines

Cause: a gateway refused the common part 60 ms after the third round, when updates about the rarer one were still on their way; all gateways lifted it 0.1 s later, but its record was written meanwhile. The removal looks at the followed copy of the table, which did not show the record yet, so all gateways took it up again from the record 3.6 s later. Evidence: 'quarantine lifted' at 4.66 to 4.74 s on 151 gateways, the same fingerprint refused again from 8.24 s on. Change: a feature is refused when its losses have sufficed for 0.3 s and no answer came in between. A gateway remembers the records that it wrote, removes them when the quarantine has ended, also when that happens while the write is under way.

--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -103,6 +103,11 @@
   });
 }
 
+// A failure is ignored, since the record expires anyway.
+void DeleteRecord(gateway_state& state, const std::string& key) {
+  WriteTable(state, {key, std::nullopt}, [](bool) {});
+}
+
 // Retries until the record is in the table or the quarantine ends. The write is idempotent.
 void WriteRecord(gateway_state& state, const quarantine::fingerprint& fingerprint) {
   const auto entry = state.quarantine.entries.find(fingerprint);
@@ -118,7 +123,10 @@
     value["part"] = PartId(state, fingerprint);
     value["sources"] = quarantine::ToJson(entry->second.sources);
   }
-  WriteTable(state, {key, value.dump()}, [&state, fingerprint](bool committed) {
+  state.written_records.insert(key);
+  WriteTable(state, {key, value.dump()}, [&state, fingerprint, key](bool committed) {
+    // The quarantine has ended meanwhile. A write without an answer may have been performed.
+    if (!IsFingerprintQuarantined(state, fingerprint)) return DeleteRecord(state, key);
     if (committed) return;
     log::Log(log::level::kWarning, "quarantine record was not written; will retry",
              {{"fingerprint", quarantine::ToString(fingerprint)}});
@@ -127,9 +135,9 @@
 }
 
 void RemoveRecord(gateway_state& state, const std::string& key) {
-  if (state.quarantine_records.erase(key) == 0) return;
-  // A failure is ignored, since the record expires anyway.
-  WriteTable(state, {key, std::nullopt}, [](bool) {});
+  // The followed copy of the table may not show an own record yet.
+  const bool written = state.written_records.erase(key) > 0;
+  if (state.quarantine_records.erase(key) > 0 || written) DeleteRecord(state, key);
 }
 
 void RemoveExpired(gateway_state& state) {
@@ -203,7 +211,8 @@
              {{"fingerprint", quarantine::ToString(fingerprint)},
               {"told", writer != record_writer::kSelf}});
     if (writer == record_writer::kSelf) RemoveRecord(state, RecordKey(fingerprint));
-    if (writer != record_writer::kNone) ScheduleRemoval(state, fingerprint);
+    if (writer == record_writer::kPeer) ScheduleRemoval(state, fingerprint);
+    if (writer == record_writer::kNone) state.written_records.erase(RecordKey(fingerprint));
   }
   if (outputs.quarantined.empty() && outputs.wake.empty()) return;
   // Deferred, because requests that resume or end call the quarantine again.
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -300,6 +300,8 @@
   // Ids of prompt parts that were on lost endpoints or are quarantined, for logs and records;
   // bounded.
   std::map<quarantine::fingerprint, std::string> part_ids;
+  // Keys of the records of the quarantine that this gateway has written or tried to write.
+  std::set<std::string> written_records;
   // End of each record of the quarantine in the shared table: Unix ms by key.
   std::map<std::string, int64_t> quarantine_records;
   time_point started_at;
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -131,6 +131,9 @@
   // Rounds of losses after which a feature is refused. Each round consists of runs that were placed
   // when the round before was known, so endpoints that are lost together make one round.
   size_t max_loss_rounds = 3;
+  // Time from then until the feature is refused, unless a request with it is answered: peers'
+  // updates about the features that it is compared with may still be on their way.
+  duration feature_settle_time = 300ms;
   // Maximum number of concurrent runs on this daemon without a first token, per fingerprint that
   // is not proven harmless. 1 prevents simultaneous copies from losing one endpoint each; 0 means
   // no limit. Applies with kSingleCopy.
@@ -259,6 +262,7 @@
   std::vector<feature_source> sources;        // of the losses
   std::vector<time_point> rounds;             // when each round of the losses became known here
   uint64_t feature_runs = 0;                  // see `update`
+  std::optional<time_point> proven_at;        // since when the losses suffice to refuse the feature
   bool flagged = false;                       // in the list `flagged` rather than `unflagged`
   std::list<fingerprint>::iterator position;  // in that list
 };
--- a/libs/quarantine/src/details/entries.cc
+++ b/libs/quarantine/src/details/entries.cc
@@ -188,7 +188,10 @@
   const bool was_counted =
       std::erase(entry.losses, instance) + std::erase(entry.half_losses, instance) > 0;
   if (entry.losses.empty() && !entry.restored) entry.quarantined = false;
-  if (entry.losses.empty()) entry.rounds.clear();
+  if (entry.losses.empty()) {
+    entry.rounds.clear();
+    entry.proven_at.reset();
+  }
   if (entry.losses.empty() && !entry.restored) entry.sources.clear();
   if (entry.half_losses.empty()) entry.lost_after = duration(0);
   if (Contains(entry.cleared, instance)) return was_counted;
--- a/libs/quarantine/src/details/features.cc
+++ b/libs/quarantine/src/details/features.cc
@@ -192,15 +192,25 @@
   }
   // Only when all are counted, since they are compared with each other.
   for (const fingerprint& key : changed) {
-    table_entry* found = Find(state, key);
-    if (found == nullptr) continue;  // evicted
-    table_entry& entry = *found;
-    entry.quarantined = entry.quarantined || IsProvenCause(state, entry, now);
-    Publish(state, key, entry, effects);
-    if (entry.quarantined) ClearExplainedLosses(state, key, effects);
+    table_entry* entry = Find(state, key);
+    if (entry == nullptr) continue;  // evicted
+    if (!entry->proven_at && IsProvenCause(state, *entry, now)) entry->proven_at = now;
+    Publish(state, key, *entry, effects);
+    if (entry->quarantined) ClearExplainedLosses(state, key, effects);
   }
 }
 
+void SettleFeature(table& state, const fingerprint& key, time_point now, side_effects& effects) {
+  table_entry& entry = *Find(state, key);
+  const bool settled = entry.proven_at && !entry.quarantined &&
+                       now - *entry.proven_at >= state.config.feature_settle_time;
+  if (!settled) return;
+  if (!IsProvenCause(state, entry, now)) return entry.proven_at.reset();
+  entry.quarantined = true;
+  Publish(state, key, entry, effects);
+  ClearExplainedLosses(state, key, effects);
+}
+
 void CountFeatureRun(table& state, std::span<const shared_feature> features) {
   for (const shared_feature& feature : features) {
     table_entry* entry = Find(state, feature.key);
--- a/libs/quarantine/src/details/features.h
+++ b/libs/quarantine/src/details/features.h
@@ -22,10 +22,14 @@
 feature_losses AttributeToFeatures(const table& state, const endpoint_instance& instance,
                                    time_point now, time_point alive_until);
 
-// Counts the losses against the features, and quarantines those that are proven to be the cause.
+// Counts the losses against the features. SettleFeature() quarantines those that are the cause.
 void AddFeatureLosses(table& state, const feature_losses& losses, time_point now,
                       side_effects& effects);
 
+// Quarantines the feature if its losses have sufficed for `settings::feature_settle_time` and still
+// do. No effect on other entries.
+void SettleFeature(table& state, const fingerprint& key, time_point now, side_effects& effects);
+
 // Counts the start of a run for its features that have losses.
 void CountFeatureRun(table& state, std::span<const shared_feature> features);
 
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -350,6 +350,7 @@
   table_entry& entry = state.entries.find(key)->second;
   ExpirePending(state, key, entry, now, effects);
   ResolveDisputed(state, key, now, effects);
+  details::SettleFeature(state, key, now, effects);
   const bool had_claim = entry.claimed_at.has_value();
   bool changed = ExpireClaims(state, entry, now);
   changed |= ExpireLosses(entry, now);
--- a/libs/quarantine/tests/features_test.cc
+++ b/libs/quarantine/tests/features_test.cc
@@ -28,12 +28,16 @@
     if (answer != verdict::kRefuse) SetRoute(state, id, std::array{instance}, effects, now);
     return answer;
   }
-  // The endpoint is lost, and the runs on it end.
   void Lose(const endpoint_instance& instance) {
     now += 100ms;
     ReportLost(state, instance, now, effects);
     now += 100ms;
   }
+  // Passes the time until features with sufficient losses are refused.
+  void Settle() {
+    now += state.config.feature_settle_time;
+    Tick(state, now, effects);
+  }
   void EndAll(run_end how) {
     for (run_id id = 1; id <= last_run; ++id) End(state, id, how, std::nullopt, now, effects);
   }
@@ -57,6 +61,7 @@
     CHECK_FALSE(d.IsRefused(kCause));
     CHECK(d.Place(std::array{kCause}, Endpoint(i)) != verdict::kRefuse);
     d.Lose(Endpoint(i));
+    d.Settle();
   }
   CHECK(d.IsRefused(kCause));
   CHECK(d.Place(std::array{kCause}, Endpoint(9)) == verdict::kRefuse);
@@ -68,6 +73,7 @@
   daemon_fixture d("a");
   for (size_t i = 0; i < 10; ++i) d.Place(std::array{kCommon}, Endpoint(i));
   for (size_t i = 0; i < 10; ++i) d.Lose(Endpoint(i));
+  d.Settle();
   CHECK_FALSE(d.IsRefused(kCommon));
 }
 
@@ -82,6 +88,7 @@
     d.Lose(Endpoint(i));
     End(d.state, 1, run_end::kFailed, std::nullopt, d.now, d.effects);
   }
+  d.Settle();
   CHECK_FALSE(d.IsRefused(kCommon));
 }
 
@@ -94,7 +101,9 @@
     if (i % 2 == 1) continue;
     d.Place(std::array{kCommon}, Endpoint(100 + i));
     Progress(d.state, d.last_run, d.now, d.effects);
+    d.Settle();
   }
+  d.Settle();
   CHECK_FALSE(d.IsRefused(kCommon));
 }
 
@@ -108,6 +117,7 @@
     d.Place(std::array{kCause}, Endpoint(i));
     d.Lose(Endpoint(i));
   }
+  d.Settle();
   CHECK(d.IsRefused(kCause));
 }
 
@@ -120,6 +130,7 @@
     d.Place(std::array{kCommon, kCause}, Endpoint(i));
     d.Lose(Endpoint(i));
   }
+  d.Settle();
   CHECK(d.IsRefused(kCause));
   CHECK_FALSE(d.IsRefused(kCommon));
   CHECK(d.Place(std::array{kCommon}, Endpoint(9)) != verdict::kRefuse);
@@ -137,6 +148,7 @@
     End(d.state, 99, run_end::kFailed, std::nullopt, d.now, d.effects);
     if (i == 1) CHECK(d.IsRefused(bystander));
   }
+  d.Settle();
   CHECK(d.IsRefused(kCause));
   CHECK_FALSE(d.IsRefused(bystander));
 }
@@ -148,12 +160,26 @@
     d.Place(std::array{kCause}, Endpoint(i), 1);
     d.Lose(Endpoint(i));
   }
+  d.Settle();
   CHECK(d.Place(std::array{kCause}, Endpoint(9), 1) == verdict::kRefuse);
   CHECK(d.Place(std::array{kCause}, Endpoint(9), 2) != verdict::kRefuse);
   d.Lose(Endpoint(9));
   CHECK(d.Place(std::array{kCause}, Endpoint(10), 3) == verdict::kRefuse);
 }
 
+// Guards against a common feature that is refused because the update of an answer is late.
+TEST_CASE("an answer before the losses have settled clears the feature") {
+  daemon_fixture d("a");
+  for (size_t i = 0; i < 3; ++i) {
+    d.Place(std::array{kCommon}, Endpoint(i));
+    d.Lose(Endpoint(i));
+  }
+  d.Place(std::array{kCommon}, Endpoint(9));
+  Progress(d.state, d.last_run, d.now, d.effects);
+  d.Settle();
+  CHECK_FALSE(d.IsRefused(kCommon));
+}
+
 // Guards against a cause whose requests come at a different daemon each time.
 TEST_CASE("losses on several daemons add up, and all refuse the feature") {
   std::vector<std::unique_ptr<daemon_fixture>> daemons;
@@ -180,6 +206,8 @@
     d.Place(std::array{kCause}, Endpoint(i));
     d.Lose(Endpoint(i));
     exchange();
+    if (i == 2) d.Settle();
+    exchange();
     for (const auto& other : daemons) other->now = d.now;
   }
   for (const auto& d : daemons) {
