quarantine: tell executed requests from waiting ones; record features that settle

Cause: requests with a rare sound part waited without output while they were moved from one crashing engine to the next, so the part was present at all losses and rarer than the cause, which was therefore neither refused nor kept: its losses were cleared as explained. Features that are refused when their losses have settled got no record, since the periodic tick wrote none. Change: the head of a reply shows that an endpoint executes the request. Of the features that explain the same losses, the one that was being executed at most of them is the cause; of those alike the rarest. The tick writes records. Result: features_test has the case; it and the other quarantine tests pass.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -414,6 +414,7 @@
   if (!IsOwnReply(*request, *attempt)) {
     return callbacks.on_failure(state, request, attempt, attempt_failure::kBroken);
   }
+  if (head.status == 200) RecordExecuting(state, *request);
   const uint64_t announced = AnnouncedBodyBytes(*request, head);
   const bool held = !IsStreamedReply(*request, *attempt);
   if (held && announced > MaxReplyBytes(state)) {
--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -226,7 +226,11 @@
 void Tick(gateway_state& state, time_point now) {
   quarantine::side_effects outputs;
   quarantine::Tick(state.quarantine, now, outputs);
-  Process(state, outputs, record_writer::kNone);
+  // Records of quarantines that have expired are removed by RemoveExpired().
+  quarantine::side_effects released;
+  std::swap(released.released, outputs.released);
+  Process(state, outputs, record_writer::kSelf);
+  Process(state, released, record_writer::kNone);
   RemoveExpired(state);
   Subscribe(state.loop.Timers(), now + kTick, [&state](time_point at) { Tick(state, at); });
 }
@@ -395,6 +399,10 @@
   Process(state, outputs, record_writer::kSelf);
 }
 
+void RecordExecuting(gateway_state& state, const call& request) {
+  quarantine::ReportExecuting(state.quarantine, request.number);
+}
+
 void RecordProgress(gateway_state& state, const call& request) {
   if (!request.open || request.open->outputs != kProofOutputs) return;
   quarantine::side_effects outputs;
--- a/libs/gateway/src/details/containment.h
+++ b/libs/gateway/src/details/containment.h
@@ -53,6 +53,9 @@
 // changes its path.
 void RecordAttemptPath(gateway_state& state, const call& request, std::span<const call_hop> path);
 
+// Call when an endpoint has begun to execute the request.
+void RecordExecuting(gateway_state& state, const call& request);
+
 // Call for each output of a request that has no successor attempt.
 void RecordProgress(gateway_state& state, const call& request);
 
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -185,6 +185,7 @@
   // Of a feature: requests that its losses are known of, the number of rounds of the losses, and
   // the number of runs with the feature since the first loss on the daemon that has seen most.
   std::vector<feature_source> sources{};
+  std::vector<endpoint_instance> executing{};  // see `table_entry`
   size_t loss_rounds = 0;
   uint64_t feature_runs = 0;
   bool operator==(const update&) const = default;
@@ -224,6 +225,7 @@
   std::vector<shared_feature> features{};  // see `run`; empty if the answer had begun
   time_point placed_at{};                  // see `route_hop`
   bool answer_begun = false;               // see `run`; kConcurrent only
+  bool executing = false;                  // see `run`
 };
 
 // A loss after progress while copies continue that progressed before the lost one. It is decided
@@ -259,9 +261,11 @@
   int completions = 0;            // until `completed_until`, less the losses that they outweighed
   // Of a feature. Its `losses` are those at which it was present without output.
   bool is_feature = false;
-  std::vector<feature_source> sources;        // of the losses
-  std::vector<time_point> rounds;             // when each round of the losses became known here
-  uint64_t feature_runs = 0;                  // see `update`
+  std::vector<feature_source> sources;  // of the losses
+  std::vector<time_point> rounds;       // when each round of the losses became known here
+  uint64_t feature_runs = 0;            // see `update`
+  // Of `losses`, those at which a run with the feature was being executed.
+  std::vector<endpoint_instance> executing;
   std::optional<time_point> proven_at;        // since when the losses suffice to refuse the feature
   bool flagged = false;                       // in the list `flagged` rather than `unflagged`
   std::list<fingerprint>::iterator position;  // in that list
@@ -280,6 +284,7 @@
   std::vector<shared_feature> features;
   // Part of the answer was made, by this run or by one that it continues.
   bool answer_begun = false;
+  bool executing = false;  // see ReportExecuting()
   std::vector<route_hop> route;
   uint64_t start_number = 0;  // differs for each start, also for starts with the same run id
   bool as_suspect = false;    // the fingerprint was a suspect when the run started
@@ -339,6 +344,11 @@
 void SetRoute(table& state, run_id id, std::span<const endpoint_instance> route,
               side_effects& effects, time_point now = {});
 
+// Reports that the endpoint has begun to execute the run, as the head of its reply shows. A run
+// that was executed is a likelier cause of a loss than those that were waiting. No effect for ended
+// runs.
+void ReportExecuting(table& state, run_id id);
+
 // Reports that the run produced a token that the caller did not have before. Its endpoints become
 // available to other suspects, and the next copy of its fingerprint may start. With kConcurrent,
 // also clears the losses of full weight, because a request that crashes each endpoint progresses on
--- a/libs/quarantine/src/details/blame.cc
+++ b/libs/quarantine/src/details/blame.cc
@@ -151,7 +151,7 @@
         pending_loss{instance, now, until, active.as_suspect, hop->progressed,
                      active.progressing_since, active.start_number,
                      active.answer_begun ? std::vector<shared_feature>() : active.features,
-                     hop->placed_at, active.answer_begun});
+                     hop->placed_at, active.answer_begun, active.executing});
   }
   return losses;
 }
--- a/libs/quarantine/src/details/entries.cc
+++ b/libs/quarantine/src/details/entries.cc
@@ -188,6 +188,7 @@
   const bool was_counted =
       std::erase(entry.losses, instance) + std::erase(entry.half_losses, instance) > 0;
   if (entry.losses.empty() && !entry.restored) entry.quarantined = false;
+  std::erase(entry.executing, instance);
   if (entry.losses.empty()) {
     entry.rounds.clear();
     entry.proven_at.reset();
@@ -258,6 +259,7 @@
                  .lost_after = entry.lost_after,
                  .is_feature = entry.is_feature,
                  .sources = entry.sources,
+                 .executing = entry.executing,
                  .loss_rounds = entry.rounds.size(),
                  .feature_runs = entry.feature_runs};
   const bool concurrent = state.config.suspect_policy == suspect_policy::kConcurrent;
--- a/libs/quarantine/src/details/features.cc
+++ b/libs/quarantine/src/details/features.cc
@@ -5,7 +5,8 @@
 // next answer of any request with them. Rare ones may be present at a few losses by chance, so the
 // losses have to come in rounds, from different requests, and more of them while endpoints are also
 // lost without the feature. Sound features that most of the requests with the cause have in common,
-// such as the first part of their prompts, are told from it by their other runs.
+// such as the first part of their prompts, are told from it by their other runs, and those of
+// requests that wait for an endpoint, by the runs that were executed there.
 #include "details/features.h"
 
 #include <algorithm>
@@ -60,16 +61,19 @@
   return state.config.max_loss_rounds + extra;
 }
 
-// Whether `other` explains most losses of the feature and is rarer. With as many runs the two
-// cannot be told apart; `tie` is returned.
+// Whether `other` explains most losses of the feature better: it was being executed at more of
+// them, or at as many and is rarer. With as many runs the two cannot be told apart; `tie` is
+// returned.
 bool IsLikelierCause(const table_entry& other, const table_entry& entry, bool tie) {
   if (!other.is_feature || other.sources.size() < kMinSources) return false;
-  if (other.feature_runs > entry.feature_runs) return false;
-  if (other.feature_runs == entry.feature_runs && !tie) return false;
   const auto shared = std::ranges::count_if(entry.losses, [&](const endpoint_instance& instance) {
     return Contains(other.losses, instance);
   });
-  return 2 * static_cast<size_t>(shared) > entry.losses.size();
+  if (2 * static_cast<size_t>(shared) <= entry.losses.size()) return false;
+  if (other.executing.size() != entry.executing.size())
+    return other.executing.size() > entry.executing.size();
+  if (other.feature_runs != entry.feature_runs) return other.feature_runs < entry.feature_runs;
+  return tie;
 }
 
 bool IsProvenCause(const table& state, const table_entry& entry, time_point now) {
@@ -132,6 +136,7 @@
   if (IsPresentAt(entry, loss.instance)) return false;
   for (const feature_source& source : loss.sources) AddSource(entry, source);
   AppendBounded(entry.losses, loss.instance);
+  if (loss.executing) AppendBounded(entry.executing, loss.instance);
   const auto known_rounds = static_cast<size_t>(std::ranges::count_if(
       entry.rounds, [&](time_point known_at) { return known_at < loss.placed_at; }));
   if (known_rounds == entry.rounds.size()) entry.rounds.push_back(loss.noticed_at);
@@ -159,7 +164,7 @@
                                    time_point now, time_point alive_until) {
   feature_losses losses;
   const auto add = [&](std::span<const shared_feature> features, time_point placed_at,
-                       time_point noticed_at) {
+                       time_point noticed_at, bool executing) {
     for (const shared_feature& feature : features) {
       feature_loss& loss =
           losses.try_emplace(feature.key, feature_loss{instance, {}, placed_at, noticed_at})
@@ -167,18 +172,19 @@
       loss.sources.push_back(feature.source);
       loss.placed_at = std::max(loss.placed_at, placed_at);
       loss.noticed_at = std::min(loss.noticed_at, noticed_at);
+      loss.executing |= executing;
     }
   };
   for (const auto& [id, active] : state.runs) {
     if (active.answer_begun || active.features.empty()) continue;
     const auto hop = std::ranges::find(active.route, instance, &route_hop::instance);
     if (hop == active.route.end() || hop->placed_at > alive_until) continue;
-    add(active.features, hop->placed_at, now);
+    add(active.features, hop->placed_at, now, active.executing);
   }
   for (const fingerprint& key : state.flagged) {
     for (const pending_loss& pending : state.entries.find(key)->second.pending) {
       if (pending.instance == instance)
-        add(pending.features, pending.placed_at, pending.reported_at);
+        add(pending.features, pending.placed_at, pending.reported_at, pending.executing);
     }
   }
   return losses;
@@ -244,6 +250,10 @@
     AppendBounded(entry.losses, instance);
     changed = true;
   }
+  for (const endpoint_instance& instance : received.executing) {
+    if (Contains(entry.losses, instance) && !Contains(entry.executing, instance))
+      AppendBounded(entry.executing, instance);
+  }
   // Each round has at least one loss.
   const size_t rounds = std::min(received.loss_rounds, supporting);
   while (entry.rounds.size() < rounds) entry.rounds.push_back(now);
--- a/libs/quarantine/src/details/features.h
+++ b/libs/quarantine/src/details/features.h
@@ -13,6 +13,7 @@
   std::vector<feature_source> sources;
   time_point placed_at{};   // when the latest of the runs was placed on the endpoint
   time_point noticed_at{};  // when the first of the runs showed the loss
+  bool executing = false;   // one of the runs was being executed
 };
 
 using feature_losses = std::map<fingerprint, feature_loss>;
--- a/libs/quarantine/src/message.cc
+++ b/libs/quarantine/src/message.cc
@@ -101,6 +101,7 @@
   // The field name differs from the member name: peers of other versions read it.
   if (message.quarantined) body["condemned"] = true;
   const auto lost_after = std::chrono::ceil<std::chrono::milliseconds>(message.lost_after);
+  add_list("executing", ToJson(message.executing));
   add_list("sources", ToJson(message.sources));
   if (message.loss_rounds > 0) body["rounds"] = message.loss_rounds;
   if (message.feature_runs > 0) body["runs"] = message.feature_runs;
@@ -115,11 +116,12 @@
   auto losses = ReadInstances(value, "losses");
   auto half_losses = ReadInstances(value, "half");
   auto cleared = ReadInstances(value, "cleared");
+  auto executing = ReadInstances(value, "executing");
   auto endpoints = ReadIds(value, "endpoints");
   auto sources = ParseSources(value.value("sources", json::array()));
   constexpr auto kLastClaim = static_cast<uint64_t>(claim_kind::kHolding);
   const uint64_t claim = ReadNumber(value, "claim", kLastClaim + 1);
-  if (!has_key || !losses || !half_losses || !cleared || !endpoints || !sources ||
+  if (!has_key || !losses || !half_losses || !cleared || !endpoints || !sources || !executing ||
       claim > kLastClaim) {
     return std::nullopt;
   }
@@ -134,6 +136,7 @@
                 .lost_after = std::chrono::milliseconds(
                     std::min(ReadNumber(value, "lost_after_ms", 0), kMaxLostAfterMs)),
                 .sources = *std::move(sources),
+                .executing = *std::move(executing),
                 .loss_rounds = ReadNumber(value, "rounds", 0),
                 .feature_runs = ReadNumber(value, "runs", 0)};
 }
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -485,6 +485,11 @@
   effects.publish.push_back(details::MakeUpdate(state, active.key, entry));
 }
 
+void ReportExecuting(table& state, run_id id) {
+  const auto found = state.runs.find(id);
+  if (found != state.runs.end()) found->second.executing = true;
+}
+
 void Progress(table& state, run_id id, time_point now, side_effects& effects) {
   const auto found = state.runs.find(id);
   if (found == state.runs.end() || found->second.progressed) return;
@@ -526,6 +531,7 @@
   const bool answer_begun = AllowsConcurrentSuspects(state) && found->second.answer_begun;
   std::vector<shared_feature> features;
   if (!answer_begun) features = found->second.features;
+  const bool executing = found->second.executing;
   const time_point placed_at = broken ? details::PlacedAt(found->second, *broken) : time_point();
   state.runs.erase(found);
   if (as_suspect) details::RebuildSuspectEndpoints(state);
@@ -538,7 +544,7 @@
     CheckInvariant(broken.has_value(), "quarantine: end of a broken run without its endpoint");
     EndBroken(state, key, entry,
               {*broken, now, now + state.config.confirmation_timeout, as_suspect, progressed_there,
-               progressing_since, start, std::move(features), placed_at, answer_begun},
+               progressing_since, start, std::move(features), placed_at, answer_begun, executing},
               now, effects);
   } else {
     EndFailed(state, key, entry, as_suspect, now, effects);
--- a/libs/quarantine/tests/features_test.cc
+++ b/libs/quarantine/tests/features_test.cc
@@ -136,6 +136,24 @@
   CHECK(d.Place(std::array{kCommon}, Endpoint(9)) != verdict::kRefuse);
 }
 
+// Guards against a rare sound part that is refused in place of the cause, and hides it, because its
+// requests wait for an answer while they are moved from one lost endpoint to the next.
+TEST_CASE("a feature that was executed is a likelier cause than one whose requests wait") {
+  daemon_fixture d("a");
+  constexpr size_t kLosses = 4;
+  for (size_t i = 0; i < kLosses; ++i) {
+    d.Place(std::array{kCommon}, Endpoint(i));
+    for (int copy = 0; copy < 3; ++copy) {
+      d.Place(std::array{kCause}, Endpoint(i));
+      ReportExecuting(d.state, d.last_run);
+    }
+    d.Lose(Endpoint(i));
+  }
+  d.Settle();
+  CHECK(d.IsRefused(kCause));
+  CHECK_FALSE(d.IsRefused(kCommon));
+}
+
 // Guards against sound requests that stay refused for the losses of the cause.
 TEST_CASE("contents are not refused for losses that a feature explains") {
   daemon_fixture d("a");
