quarantine: look up quarantined keys without a copy of the features

Cause: each check whether a request is quarantined built a run_identity, with a copy of the request's features, also when streams move. Change: QuarantinedKey() takes the content's key and a view of the features. Behaviour unchanged.

--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -361,16 +361,19 @@
 }
 
 bool IsQuarantined(const gateway_state& state, const call& request) {
-  return quarantine::QuarantinedKey(state.quarantine, IdentityOf(request)).has_value();
+  return quarantine::QuarantinedKey(state.quarantine, request.fingerprint, request.features)
+      .has_value();
 }
 
 time_point QuarantinedUntil(const gateway_state& state, const call& request) {
-  const auto key = quarantine::QuarantinedKey(state.quarantine, IdentityOf(request));
+  const auto key =
+      quarantine::QuarantinedKey(state.quarantine, request.fingerprint, request.features);
   return key ? state.quarantine.entries.find(*key)->second.loss_expires : time_point();
 }
 
 std::string_view QuarantinedPart(const gateway_state& state, const call& request) {
-  const auto key = quarantine::QuarantinedKey(state.quarantine, IdentityOf(request));
+  const auto key =
+      quarantine::QuarantinedKey(state.quarantine, request.fingerprint, request.features);
   if (!key) return {};
   const auto found = std::ranges::find(request.features, *key, &quarantine::shared_feature::key);
   if (found == request.features.end()) return {};
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -333,7 +333,8 @@
 
 // The quarantined key of the request: that of its content or of one of its features. Of several,
 // the one whose quarantine ends last. nullopt: none is quarantined.
-std::optional<fingerprint> QuarantinedKey(const table& state, const run_identity& identity);
+std::optional<fingerprint> QuarantinedKey(const table& state, const fingerprint& content,
+                                          std::span<const shared_feature> features);
 
 // Whether the key is known as that of a feature.
 bool IsFeature(const table& state, const fingerprint& key);
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -415,7 +415,7 @@
                side_effects& effects) {
   const fingerprint& key = identity.key;
   table_entry& entry = details::Touch(state, key);
-  if (const auto refused = QuarantinedKey(state, identity))
+  if (const auto refused = QuarantinedKey(state, key, identity.features))
     return {verdict::kRefuse, state.entries.find(*refused)->second.loss_expires};
   if (AllowsConcurrentSuspects(state)) {
     details::CountFeatureRun(state, identity.features);
@@ -433,7 +433,7 @@
 }
 
 verdict PreviewStart(const table& state, const run_identity& identity, time_point now) {
-  if (QuarantinedKey(state, identity)) return verdict::kRefuse;
+  if (QuarantinedKey(state, identity.key, identity.features)) return verdict::kRefuse;
   const auto found = state.entries.find(identity.key);
   if (found == state.entries.end()) return verdict::kAllow;
   const table_entry& entry = found->second;
@@ -441,7 +441,8 @@
   return entry.state == fingerprint_state::kSuspected ? verdict::kAllowIsolated : verdict::kAllow;
 }
 
-std::optional<fingerprint> QuarantinedKey(const table& state, const run_identity& identity) {
+std::optional<fingerprint> QuarantinedKey(const table& state, const fingerprint& content,
+                                          std::span<const shared_feature> features) {
   std::optional<fingerprint> refused;
   time_point until{};
   const auto check = [&](const fingerprint& key, const feature_source& source) {
@@ -454,8 +455,8 @@
     refused = key;
     until = entry.loss_expires;
   };
-  check(identity.key, {});
-  for (const shared_feature& feature : identity.features) check(feature.key, feature.source);
+  check(content, {});
+  for (const shared_feature& feature : features) check(feature.key, feature.source);
   return refused;
 }
 
