--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -253,7 +253,7 @@
   };
   const double begin = Now();
   std::vector<double> tenant1 = {0, 0.02, 0.04, 0.06, 0.08};  // seconds after the first request with the part
-  for (double t = 0.6; t < 22; t += 0.6) tenant1.push_back(t);
+  for (double t = 0.6; t < 22; t += 2) tenant1.push_back(t);
   const std::vector<double> tenant2 = {9, 9.005, 9.01, 9.015, 9.02, 9.025, 9.03, 9.035};
   struct planned {
     double at;
@@ -270,7 +270,7 @@
   std::set<std::string> replaced;
   std::vector<std::pair<double, bool>> returns;
   while (Now() < begin + 27) {
-    if (Now() >= begin + 0.08 * static_cast<double>(sound)) {
+    if (Now() >= begin + 0.045 * static_cast<double>(sound)) {
       ++sound;
       start(sound % 2 ? "key-1" : "key-2", "7" + std::to_string(1000000 + sound % 5), sound, "sound");
     }
