--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -199,7 +199,21 @@
             {"told", writer != record_writer::kSelf}});
 }
 
+void LogAssessed(const gateway_state& state, const quarantine::feature_assessment& assessment) {
+  log::Log(log::level::kInfo, "prompt part not quarantined",
+           {{"fingerprint", quarantine::ToString(assessment.key)},
+            {"part", PartId(state, assessment.key)},
+            {"finding", quarantine::ToString(assessment.finding)},
+            {"losses", assessment.losses},
+            {"executing", assessment.executing},
+            {"rounds", assessment.rounds},
+            {"required_rounds", assessment.required_rounds},
+            {"runs", assessment.runs},
+            {"other_part", assessment.other ? PartId(state, *assessment.other) : ""}});
+}
+
 void Process(gateway_state& state, const quarantine::side_effects& outputs, record_writer writer) {
+  for (const auto& assessment : outputs.assessed) LogAssessed(state, assessment);
   AnnounceSuspects(state, outputs.publish);
   for (const quarantine::fingerprint& fingerprint : outputs.quarantined) {
     LogQuarantined(state, fingerprint, writer);
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -192,11 +192,35 @@
 };
 
 // Effects of a call that the caller carries out. Functions append to the lists.
+// Why a feature on which a further loss was counted is not refused yet.
+enum class feature_finding : uint8_t {
+  kTooFewRequests,  // the losses are known of one request only
+  kTooFewRounds,
+  kOtherFeature,  // `feature_assessment::other` explains the losses better
+  kSettling,      // refused after `settings::feature_settle_time`, unless it is cleared
+};
+
+std::string_view ToString(feature_finding finding);
+
+// The evidence against a feature, for logs.
+struct feature_assessment {
+  fingerprint key;
+  feature_finding finding = feature_finding::kTooFewRounds;
+  size_t losses = 0;
+  size_t executing = 0;  // of `losses`, see `table_entry`
+  size_t rounds = 0;
+  size_t required_rounds = 0;
+  uint64_t runs = 0;                 // see `update::feature_runs`
+  std::optional<fingerprint> other;  // kOtherFeature: the first one found
+};
+
 struct side_effects {
   std::vector<update> publish;    // updates to send to all peers
   std::vector<fingerprint> wake;  // fingerprints whose held requests should call Start() again
   std::vector<fingerprint> quarantined;  // refused from now on
   std::vector<fingerprint> released;     // no longer refused
+  // Features with losses in several rounds that are not refused, after each further loss.
+  std::vector<feature_assessment> assessed;
 };
 
 enum class fingerprint_state : uint8_t { kClear, kSuspected, kQuarantined };
--- a/libs/quarantine/src/details/features.cc
+++ b/libs/quarantine/src/details/features.cc
@@ -10,10 +10,19 @@
 #include "details/features.h"
 
 #include <algorithm>
+#include <array>
 #include <set>
 #include <utility>
 
-namespace balsambay::quarantine::details {
+namespace balsambay::quarantine {
+
+std::string_view ToString(feature_finding finding) {
+  constexpr std::array<std::string_view, 4> kNames = {"too_few_requests", "too_few_rounds",
+                                                      "other_feature", "settling"};
+  return kNames[static_cast<size_t>(finding)];
+}
+
+namespace details {
 namespace {
 
 // Different sources, and thus different requests, whose losses show that a feature is the cause.
@@ -76,17 +85,41 @@
   return tie;
 }
 
-bool IsProvenCause(const table& state, const table_entry& entry, time_point now) {
-  const size_t required = RequiredRounds(state, entry, now);
-  if (entry.sources.size() < kMinSources || entry.rounds.size() < required) return false;
+// The feature that is the likelier cause of the losses, if there is one.
+std::optional<fingerprint> FindLikelierCause(const table& state, const table_entry& entry,
+                                             size_t required_rounds) {
   // Of features that always come together, none is refused before there are further losses.
-  const bool tie = entry.rounds.size() < required + kMaxExtraRounds;
-  return std::ranges::none_of(state.flagged, [&](const fingerprint& key) {
+  const bool tie = entry.rounds.size() < required_rounds + kMaxExtraRounds;
+  const auto found = std::ranges::find_if(state.flagged, [&](const fingerprint& key) {
     const table_entry& other = state.entries.find(key)->second;
     return &other != &entry && IsLikelierCause(other, entry, tie);
   });
+  return found == state.flagged.end() ? std::nullopt : std::optional(*found);
+}
+
+feature_assessment Assess(const table& state, const fingerprint& key, const table_entry& entry,
+                          time_point now) {
+  feature_assessment result{.key = key,
+                            .finding = feature_finding::kSettling,
+                            .losses = entry.losses.size(),
+                            .executing = entry.executing.size(),
+                            .rounds = entry.rounds.size(),
+                            .required_rounds = RequiredRounds(state, entry, now),
+                            .runs = entry.feature_runs,
+                            .other = std::nullopt};
+  if (entry.sources.size() < kMinSources) {
+    result.finding = feature_finding::kTooFewRequests;
+  } else if (result.rounds < result.required_rounds) {
+    result.finding = feature_finding::kTooFewRounds;
+  } else if ((result.other = FindLikelierCause(state, entry, result.required_rounds))) {
+    result.finding = feature_finding::kOtherFeature;
+  }
+  return result;
 }
 
+// Losses in a single round are no evidence yet, and one endpoint may hold many features.
+bool IsWorthReporting(const feature_assessment& assessment) { return assessment.rounds > 1; }
+
 uint64_t CountRuns(const table& state, const fingerprint& key) {
   return static_cast<uint64_t>(std::ranges::count_if(state.runs, [&](const auto& pair) {
     const std::vector<shared_feature>& features = pair.second.features;
@@ -200,7 +233,10 @@
   for (const fingerprint& key : changed) {
     table_entry* entry = Find(state, key);
     if (entry == nullptr) continue;  // evicted
-    if (!entry->proven_at && IsProvenCause(state, *entry, now)) entry->proven_at = now;
+    const feature_assessment assessment = Assess(state, key, *entry, now);
+    if (!entry->proven_at && assessment.finding == feature_finding::kSettling)
+      entry->proven_at = now;
+    if (!entry->quarantined && IsWorthReporting(assessment)) effects.assessed.push_back(assessment);
     Publish(state, key, *entry, effects);
     if (entry->quarantined) ClearExplainedLosses(state, key, effects);
   }
@@ -211,7 +247,11 @@
   const bool settled = entry.proven_at && !entry.quarantined &&
                        now - *entry.proven_at >= state.config.feature_settle_time;
   if (!settled) return;
-  if (!IsProvenCause(state, entry, now)) return entry.proven_at.reset();
+  const feature_assessment assessment = Assess(state, key, entry, now);
+  if (assessment.finding != feature_finding::kSettling) {
+    if (IsWorthReporting(assessment)) effects.assessed.push_back(assessment);
+    return entry.proven_at.reset();
+  }
   entry.quarantined = true;
   Publish(state, key, entry, effects);
   ClearExplainedLosses(state, key, effects);
@@ -270,4 +310,5 @@
   return changed;
 }
 
-}  // namespace balsambay::quarantine::details
+}  // namespace details
+}  // namespace balsambay::quarantine
