quarantine: contain a crashing prompt part for all workspaces

Change: the part is refused to all workspaces. While all losses are those of one workspace, the holder of the placement lease may run a request of another one as a trial, one at a time and two in a quarantine, at one engine. An answer confines the quarantine to the workspace of the losses, on all gateways and in the record; a loss ends the trials. The price: a sound part of another workspace is refused until a request with it reaches the lease holder. The tests "a feature is refused to other workspaces only if it loses endpoints in several" and "a restored feature is refused to its workspaces" stated the fault; they are replaced by five cases, among them that an answered trial confines the quarantine. A complete answer with fewer than three outputs now clears a part, too.

--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -108,13 +108,11 @@
   WriteTable(state, {key, std::nullopt}, [](bool) {});
 }
 
-// Retries until the record is in the table or the quarantine ends. The write is idempotent.
-void WriteRecord(gateway_state& state, const quarantine::fingerprint& fingerprint) {
+// Writes the record of a quarantined fingerprint, also over an existing one. Retries until a record
+// is in the table or the quarantine ends. The write is idempotent.
+void PutRecord(gateway_state& state, const quarantine::fingerprint& fingerprint) {
   const auto entry = state.quarantine.entries.find(fingerprint);
   const std::string key = RecordKey(fingerprint);
-  if (!IsFingerprintQuarantined(state, fingerprint) || state.quarantine_records.contains(key)) {
-    return;
-  }
   json losses = json::array();
   for (const auto& life : entry->second.losses) losses.push_back(life.endpoint);
   const duration remaining = entry->second.loss_expires - MonotonicNow();
@@ -122,6 +120,7 @@
   if (entry->second.is_feature) {
     value["part"] = PartId(state, fingerprint);
     value["sources"] = quarantine::ToJson(entry->second.sources);
+    if (entry->second.confined) value["confined"] = true;
   }
   state.written_records.insert(key);
   WriteTable(state, {key, value.dump()}, [&state, fingerprint, key](bool committed) {
@@ -134,6 +133,12 @@
   });
 }
 
+// Writes the record unless there is one.
+void WriteRecord(gateway_state& state, const quarantine::fingerprint& fingerprint) {
+  const bool exists = state.quarantine_records.contains(RecordKey(fingerprint));
+  if (IsFingerprintQuarantined(state, fingerprint) && !exists) PutRecord(state, fingerprint);
+}
+
 void RemoveRecord(gateway_state& state, const std::string& key) {
   // The followed copy of the table may not show an own record yet.
   const bool written = state.written_records.erase(key) > 0;
@@ -214,6 +219,13 @@
 
 void Process(gateway_state& state, const quarantine::side_effects& outputs, record_writer writer) {
   for (const auto& assessment : outputs.assessed) LogAssessed(state, assessment);
+  for (const quarantine::fingerprint& fingerprint : outputs.confined) {
+    log::Log(log::level::kWarning, "quarantine of a prompt part confined to one workspace",
+             {{"fingerprint", quarantine::ToString(fingerprint)},
+              {"part", PartId(state, fingerprint)},
+              {"told", writer != record_writer::kSelf}});
+    if (writer == record_writer::kSelf) PutRecord(state, fingerprint);
+  }
   AnnounceSuspects(state, outputs.publish);
   for (const quarantine::fingerprint& fingerprint : outputs.quarantined) {
     LogQuarantined(state, fingerprint, writer);
@@ -299,6 +311,7 @@
   int64_t until_ms = 0;                             // Unix time
   std::vector<quarantine::feature_source> sources;  // empty: the record is that of a content
   std::string part;                                 // id of the prompt part
+  bool confined = false;                            // see quarantine::table_entry
 };
 
 std::optional<decoded_record> DecodeRecord(const quarantine_record& record) {
@@ -312,7 +325,8 @@
   return decoded_record{*fingerprint, until.get<int64_t>(),
                         quarantine::ParseSources(body.value("sources", json::array()))
                             .value_or(std::vector<quarantine::feature_source>()),
-                        part.is_string() ? part.get<std::string>() : std::string()};
+                        part.is_string() ? part.get<std::string>() : std::string(),
+                        body.value("confined", json()) == json(true)};
 }
 
 }  // namespace
@@ -364,6 +378,7 @@
 
 quarantine::decision AdmitAttempt(gateway_state& state, const call& request) {
   quarantine::side_effects outputs;
+  quarantine::SetMayRunTrials(state.quarantine, lease::MayAct(state.lease, MonotonicNow()));
   const quarantine::decision decision = quarantine::Start(
       state.quarantine, request.number, IdentityOf(request), MonotonicNow(), outputs);
   Process(state, outputs, record_writer::kSelf);
@@ -503,7 +518,8 @@
     const duration max_remaining = state.quarantine.config.loss_lifetime;
     if (!decoded->part.empty()) state.part_ids[decoded->fingerprint] = decoded->part;
     quarantine::Restore(state.quarantine, decoded->fingerprint,
-                        now + std::min(remaining, max_remaining), outputs, decoded->sources);
+                        now + std::min(remaining, max_remaining), outputs, decoded->sources,
+                        decoded->confined);
   }
   // A record that is gone was removed by an operator, or by the gateway that cleared the request.
   for (const auto& [key, until_ms] : previous) {
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -8,9 +8,11 @@
 // because of it, no two of them alike. With kConcurrent, losses of endpoints also count against the
 // features of the requests that had made no output on them: after
 // `settings::max_loss_rounds` rounds of losses, without an answer of a request with the feature in
-// between, requests with it are refused: those of the workspace that caused the losses, or of all
-// workspaces if several did, so that no caller gets the requests of others refused. The losses that
-// this explains are cleared for all other fingerprints.
+// between, requests with it are refused, those of all workspaces. If all losses are those of one
+// workspace, a request of another one may run as a trial on one daemon (SetMayRunTrials()). If it
+// is answered, the quarantine is confined to the workspace of the losses, so that no caller gets
+// the requests of others refused for long. The losses that the feature explains are cleared for all
+// other fingerprints, except features that explain them as well.
 //
 // Daemons exchange updates about losses and claims (which daemon runs a suspect, and on which
 // endpoints). The caller sends the updates that functions return to the peers.
@@ -186,6 +188,7 @@
   // the number of runs with the feature since the first loss on the daemon that has seen most.
   std::vector<feature_source> sources{};
   std::vector<endpoint_instance> executing{};  // see `table_entry`
+  bool confined = false;                       // see `table_entry`
   size_t loss_rounds = 0;
   uint64_t feature_runs = 0;
   bool operator==(const update&) const = default;
@@ -219,6 +222,7 @@
   std::vector<fingerprint> wake;  // fingerprints whose held requests should call Start() again
   std::vector<fingerprint> quarantined;  // refused from now on
   std::vector<fingerprint> released;     // no longer refused
+  std::vector<fingerprint> confined;     // from now on refused to the workspaces of its losses only
   // Features with losses in several rounds that are not refused, after each further loss.
   std::vector<feature_assessment> assessed;
 };
@@ -290,8 +294,13 @@
   uint64_t feature_runs = 0;            // see `update`
   // Of `losses`, those at which a run with the feature was being executed.
   std::vector<endpoint_instance> executing;
-  std::optional<time_point> proven_at;        // since when the losses suffice to refuse the feature
-  bool flagged = false;                       // in the list `flagged` rather than `unflagged`
+  std::optional<time_point> proven_at;  // since when the losses suffice to refuse the feature
+  // The quarantine covers the workspaces of `sources` only: another one was answered. Reset, like
+  // `trials`, when the quarantine ends.
+  bool confined = false;
+  std::optional<run_id> trial;  // run of a workspace without losses, see SetMayRunTrials()
+  int trials = 0;               // of this quarantine, on this daemon
+  bool flagged = false;         // in the list `flagged` rather than `unflagged`
   std::list<fingerprint>::iterator position;  // in that list
 };
 
@@ -331,6 +340,7 @@
 
   settings config;
   bool has_peers = false;
+  bool may_run_trials = false;  // see SetMayRunTrials()
   std::unordered_map<fingerprint, table_entry, fingerprint_hash> entries;
   std::unordered_map<run_id, run> runs;
   std::list<fingerprint> unflagged;  // neither suspected nor claimed; evicted first
@@ -347,6 +357,10 @@
 // States whether the zone has other daemons. Without peers a claim is usable at once.
 void SetHasPeers(table& state, bool has_peers);
 
+// States whether this daemon may run single requests of workspaces that lost no endpoint although
+// they have a quarantined feature. To be true on one daemon at a time.
+void SetMayRunTrials(table& state, bool may_run);
+
 // Decides whether the run `id` may start now and, on kAllow and kAllowIsolated, registers it. The
 // id must not be in use. Cost: O(1); O(n) when the table is full of suspects.
 decision Start(table& state, run_id id, const run_identity& identity, time_point now,
@@ -419,9 +433,9 @@
 bool Merge(table& state, const update& received, time_point now, side_effects& effects);
 
 // Quarantines the fingerprint until the time stated by a stored record, without publishing it.
-// `sources`: of a feature; empty for a content.
+// `sources`: of a feature; empty for a content. `confined`: see `table_entry`.
 void Restore(table& state, const fingerprint& key, time_point until, side_effects& effects,
-             std::span<const feature_source> sources = {});
+             std::span<const feature_source> sources = {}, bool confined = false);
 
 // Ends the quarantine of the fingerprint and clears all its losses, without publishing it.
 void Lift(table& state, const fingerprint& key, side_effects& effects);
--- a/libs/quarantine/src/details/entries.cc
+++ b/libs/quarantine/src/details/entries.cc
@@ -112,7 +112,11 @@
   if (flagged != entry.flagged) MoveToFront(state, entry, flagged);
   if (std::exchange(entry.has_waiters, false)) effects.wake.push_back(key);
   if (before == entry.state) return;
-  if (before == fingerprint_state::kQuarantined) effects.released.push_back(key);
+  if (before == fingerprint_state::kQuarantined) {
+    entry.confined = false;
+    entry.trials = 0;
+    effects.released.push_back(key);
+  }
   if (entry.state == fingerprint_state::kQuarantined) effects.quarantined.push_back(key);
 }
 
@@ -260,6 +264,7 @@
                  .is_feature = entry.is_feature,
                  .sources = entry.sources,
                  .executing = entry.executing,
+                 .confined = entry.confined,
                  .loss_rounds = entry.rounds.size(),
                  .feature_runs = entry.feature_runs};
   const bool concurrent = state.config.suspect_policy == suspect_policy::kConcurrent;
--- a/libs/quarantine/src/details/features.cc
+++ b/libs/quarantine/src/details/features.cc
@@ -37,6 +37,9 @@
 constexpr size_t kUnrelatedPerRound = 2;
 constexpr size_t kMaxExtraRounds = 2;
 constexpr size_t kMaxExplained = 64;
+// Trials of one quarantine on one daemon. Each may lose an endpoint, and at most three requests may
+// reach endpoints once a feature has to be contained.
+constexpr int kMaxTrials = 2;
 
 bool IsPresentAt(const table_entry& entry, const endpoint_instance& instance) {
   return Contains(entry.losses, instance) || Contains(entry.cleared, instance);
@@ -181,8 +184,38 @@
 
 }  // namespace
 
-bool IsCovered(const table_entry& entry, const feature_source& request) {
-  return CountWorkspaces(entry) != 1 || entry.sources.front().workspace == request.workspace;
+bool IsCovered(const table& state, const table_entry& entry, const feature_source& request) {
+  if (CountWorkspaces(entry) != 1 || entry.sources.front().workspace == request.workspace)
+    return true;
+  const bool may_try = state.may_run_trials && !entry.trial && entry.trials < kMaxTrials;
+  return !entry.confined && !may_try;
+}
+
+void BeginTrials(table& state, run_id id, std::span<const shared_feature> features) {
+  for (const shared_feature& feature : features) {
+    table_entry* entry = Find(state, feature.key);
+    if (entry == nullptr || !entry->quarantined || entry->confined) continue;
+    entry->trial = id;
+    ++entry->trials;
+  }
+}
+
+void ConfineTried(table& state, run_id id, std::span<const shared_feature> features,
+                  side_effects& effects) {
+  for (const shared_feature& feature : features) {
+    table_entry* entry = Find(state, feature.key);
+    if (entry == nullptr || entry->trial != id || !entry->quarantined || entry->confined) continue;
+    entry->confined = true;
+    effects.confined.push_back(feature.key);
+    Publish(state, feature.key, *entry, effects);
+  }
+}
+
+void EndTrials(table& state, run_id id, std::span<const shared_feature> features) {
+  for (const shared_feature& feature : features) {
+    table_entry* entry = Find(state, feature.key);
+    if (entry != nullptr && entry->trial == id) entry->trial.reset();
+  }
 }
 
 void AddSource(table_entry& entry, const feature_source& source) {
@@ -305,6 +338,10 @@
   entry.quarantined =
       entry.quarantined || (received.quarantined && rounds >= state.config.max_loss_rounds);
   changed |= was_quarantined != entry.quarantined;
+  if (entry.quarantined && received.confined && !std::exchange(entry.confined, true)) {
+    effects.confined.push_back(received.key);
+    changed = true;
+  }
   Reassess(state, received.key, entry, effects);
   if (entry.quarantined && changed) ClearExplainedLosses(state, received.key, effects);
   return changed;
--- a/libs/quarantine/src/details/features.h
+++ b/libs/quarantine/src/details/features.h
@@ -38,9 +38,20 @@
 // No effect on quarantined ones.
 void ClearFeatures(table& state, std::span<const shared_feature> features, side_effects& effects);
 
-// Whether a quarantine of the feature covers the request: it crashed endpoints itself, or requests
-// of its workspace or of several workspaces did.
-bool IsCovered(const table_entry& entry, const feature_source& request);
+// Whether a quarantine of the feature covers the request. It does not if requests of one other
+// workspace caused all losses and the quarantine is confined, or a trial may run.
+bool IsCovered(const table& state, const table_entry& entry, const feature_source& request);
+
+// Registers the run as the trial of those of its features that are quarantined and would cover it
+// otherwise. Precondition: no quarantine covers the run.
+void BeginTrials(table& state, run_id id, std::span<const shared_feature> features);
+
+// The run made output: confines the quarantines of which it is the trial.
+void ConfineTried(table& state, run_id id, std::span<const shared_feature> features,
+                  side_effects& effects);
+
+// The run has ended.
+void EndTrials(table& state, run_id id, std::span<const shared_feature> features);
 
 // Keeps the source if it is among the first kMaxSources or of a further workspace.
 void AddSource(table_entry& entry, const feature_source& source);
--- a/libs/quarantine/src/message.cc
+++ b/libs/quarantine/src/message.cc
@@ -103,6 +103,7 @@
   const auto lost_after = std::chrono::ceil<std::chrono::milliseconds>(message.lost_after);
   add_list("executing", ToJson(message.executing));
   add_list("sources", ToJson(message.sources));
+  if (message.confined) body["confined"] = true;
   if (message.loss_rounds > 0) body["rounds"] = message.loss_rounds;
   if (message.feature_runs > 0) body["runs"] = message.feature_runs;
   if (lost_after.count() > 0) body["lost_after_ms"] = static_cast<uint64_t>(lost_after.count());
@@ -137,6 +138,7 @@
                     std::min(ReadNumber(value, "lost_after_ms", 0), kMaxLostAfterMs)),
                 .sources = *std::move(sources),
                 .executing = *std::move(executing),
+                .confined = value.value("confined", json()) == json(true),
                 .loss_rounds = ReadNumber(value, "rounds", 0),
                 .feature_runs = ReadNumber(value, "runs", 0)};
 }
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -411,6 +411,8 @@
 
 void SetHasPeers(table& state, bool has_peers) { state.has_peers = has_peers; }
 
+void SetMayRunTrials(table& state, bool may_run) { state.may_run_trials = may_run; }
+
 decision Start(table& state, run_id id, const run_identity& identity, time_point now,
                side_effects& effects) {
   const fingerprint& key = identity.key;
@@ -419,7 +421,9 @@
     return {verdict::kRefuse, state.entries.find(*refused)->second.loss_expires};
   if (AllowsConcurrentSuspects(state)) {
     details::CountFeatureRun(state, identity.features);
-    return StartConcurrent(state, id, identity, entry, now);
+    const decision begun = StartConcurrent(state, id, identity, entry, now);
+    if (begun.answer != verdict::kHold) details::BeginTrials(state, id, identity.features);
+    return begun;
   }
   const bool suspected = entry.state == fingerprint_state::kSuspected;
   if (suspected && !state.config.test_faults.no_claims) {
@@ -450,7 +454,7 @@
     if (found == state.entries.end()) return;
     const table_entry& entry = found->second;
     if (entry.state != fingerprint_state::kQuarantined) return;
-    if (entry.is_feature && !details::IsCovered(entry, source)) return;
+    if (entry.is_feature && !details::IsCovered(state, entry, source)) return;
     if (refused && entry.loss_expires <= until) return;
     refused = key;
     until = entry.loss_expires;
@@ -498,6 +502,7 @@
   // A resumed answer may have begun before its features became the cause of crashes.
   if (!std::exchange(active.answer_begun, true))
     details::ClearFeatures(state, active.features, effects);
+  details::ConfineTried(state, id, active.features, effects);
   active.progressed = true;
   active.progressing_since = now;
   for (route_hop& hop : active.route) hop.progressed = true;
@@ -534,6 +539,12 @@
   if (!answer_begun) features = found->second.features;
   const bool executing = found->second.executing;
   const time_point placed_at = broken ? details::PlacedAt(found->second, *broken) : time_point();
+  // An answer may be complete with fewer outputs than are taken as progress.
+  if (AllowsConcurrentSuspects(state) && how == run_end::kCompleted && !answer_begun) {
+    details::ClearFeatures(state, found->second.features, effects);
+    details::ConfineTried(state, id, found->second.features, effects);
+  }
+  details::EndTrials(state, id, found->second.features);
   state.runs.erase(found);
   if (as_suspect) details::RebuildSuspectEndpoints(state);
   table_entry& entry = details::Touch(state, key);
@@ -631,11 +642,12 @@
 }
 
 void Restore(table& state, const fingerprint& key, time_point until, side_effects& effects,
-             std::span<const feature_source> sources) {
+             std::span<const feature_source> sources, bool confined) {
   table_entry& entry = details::Touch(state, key);
   entry.is_feature = entry.is_feature || !sources.empty();
   for (const feature_source& source : sources) details::AddSource(entry, source);
   entry.quarantined = entry.restored = true;
+  entry.confined = entry.confined || confined;
   entry.loss_expires = std::max(entry.loss_expires, until);
   details::Reassess(state, key, entry, effects);
 }
--- a/libs/quarantine/tests/features_test.cc
+++ b/libs/quarantine/tests/features_test.cc
@@ -28,6 +28,14 @@
     if (answer != verdict::kRefuse) SetRoute(state, id, std::array{instance}, effects, now);
     return answer;
   }
+  // Loses endpoints to requests of the workspace with the feature, one after the other.
+  void LoseWith(const fingerprint& feature, size_t count, uint32_t workspace) {
+    for (size_t i = 0; i < count; ++i) {
+      Place(std::array{feature}, {"lost" + std::to_string(i), 1}, workspace);
+      Lose({"lost" + std::to_string(i), 1});
+    }
+    Settle();
+  }
   void Lose(const endpoint_instance& instance) {
     now += 100ms;
     ReportLost(state, instance, now, effects);
@@ -171,18 +179,66 @@
   CHECK_FALSE(d.IsRefused(bystander));
 }
 
-// Guards against a caller that gets the requests of another workspace refused by naming its parts.
-TEST_CASE("a feature is refused to other workspaces only if it loses endpoints in several") {
+// Guards against a feature that goes on losing endpoints in requests of a workspace that has lost
+// none yet.
+TEST_CASE("a feature that loses endpoints of one workspace is refused to all") {
   daemon_fixture d("a");
-  for (size_t i = 0; i < 3; ++i) {
-    d.Place(std::array{kCause}, Endpoint(i), 1);
-    d.Lose(Endpoint(i));
-  }
-  d.Settle();
+  d.LoseWith(kCause, 3, 1);
+  CHECK(d.Place(std::array{kCause}, Endpoint(9), 1) == verdict::kRefuse);
+  CHECK(d.Place(std::array{kCause}, Endpoint(9), 2) == verdict::kRefuse);
+}
+
+// Guards against trials that together lose more endpoints than a contained feature may.
+TEST_CASE("a trial that loses its endpoint is the last one") {
+  daemon_fixture d("a");
+  d.LoseWith(kCause, 3, 1);
+  SetMayRunTrials(d.state, true);
   CHECK(d.Place(std::array{kCause}, Endpoint(9), 1) == verdict::kRefuse);
   CHECK(d.Place(std::array{kCause}, Endpoint(9), 2) != verdict::kRefuse);
-  d.Lose(Endpoint(9));
+  CHECK(d.Place(std::array{kCause}, Endpoint(10), 2) == verdict::kRefuse);
   CHECK(d.Place(std::array{kCause}, Endpoint(10), 3) == verdict::kRefuse);
+  d.Lose(Endpoint(9));
+  d.EndAll(run_end::kFailed);
+  for (uint32_t workspace = 1; workspace < 5; ++workspace)
+    CHECK(d.Place(std::array{kCause}, Endpoint(10), workspace) == verdict::kRefuse);
+}
+
+// Guards against trials without an answer that go on for as long as the quarantine.
+TEST_CASE("a quarantine has a bounded number of trials") {
+  daemon_fixture d("a");
+  d.LoseWith(kCause, 3, 1);
+  SetMayRunTrials(d.state, true);
+  int trials = 0;
+  for (size_t i = 0; i < 9; ++i) {
+    if (d.Place(std::array{kCause}, Endpoint(9), 2) != verdict::kRefuse) ++trials;
+    d.EndAll(run_end::kFailed);
+  }
+  CHECK(trials == 2);
+}
+
+// Guards against a caller that gets the requests of another workspace refused by naming its parts.
+TEST_CASE("an answered trial confines the quarantine to the workspace of the losses") {
+  daemon_fixture d("a");
+  daemon_fixture peer("b");
+  d.LoseWith(kCause, 3, 1);
+  SetMayRunTrials(d.state, true);
+  REQUIRE(d.Place(std::array{kCause}, Endpoint(9), 2) != verdict::kRefuse);
+  Progress(d.state, d.last_run, d.now, d.effects);
+  for (const update& message : d.effects.publish) {
+    auto parsed = ParseUpdate("a", ToJson(message));
+    REQUIRE(parsed);
+    parsed->is_feature = message.is_feature;
+    Merge(peer.state, *parsed, d.now, peer.effects);
+  }
+  for (daemon_fixture* each : {&d, &peer}) {
+    CHECK(each->effects.confined.size() == 1);
+    CHECK(each->Place(std::array{kCause}, Endpoint(10), 1) == verdict::kRefuse);
+    CHECK(each->Place(std::array{kCause}, Endpoint(10), 2) != verdict::kRefuse);
+    CHECK(each->Place(std::array{kCause}, Endpoint(10), 3) != verdict::kRefuse);
+  }
+  // A second workspace that loses an endpoint ends the confinement.
+  d.Lose(Endpoint(10));
+  CHECK(d.Place(std::array{kCause}, Endpoint(11), 4) == verdict::kRefuse);
 }
 
 // Guards against a common feature that is refused because the update of an answer is late.
@@ -235,12 +291,13 @@
 
 // Guards against an operator's removal of the record, or its expiry, that leaves the feature
 // refused.
-TEST_CASE("a restored feature is refused to its workspaces until it is lifted") {
+TEST_CASE("a restored feature is refused until it is lifted") {
   daemon_fixture d("a");
   const std::array sources{feature_source{1, 1}, feature_source{1, 2}};
-  Restore(d.state, kCause, d.now + 10min, d.effects, sources);
+  const bool confined = GENERATE(false, true);
+  Restore(d.state, kCause, d.now + 10min, d.effects, sources, confined);
   CHECK(d.Place(std::array{kCause}, Endpoint(1), 1) == verdict::kRefuse);
-  CHECK(d.Place(std::array{kCause}, Endpoint(1), 2) != verdict::kRefuse);
+  CHECK((d.Place(std::array{kCause}, Endpoint(1), 2) == verdict::kRefuse) == !confined);
   Lift(d.state, kCause, d.effects);
   CHECK(d.Place(std::array{kCause}, Endpoint(1), 1) != verdict::kRefuse);
 }
--- a/tests/system/shared_part_test.cc
+++ b/tests/system/shared_part_test.cc
@@ -2,6 +2,7 @@
 // them (docs/incidents/deadly-part.md). No two of the requests are alike, so the requests must be
 // recognized by the part.
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <string>
 
@@ -160,6 +161,24 @@
   CHECK(CountArrivalsAfter(again, time_point::min()) - before <= kAllowedArrivals);
 }
 
+// Guards against a part that is refused to the workspace only that lost engines first.
+TEST_CASE("a contained part stays contained for requests of another workspace") {
+  platform_site site({});
+  REQUIRE(site.Start());
+  traffic load{.site = site};
+  Run(load, 10s);
+  CheckContained(load);
+  const size_t before = CountArrivalsAfter(load, time_point::min());
+  constexpr size_t kRequests = 8;
+  for (size_t i = 0; i < kRequests; ++i) {
+    const std::string own = "other " + std::to_string(i);
+    site.Send(i % site.gateways.size(), "stream", std::string(load.crash_scope) + " " + own,
+              std::array{kFirstPart, kDeadlyPart, own}, kOtherApiKey);
+  }
+  site.RunFor(2s);
+  CHECK(CountArrivalsAfter(load, time_point::min()) - before <= kAllowedArrivals);
+}
+
 // Guards against parts and contents that are blamed for engines that crash for other reasons.
 TEST_CASE("no part is refused when engines crash for other reasons") {
   platform_site site({});
