quarantine: keep the evidence against a part that another one was refused for

Where engines crash before they reply, a sound part that was executed at a single loss held back the cause for as long as it had no answer. Change: a part that explains the losses as well keeps them, and is refused after one more loss at which the refused part was not present; what it explains is cleared for the one refused in its place. Execution counts as evidence only for a part that was executed at most of its losses.

--- a/libs/quarantine/src/details/features.cc
+++ b/libs/quarantine/src/details/features.cc
@@ -73,17 +73,29 @@
   return state.config.max_loss_rounds + extra;
 }
 
+size_t CountShared(const table_entry& entry, const table_entry& other) {
+  return static_cast<size_t>(std::ranges::count_if(
+      entry.losses,
+      [&](const endpoint_instance& instance) { return Contains(other.losses, instance); }));
+}
+
+// Losses at which the feature was being executed, if it was at most of them. A sound feature is at
+// a few by chance, also where the cause never is, because endpoints crash before they reply.
+size_t ExecutingEvidence(const table_entry& entry) {
+  return 2 * entry.executing.size() > entry.losses.size() ? entry.executing.size() : 0;
+}
+
 // Whether `other` explains most losses of the feature better: it was being executed at more of
 // them, or at as many and is rarer. With as many runs the two cannot be told apart; `tie` is
-// returned.
+// returned. A quarantined feature does not explain losses at which it was not present.
 bool IsLikelierCause(const table_entry& other, const table_entry& entry, bool tie) {
   if (!other.is_feature || other.sources.size() < kMinSources) return false;
-  const auto shared = std::ranges::count_if(entry.losses, [&](const endpoint_instance& instance) {
-    return Contains(other.losses, instance);
-  });
-  if (2 * static_cast<size_t>(shared) <= entry.losses.size()) return false;
-  if (other.executing.size() != entry.executing.size())
-    return other.executing.size() > entry.executing.size();
+  const size_t shared = CountShared(entry, other);
+  if (2 * shared <= entry.losses.size()) return false;
+  if (other.quarantined) return shared == entry.losses.size();
+  const size_t executing = ExecutingEvidence(entry);
+  const size_t other_executing = ExecutingEvidence(other);
+  if (other_executing != executing) return other_executing > executing;
   if (other.feature_runs != entry.feature_runs) return other.feature_runs < entry.feature_runs;
   return tie;
 }
@@ -136,8 +148,17 @@
   return entry;
 }
 
-// Clears the losses that a quarantined feature explains for all other fingerprints. They need not
-// be published, because each daemon does the same when it learns of the feature.
+// Whether the losses are as well explained by `entry` as by the quarantined feature: it was present
+// at all of them, and none of its requests was answered since. If the two mostly come together, the
+// wrong one may have been refused; the evidence against the other must not start from nothing then.
+bool ExplainsAsWell(const table_entry& entry, const table_entry& quarantined) {
+  return entry.is_feature && entry.sources.size() >= kMinSources &&
+         CountShared(quarantined, entry) == quarantined.losses.size();
+}
+
+// Clears the losses that a quarantined feature explains for all other fingerprints, except features
+// that explain them as well. They need not be published, because each daemon does the same when it
+// learns of the feature.
 void ClearExplainedLosses(table& state, const fingerprint& cause, side_effects& effects) {
   const std::vector<endpoint_instance> explained = Find(state, cause)->losses;
   for (const endpoint_instance& instance : explained) {
@@ -147,6 +168,7 @@
   }
   for (auto& [key, entry] : state.entries) {
     if (key == cause) continue;
+    if (!entry.quarantined && ExplainsAsWell(entry, *Find(state, cause))) continue;
     bool changed = false;
     for (const endpoint_instance& instance : explained) {
       changed |= std::erase_if(entry.disputed, [&](const disputed_loss& loss) {
--- a/libs/quarantine/tests/features_test.cc
+++ b/libs/quarantine/tests/features_test.cc
@@ -10,6 +10,7 @@
 
 const fingerprint kCause = MakeFingerprint("part", "cause");
 const fingerprint kCommon = MakeFingerprint("part", "common");
+const fingerprint kCompanion = MakeFingerprint("part", "companion");
 
 // A daemon. Each run has a content of its own and the features that are named.
 struct daemon_fixture {
@@ -241,6 +242,43 @@
   CHECK(d.Place(std::array{kCause}, Endpoint(11), 4) == verdict::kRefuse);
 }
 
+// Guards against the cause being hidden by a feature that mostly comes with it and is refused in
+// its place, so that the cause needs as many further losses as at first.
+TEST_CASE("a cause beside a feature that was refused for it is refused after one more loss") {
+  daemon_fixture d("a");
+  // One more run makes the cause the more frequent one of the two.
+  d.Place(std::array{kCause}, Endpoint(0));
+  for (size_t i = 0; i < 3; ++i) {
+    d.Place(std::array{kCause, kCompanion}, Endpoint(i));
+    d.Place(std::array{kCause, kCompanion}, Endpoint(i));
+    d.Lose(Endpoint(i));
+  }
+  d.Settle();
+  REQUIRE(d.IsRefused(kCompanion));
+  REQUIRE_FALSE(d.IsRefused(kCause));
+  d.Place(std::array{kCause}, Endpoint(60));
+  d.Lose(Endpoint(60));
+  d.Settle();
+  CHECK(d.IsRefused(kCause));
+  // Its losses are explained by the cause.
+  CHECK_FALSE(d.IsRefused(kCompanion));
+}
+
+// Guards against a cause that crashes endpoints before the head of their reply arrives, and is held
+// back by a sound feature of which a request happened to be executed.
+TEST_CASE("a feature that was executed at few of its losses does not hold back another") {
+  daemon_fixture d("a");
+  for (size_t i = 0; i < 4; ++i) {
+    d.Place(std::array{kCause}, Endpoint(i));
+    for (int copy = 0; copy < 3; ++copy) d.Place(std::array{kCommon}, Endpoint(i));
+    if (i == 0) ReportExecuting(d.state, d.last_run);
+    d.Lose(Endpoint(i));
+  }
+  d.Settle();
+  CHECK(d.IsRefused(kCause));
+  CHECK_FALSE(d.IsRefused(kCommon));
+}
+
 // Guards against a common feature that is refused because the update of an answer is late.
 TEST_CASE("an answer before the losses have settled clears the feature") {
   daemon_fixture d("a");
