--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -30,6 +30,7 @@
 #include "exchange/topology.h"
 #include "gateway/gateway.h"
 #include "lease/holder.h"
+#include "log/log.h"
 #include "net/datagram.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -323,10 +324,17 @@
   std::map<std::string, placement_order> orders;  // by endpoint id
   time_point endpoints_changed;  // last change of the list or of an endpoint's state
   time_point lease_held_since;  // when this gateway last acquired the lease; time_point(): not held
-  double tokens_per_stage = 0;  // KV memory that the placement was sized for
+  // KV memory that the placement was sized for; 0: not known, because the engines hold no layers
+  // and do not suffice for a copy of the model. No order is created then.
+  double tokens_per_stage = 0;
+  // Start of the wait for a complete list of engines: when the lease was acquired, or the last plan
+  // that found too few engines for a copy.
+  time_point settling_since;
+  // Plans are repeated every 100 ms, and an invalid one may recur.
+  log::line_limit rejected_order_lines{.lines_per_s = 0.2, .burst = 5, .tokens = 5};
   std::map<std::string, placed_engine> placed_engines;  // by endpoint id
   std::map<std::string, time_point> idle_since;         // engines without layers, by endpoint id
-  bool placement_started = false;                       // since `lease_held_since`
+  bool placement_started = false;  // since `lease_held_since`; `tokens_per_stage` is known
 
   // Of the complete requests, by the name of the route.
   std::map<std::string, usual_duration> usual_durations;
--- a/libs/gateway/src/placer.cc
+++ b/libs/gateway/src/placer.cc
@@ -194,21 +194,32 @@
   }
 }
 
-void AddOrder(gateway_state& state, const std::string& id, pipeline::layer_range range,
-              time_point now) {
-  const endpoint& target = *FindEndpoint(state, id);
+// Creates an order. The only place where that happens, so that an engine is never ordered to hold
+// layers that it cannot hold, whatever the plan says: such an order is logged and not sent.
+void AddOrder(gateway_state& state, const pipeline::model_spec& model,
+              const pipeline::engine& engine, pipeline::layer_range range, time_point now) {
+  const endpoint& target = *FindEndpoint(state, engine.id);
+  if (const auto valid = pipeline::CheckOrder(model, engine, range); valid.has_error()) {
+    if (!log::AdmitLine(state.rejected_order_lines, log::level::kError, now)) return;
+    log::Log(log::level::kError, "placement order rejected: the engine cannot hold the layers",
+             {{"endpoint", engine.id},
+              {"kind", target.listed.accelerator},
+              {"tokens_per_stage", state.tokens_per_stage},
+              {"detail", valid.error().detail}});
+    return;
+  }
   placement_order order;
   order.range = range;
   order.incarnation = target.listed.incarnation;
   order.started = now;
   order.next_poll = now;
   log::Log(log::level::kInfo, "placement order planned",
-           {{"endpoint", id},
+           {{"endpoint", engine.id},
             {"zone", target.listed.zone},
             {"kind", target.listed.accelerator},
             {"from", range.begin},
             {"to", range.end}});
-  state.orders[id] = order;
+  state.orders[engine.id] = order;
 }
 
 // Engines with the layers that they will hold when the open orders are completed.
@@ -222,7 +233,8 @@
   return engines;
 }
 
-// Plans all layers from scratch, and orders this plan if no engine holds any.
+// Plans all layers from scratch, and orders this plan if no engine holds any. Leaves the stage size
+// at 0 if the engines neither hold layers nor suffice for a copy.
 void StartPlacement(gateway_state& state, const catalog::service& service,
                     std::span<const pipeline::engine> engines, time_point now) {
   const pipeline::placement_plan plan = pipeline::PlanPlacement(*service.pipelined, engines);
@@ -240,7 +252,8 @@
       engines, [](const pipeline::engine& engine) { return engine.held.Size() == 0; });
   if (!all_empty) return;
   for (size_t i = 0; i < plan.ranges.size(); ++i) {
-    if (plan.ranges[i].Size() > 0) AddOrder(state, engines[i].id, plan.ranges[i], now);
+    if (plan.ranges[i].Size() > 0)
+      AddOrder(state, *service.pipelined, engines[i], plan.ranges[i], now);
   }
 }
 
@@ -289,7 +302,7 @@
         pipeline::FindSuccessor(model, engines, idle, placed.held, state.tokens_per_stage);
     if (!successor) continue;
     idle[*successor] = 0;
-    AddOrder(state, engines[*successor].id, placed.held.range, now);
+    AddOrder(state, model, engines[*successor], placed.held.range, now);
     filled.push_back(id);
   }
   std::ranges::for_each(filled, [&](const std::string& id) { state.placed_engines.erase(id); });
@@ -304,15 +317,26 @@
     // A new lease holder first waits until it knows what the engines hold.
     const bool nothing_held = std::ranges::all_of(
         engines, [](const pipeline::engine& engine) { return engine.held.Size() == 0; });
-    if (!HasSettled(nothing_held, now - state.endpoints_changed, now - state.lease_held_since))
+    const bool too_few_engines = state.settling_since > state.lease_held_since;
+    const time_point unchanged_since = too_few_engines
+                                           ? std::max(state.endpoints_changed, state.settling_since)
+                                           : state.endpoints_changed;
+    if (!HasSettled(nothing_held || too_few_engines, now - unchanged_since,
+                    now - state.settling_since))
+      return;
+    StartPlacement(state, *service, engines, now);
+    if (state.tokens_per_stage <= 0) {
+      // Layers that are loaded without a stage size leave the engines no KV cache, and repairs
+      // would keep that size. No request could be served anyway, so the other engines are awaited.
+      state.settling_since = now;
       return;
+    }
     state.placement_started = true;
     // An engine that is empty now need not be new, and the layers that it lost may be missing. So
     // it is not reserved, and counts as idle for an unlimited time.
     for (const pipeline::engine& engine : engines) {
       if (engine.held.Size() == 0) state.idle_since[engine.id] = time_point();
     }
-    StartPlacement(state, *service, engines, now);
     engines = PlannedEngines(state, *service, now);
   }
   TrackEngines(state, engines, now);
@@ -335,8 +359,9 @@
   const auto changes =
       pipeline::PlanRepair(*service->pipelined, engines, movable, state.tokens_per_stage);
   for (const pipeline::placement_change& change : changes) {
-    const std::string& id = engines[change.engine].id;
-    if (IsAvailable(state, id)) AddOrder(state, id, change.range, now);
+    const pipeline::engine& target = engines[change.engine];
+    if (IsAvailable(state, target.id))
+      AddOrder(state, *service->pipelined, target, change.range, now);
   }
 }
 
@@ -365,7 +390,7 @@
   }
   if (MayAct(state)) {
     if (state.lease_held_since == time_point()) {
-      state.lease_held_since = now;
+      state.lease_held_since = state.settling_since = now;
       log::Log(log::level::kInfo, "placement lease acquired", {{"epoch", state.lease.row.epoch}});
     }
     UpdatePlan(state, now);
--- a/libs/pipeline/src/placement.cc
+++ b/libs/pipeline/src/placement.cc
@@ -12,6 +12,9 @@
 constexpr double kMinStageTokens = 10'000;
 constexpr double kMaxStageTokens = 400'000;
 constexpr double kStageTokensIncrement = 5'000;
+// If no copy fits with these, smaller sizes are tried by halves down to this one: a fleet that can
+// just hold the model still serves a few requests.
+constexpr double kMinScarceStageTokens = 300;
 
 // An engine and the number of layers that it runs, or can run at most.
 struct sized_stage {
@@ -207,12 +210,17 @@
   placement_plan plan;
   plan.ranges.resize(engines.size());
   packing best;
-  for (double tokens = kMinStageTokens; tokens <= kMaxStageTokens;
-       tokens += kStageTokensIncrement) {
+  const auto try_size = [&](double tokens) {
     packing candidate = Pack(model, engines, tokens);
-    if (candidate.score <= best.score) continue;
+    if (candidate.score <= best.score) return;
     best = std::move(candidate);
     plan.tokens_per_stage = tokens;
+  };
+  for (double tokens = kMinStageTokens; tokens <= kMaxStageTokens; tokens += kStageTokensIncrement)
+    try_size(tokens);
+  for (double tokens = kMinStageTokens / 2; best.score <= 0 && tokens >= kMinScarceStageTokens;
+       tokens /= 2) {
+    try_size(tokens);
   }
   for (const stage_list& copy : best.copies) {
     int begin = 0;
@@ -226,6 +234,22 @@
   return plan;
 }
 
+result<void> CheckOrder(const model_spec& model, const engine& target, layer_range range) {
+  const std::string layers = std::to_string(range.begin) + "-" + std::to_string(range.end);
+  if (range.begin < 0 || range.Size() <= 0 || range.end > model.layers) {
+    return Failure(errc::kInvalidArgument, "layers " + layers + " are not a range of the model's " +
+                                               std::to_string(model.layers));
+  }
+  if (target.kind >= model.kinds.size()) {
+    return Failure(errc::kInvalidArgument, "unknown kind of accelerator");
+  }
+  const accelerator_kind& kind = model.kinds[target.kind];
+  if (KvCapacityTokenLayers(model, kind, range.Size()) > 0) return Success();
+  return Failure(errc::kInvalidArgument,
+                 "layers " + layers + " take " + std::to_string(range.Size() * model.layer_mb) +
+                     " of " + std::to_string(kind.memory_mb) + " MB and leave no KV cache");
+}
+
 double StageTokens(const model_spec& model, std::span<const engine> engines) {
   std::vector<double> tokens;
   for (const engine& holder : engines) {
@@ -249,6 +273,7 @@
   for (size_t i = 0; i < engines.size(); ++i) {
     if (idle[i] == 0 || !engines[i].usable || engines[i].held.Size() > 0) continue;
     if (engines[i].zone != vacated.zone) continue;
+    if (CheckOrder(model, engines[i], vacated.range).has_error()) continue;
     const double tokens = KvTokens(model, engines[i], vacated.range.Size());
     const bool fits = tokens >= kMinSuccessorKvFraction * tokens_per_stage &&
                       tokens <= kMaxSuccessorKvFactor * tokens_per_stage;
@@ -264,6 +289,7 @@
 std::vector<placement_change> PlanRepair(const model_spec& model, std::span<const engine> engines,
                                          std::span<const char> movable, double tokens_per_stage) {
   std::vector<placement_change> changes;
+  if (tokens_per_stage <= 0) return changes;
   coverage covered;
   covered.total.resize(static_cast<size_t>(model.layers));
   std::vector<size_t> idle;
--- a/libs/pipeline/tests/placement_test.cc
+++ b/libs/pipeline/tests/placement_test.cc
@@ -15,29 +15,74 @@
   for (size_t i = 0; i < engines.size(); ++i) engines[i].held = plan.ranges[i];
 }
 
-// Guards against plans that make an engine run out of memory and crash.
-TEST_CASE("plans and repairs do not exceed the memory of an engine") {
-  rc::prop("random engines", [] {
-    const model_spec model = TestModel();
-    auto engines = RandomEngines(model);
+// A model of random size with accelerators of random memory; some hold a whole number of layers.
+model_spec RandomModel() {
+  model_spec model = TestModel();
+  model.layers = *rc::gen::inRange(1, 130);
+  model.layer_mb = *rc::gen::inRange(1, 4000);
+  model.kv_bytes_per_token = *rc::gen::inRange(1000, 2'000'000);
+  for (accelerator_kind& kind : model.kinds) {
+    const double whole_layers = *rc::gen::inRange(0, model.layers + 2);
+    kind.memory_mb = whole_layers * model.layer_mb + *rc::gen::element(0, 1, 300, 20'000);
+  }
+  return model;
+}
+
+// Layers that fit leave memory for KV cache. Computed here independently of CheckOrder().
+void AssertFits(const model_spec& model, const engine& target, layer_range range) {
+  RC_ASSERT(target.usable);
+  RC_ASSERT(range.begin >= 0);
+  RC_ASSERT(range.end > range.begin);
+  RC_ASSERT(range.end <= model.layers);
+  RC_ASSERT(range.Size() * model.layer_mb < model.kinds[target.kind].memory_mb);
+}
+
+// Guards against orders that make an engine run out of memory and crash: after a start with too few
+// engines for a copy the stage size is unknown (0), and a t4 was ordered to hold the 41 layers of
+// an h100 that had crashed.
+TEST_CASE("plans, repairs and successors do not exceed the memory of an engine") {
+  rc::prop("random fleets", [] {
+    const model_spec model = RandomModel();
+    const auto engines = RandomEngines(model);
     const placement_plan plan = PlanPlacement(model, engines);
     for (size_t i = 0; i < engines.size(); ++i) {
-      const layer_range range = plan.ranges[i];
-      if (range.Size() == 0) continue;
-      RC_ASSERT(engines[i].usable);
-      RC_ASSERT(range.begin >= 0);
-      RC_ASSERT(range.end <= model.layers);
-      RC_ASSERT(KvCapacityTokenLayers(model, model.kinds[engines[i].kind], range.Size()) > 0);
+      if (plan.ranges[i].Size() > 0) AssertFits(model, engines[i], plan.ranges[i]);
     }
-    const std::vector<char> movable(engines.size(), 1);
-    for (const placement_change& change : PlanRepair(model, engines, movable, 60'000)) {
-      RC_ASSERT(engines[change.engine].usable);
-      RC_ASSERT(KvCapacityTokenLayers(model, model.kinds[engines[change.engine].kind],
-                                      change.range.Size()) > 0);
+    const std::vector<char> all(engines.size(), 1);
+    const double tokens_per_stage =
+        *rc::gen::element(0.0, 1.0, 60'000.0, plan.tokens_per_stage, StageTokens(model, engines));
+    for (const placement_change& change : PlanRepair(model, engines, all, tokens_per_stage)) {
+      AssertFits(model, engines[change.engine], change.range);
+    }
+    for (const engine& lost : engines) {
+      if (lost.held.Size() == 0) continue;
+      const auto successor = FindSuccessor(
+          model, engines, all, {.range = lost.held, .zone = lost.zone, .kind = lost.kind},
+          tokens_per_stage);
+      if (successor) AssertFits(model, engines[*successor], lost.held);
     }
   });
 }
 
+// Guards against the order of the review case: two engines that cannot hold the model come up
+// first, so there is no stage size, and a large engine that crashes leaves layers to a small one.
+TEST_CASE("a small engine does not take over the layers of a large one without a stage size") {
+  const model_spec model = TestModel();
+  const std::vector<engine> engines = {MakeEngine("t4", 4, {})};
+  const std::vector<char> idle = {1};
+  const vacated_layers vacated{.range = {0, 41}, .zone = "a", .kind = 1};
+  CHECK(FindSuccessor(model, engines, idle, vacated, 0) == std::nullopt);
+}
+
+// Guards against engines that are filled with layers and have no memory left to run requests.
+TEST_CASE("without a stage size nothing is repaired") {
+  const model_spec model = TestModel();
+  const std::vector<engine> engines = {MakeEngine("h100", 1, {}), MakeEngine("t4", 4, {})};
+  const std::vector<char> movable(engines.size(), 1);
+  CHECK(PlanPlacement(model, engines).tokens_per_stage == 0);
+  CHECK(PlanRepair(model, engines, movable, 0).empty());
+}
+
 TEST_CASE("a site with mixed accelerators gets complete copies, and each zone can serve alone") {
   const model_spec model = TestModel();
   auto engines = MixedSite();
@@ -114,5 +159,18 @@
   CHECK(plan.copies == 0);
 }
 
+// Guards against a fleet that just holds the model and gets no layers at all: ten engines of eight
+// layers have room for 5,000 tokens in each, half of the usual smallest stage.
+TEST_CASE("a fleet that can just hold the model gets a copy with small stages") {
+  const model_spec model = TestModel();
+  std::vector<engine> engines;
+  for (int i = 0; i < 10; ++i) engines.push_back(MakeEngine("e" + std::to_string(i), 4, {}));
+  const placement_plan plan = PlanPlacement(model, engines);
+  CHECK(plan.copies == 1);
+  CHECK(plan.tokens_per_stage == 5000);
+  Apply(engines, plan);
+  CHECK(MinCoverageTokens(model, engines) > 5000);
+}
+
 }  // namespace
 }  // namespace balsambay::pipeline
