Entries of other writers change nothing that is known of an endpoint

Cause: `born` and `slots` were optional when an entry was decoded, and `version`, `cold_left_ms` and `seq` were not looked at. An entry with only service, address, zone and "ready" counted as that of a restarted endpoint with incarnation 0, which ends "leaving"; so did an entry of an earlier incarnation. A row that could not be decoded removed its endpoint from the registry, and the next one counted as a restart, which ended "down".

A row that fails takes its endpoint out of use until a readable row; the endpoint stays in the registry with all that is known of it. An entry of an earlier incarnation than the known one, or than that of an endpoint removed lately, is ignored. Each is logged once per cause, not at each reading of the list.

--- a/libs/gateway/include/gateway/wire.h
+++ b/libs/gateway/include/gateway/wire.h
@@ -98,6 +98,8 @@
   int slots = 1;
   std::string accelerator;                    // name of its kind; empty for plain services
   std::optional<pipeline::layer_range> held;  // layers
+  // The entry has missing or malformed fields; only `id` is set.
+  bool unreadable = false;
   bool operator==(const listed_endpoint&) const = default;
 };
 
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -68,6 +68,10 @@
   listed_endpoint listed;
   time_point listed_at;         // when this incarnation was first listed
   bool listed_leaving = false;  // leaving according to the list; `listed.leaving`: list or replies
+  // The present entry is unreadable: not used until the next readable one. All else stays as it
+  // was, so that the entry of another writer ends no belief.
+  bool unreadable = false;
+  uint64_t ignored_incarnation = 0;           // of the last ignored entry, which is logged once
   std::optional<pipeline::layer_range> held;  // layers; the newest of list and report
   uint64_t accepted_orders = 0;
   bool busy = false;
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -126,10 +126,43 @@
   const auto departed = state.departed.find(listed.id);
   const bool has_departed =
       departed != state.departed.end() && departed->second.incarnation == listed.incarnation;
+  // Differs from that of the entry, so that UpdateEndpoint() finds a restart.
   target.listed.incarnation = has_departed ? listed.incarnation : listed.incarnation + 1;
   target.listed.leaving = has_departed;
 }
 
+// Incarnation of an endpoint that was removed from the list lately; 0: none is known.
+uint64_t RemovedIncarnation(const gateway_state& state, const std::string& id) {
+  const auto departed = state.departed.find(id);
+  const auto unlisted = state.unlisted.find(id);
+  return std::max(departed == state.departed.end() ? 0 : departed->second.incarnation,
+                  unlisted == state.unlisted.end() ? 0 : unlisted->second.incarnation);
+}
+
+// Whether the entry changes nothing: it is unreadable, or of an earlier incarnation than the known
+// one, as when an old entry is written again.
+bool IsIgnored(gateway_state& state, const listed_endpoint& entry) {
+  endpoint* known = FindEndpoint(state, entry.id);
+  if (known != nullptr && known->unreadable != entry.unreadable) {
+    known->unreadable = entry.unreadable;
+    state.endpoints_changed = MonotonicNow();
+    log::Log(log::level::kInfo,
+             entry.unreadable ? "endpoint not used, its entry is unreadable"
+                              : "endpoint has a readable entry again",
+             {{"endpoint", entry.id}});
+  }
+  if (entry.unreadable) return true;
+  if (known == nullptr) return entry.incarnation < RemovedIncarnation(state, entry.id);
+  if (entry.incarnation >= known->listed.incarnation) return false;
+  if (std::exchange(known->ignored_incarnation, entry.incarnation) != entry.incarnation) {
+    log::Log(log::level::kWarning, "ignoring an endpoint row of an earlier incarnation",
+             {{"endpoint", entry.id},
+              {"incarnation", entry.incarnation},
+              {"known", known->listed.incarnation}});
+  }
+  return true;
+}
+
 // Marks the endpoint as ended when it has been down for kMaxSilence.
 void ScheduleEndCheck(gateway_state& state, const endpoint& target) {
   Subscribe(state.loop.Timers(), target.down_since + kMaxSilence,
@@ -188,7 +221,8 @@
 }
 
 bool IsUsable(const gateway_state& state, const endpoint& target, time_point now) {
-  if (target.listed.leaving || target.down || now < target.backoff_until) return false;
+  if (target.listed.leaving || target.unreadable || target.down) return false;
+  if (now < target.backoff_until) return false;
   const auto zone = state.zone_down_until.find(target.listed.zone);
   return zone == state.zone_down_until.end() || zone->second <= now;
 }
@@ -230,6 +264,7 @@
       removed_ids.push_back(id);
   }
   for (const listed_endpoint& entry : listed) {
+    if (IsIgnored(state, entry)) continue;
     state.pending_removals.erase(entry.id);
     const auto [found, added] = state.endpoints.try_emplace(entry.id);
     if (added) InitializeEndpoint(state, found->second, entry);
