gateway: count the retry budget across the end of processes

Cause: the window of the repeats is kept in process memory. A gateway that is killed and started again has its share of the allowance a second time; until it has read the list of gateways it even has the whole allowance, and the gateways that stay take over the share of one that has left the list while its repeats still count.

--- a/libs/gateway/include/gateway/settings.h
+++ b/libs/gateway/include/gateway/settings.h
@@ -28,6 +28,9 @@
   double retry_ratio = 0.2;
   duration retry_window = std::chrono::seconds(10);
   double retry_slack = 0;
+  // First start of the whole installation: no earlier process has used the retry budget. Otherwise
+  // the gateway sends no retries until `retry_window` after its start. Used at the start only.
+  bool bootstrap = false;
   // After this time, an engine ends requests that wait for a lost engine.
   duration engine_stall = std::chrono::milliseconds(3000);
   // A copy of a shared table that has not been confirmed as current for this long is checked: about
--- a/libs/gateway/src/details/monitor.h
+++ b/libs/gateway/src/details/monitor.h
@@ -58,4 +58,8 @@
 // Applies the complete list of the other gateways.
 void ReplacePeers(gateway_state& state, std::span<const peer_address> peers);
 
+// Sets this gateway's share of the retry slack of the installation: equal shares for all gateways.
+// Without effect before the list of gateways is known.
+void UpdateShare(gateway_state& state);
+
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -287,6 +287,7 @@
   std::unordered_map<std::string, std::string> id_by_address;
   std::unordered_map<uint32_t, std::string> endpoint_names;  // id by numeric name in messages
   std::map<std::string, peer> peers;                         // by id, without this gateway
+  bool peers_known = false;                                  // the list of gateways was read
   std::unordered_map<uint32_t, std::string> peer_names;      // id by numeric name in messages
   std::vector<exchange::member> members;                     // all gateways, this one included
   exchange::topology topology;                               // of `members`
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -91,6 +91,7 @@
   result<void> Run() {
     BOOST_OUTCOME_TRYV(Listen());
     state_.started_at = MonotonicNow();
+    HoldRepeats();
     BOOST_OUTCOME_TRYV(StartPeers(state_));
     StartMonitor(state_);
     StartPlacer(state_);
@@ -143,7 +144,10 @@
     ShareChange(state_, which, change, as_of_ms);
   }
 
-  void OnPeers(std::span<const peer_address> peers) override { ReplacePeers(state_, peers); }
+  void OnPeers(std::span<const peer_address> peers) override {
+    state_.peers_known = true;
+    ReplacePeers(state_, peers);
+  }
 
   void OnQuarantine(std::span<const quarantine_record> records) override {
     ApplyQuarantineRecords(state_, records);
@@ -203,8 +207,15 @@
   void ApplyBudgetSettings() {
     state_.budget.window = state_.config.retry_window;
     state_.budget.ratio = state_.config.retry_ratio;
-    state_.budget.own_allowance =
-        state_.config.retry_slack / static_cast<double>(state_.peers.size() + 1);
+    UpdateShare(state_);
+  }
+
+  // An earlier process of this gateway may have used its part of the retry budget until now.
+  void HoldRepeats() {
+    if (state_.config.bootstrap) return;
+    state_.budget.held_until = state_.started_at + state_.config.retry_window;
+    log::Log(log::level::kInfo, "retries held until the budget's window has passed",
+             {{"ms", WholeMilliseconds(state_.config.retry_window)}});
   }
 
   void RespondReadiness(const net::exchange_ptr& exchange) {
--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -613,10 +613,13 @@
             {"cell", state.topology.cell.size()},
             {"interval_ms", WholeMilliseconds(state.topology.interval)}});
   SumLoads(state);
-  // Each gateway takes an equal share of the retry slack of the installation. A peer that
-  // this gateway does not know yet may add one share to the total.
-  state.budget.own_allowance =
-      state.config.retry_slack / static_cast<double>(state.peers.size() + 1);
+  UpdateShare(state);
+}
+
+void UpdateShare(gateway_state& state) {
+  if (!state.peers_known) return;
+  SetShare(state.budget, state.config.retry_slack / static_cast<double>(state.peers.size() + 1),
+           MonotonicNow());
 }
 
 }  // namespace balsambay::gateway
--- a/libs/gateway/src/repeat_budget.cc
+++ b/libs/gateway/src/repeat_budget.cc
@@ -14,14 +14,29 @@
   return budget.services[std::string(service)];
 }
 
+// The smallest share that was in force within the window.
+double EffectiveShare(repeat_budget& budget, time_point now) {
+  std::deque<allowance_share>& shares = budget.shares;
+  while (!shares.empty() && shares.front().in_force_until < now - budget.window) shares.pop_front();
+  return shares.empty() ? 0 : shares.front().value;
+}
+
 }  // namespace
 
+void SetShare(repeat_budget& budget, double share, time_point now) {
+  std::deque<allowance_share>& shares = budget.shares;
+  if (!shares.empty()) shares.back().in_force_until = now;
+  while (!shares.empty() && shares.back().value >= share) shares.pop_back();
+  shares.push_back({.value = share});
+}
+
 budget_usage GetUsage(repeat_budget& budget, std::string_view service, time_point now) {
   auto& [requests, repeats] = FindOrAddSends(budget, service);
   DropOlderThan(requests, now - budget.window);
   DropOlderThan(repeats, now - budget.window);
+  if (now < budget.held_until) return {repeats.size(), 0};
   return {repeats.size(),
-          budget.ratio * static_cast<double>(requests.size()) + budget.own_allowance};
+          budget.ratio * static_cast<double>(requests.size()) + EffectiveShare(budget, now)};
 }
 
 void CountRequest(repeat_budget& budget, std::string_view service, time_point now) {
--- a/libs/gateway/tests/event_stream_test.cc
+++ b/libs/gateway/tests/event_stream_test.cc
@@ -75,7 +75,8 @@
 // Guards against retry storms: if every request fails, repeats are still limited to a share of the
 // requests in the window.
 TEST_CASE("repeats stay within the budget of each window") {
-  repeat_budget budget{.window = 10s, .ratio = 0.2, .own_allowance = 5, .services = {}};
+  repeat_budget budget{
+      .window = 10s, .ratio = 0.2, .held_until = {}, .shares = {{5}}, .services = {}};
   time_point now{};
   int repeats = 0;
   for (int i = 0; i < 100; ++i) {
@@ -93,7 +94,8 @@
 // Guards against a budget that is shared between services: requests for one service must not allow
 // repeats for another.
 TEST_CASE("each service has a separate budget") {
-  repeat_budget budget{.window = 10s, .ratio = 0.2, .own_allowance = 1, .services = {}};
+  repeat_budget budget{
+      .window = 10s, .ratio = 0.2, .held_until = {}, .shares = {{1}}, .services = {}};
   const time_point now{};
   for (int i = 0; i < 100; ++i) CountRequest(budget, "busy", now);
   CHECK(MayRepeat(budget, "other", now));
@@ -102,5 +104,43 @@
   CHECK(MayRepeat(budget, "busy", now));
 }
 
+// Sends as many repeats of one service as the budget allows.
+int UseUp(repeat_budget& budget, time_point now) {
+  int repeats = 0;
+  for (; MayRepeat(budget, "s", now); ++repeats) CountRepeat(budget, "s", now);
+  return repeats;
+}
+
+// Guards against a restarted gateway that uses the allowance of its earlier process again, and
+// against use before the number of gateways is known.
+TEST_CASE("a restarted gateway sends no repeats within the window") {
+  const time_point start = time_point{} + 100s;
+  repeat_budget budget{
+      .window = 10s, .ratio = 0.2, .held_until = start + 10s, .shares = {}, .services = {}};
+  SetShare(budget, 5, start);
+  for (int i = 0; i < 100; ++i) CountRequest(budget, "s", start + 9s);
+  CHECK(UseUp(budget, start + 9999ms) == 0);
+  CHECK(UseUp(budget, start + 10s) == 25);
+  repeat_budget unknown{
+      .window = 10s, .ratio = 0.2, .held_until = {}, .shares = {}, .services = {}};
+  CHECK(UseUp(unknown, start) == 0);
+}
+
+// Guards against a gateway that takes over the share of a killed one whose repeats are still within
+// the window: 3 gateways, 60 repeats allowed, one is killed after it has used its share.
+TEST_CASE("a share grows after the window has passed") {
+  const time_point start = time_point{} + 100s;
+  repeat_budget budget{.window = 10s, .ratio = 0, .held_until = {}, .shares = {}, .services = {}};
+  SetShare(budget, 60, start - 20s);
+  SetShare(budget, 20, start - 19s);
+  SetShare(budget, 30, start);
+  CHECK(UseUp(budget, start + 1s) == 20);
+  CHECK(UseUp(budget, start + 10s) == 0);
+  CHECK(UseUp(budget, start + 10001ms) == 10);
+  // The gateway returns.
+  SetShare(budget, 20, start + 12s);
+  CHECK(UseUp(budget, start + 20s) == 10);
+}
+
 }  // namespace
 }  // namespace balsambay::gateway
