Settings: each change is applied or named for a restart; the store may move (CONFIG)

Cause: Reload() passed only the gateway's limits on. The store client kept the address of the start, so after a change of provider.addr a gateway never learned of configurations, removed keys or draining engines again. Changed names and addresses of the process itself were neither used nor reported, and a later registration would have written them.

Replies of the former address are dropped; calls under way end with an unknown outcome. - The placement lease is given up and acquired anew in the new store (lease::OnTableMoved()). The row is observed for the whole lease duration, even if it names this process; weighed against 4 s without orders: another process may be taking it over. - The new store's clock may differ, so confirmations are void until its first reply, and times of peers that lie in the future are not believed. Not solved: while gateways whose file has not changed yet use a former store that still takes writes, two may hold the lease.

The programs in tests/system were not run.

--- a/libs/gateway/include/gateway/gateway.h
+++ b/libs/gateway/include/gateway/gateway.h
@@ -111,7 +111,11 @@
   // All quarantine records of the table. A record that is not in the list is no longer in force.
   virtual void OnQuarantine(std::span<const quarantine_record> records) = 0;
 
-  // Applies the limits of changed settings. Listen addresses do not change.
+  // Call when the store has another address, before the first call to it: replies of the former
+  // address neither hold the placement lease nor count as confirmations of the tables any more.
+  virtual void OnStoreMoved() = 0;
+
+  // Applies the limits of changed settings. Names, zone and listen addresses do not change.
   virtual void OnSettings(const settings& settings) = 0;
 
   // Graceful stop. Readiness is withdrawn at once; new requests are refused after
--- a/libs/gateway/src/details/freshness.h
+++ b/libs/gateway/src/details/freshness.h
@@ -55,7 +55,12 @@
 void OnStoreReply(freshness& copy, uint64_t changed, uint64_t complete, uint64_t as_of_ms,
                   time_point now);
 
-// Call when a change forwarded by a peer was applied. `as_of_ms` 0: further parts follow.
+// Call when the store has another address. Its clock may differ, so earlier confirmations are void,
+// and the copy counts as never confirmed until the store's first reply.
+void OnStoreMoved(freshness& copy);
+
+// Call when a change forwarded by a peer was applied. `as_of_ms` 0: further parts follow, or the
+// time is not to be believed.
 void OnChangeApplied(freshness& copy, uint64_t changed, uint64_t complete, uint64_t as_of_ms);
 
 // Call for a peer's position: its newest change, and the time of the store's clock at which that
@@ -71,6 +76,11 @@
 // check is due.
 bool OnLargeChange(freshness& copy, uint64_t until, const remote_clock& clock, time_point now);
 
+// Whether a time of the store's clock that a peer states can be right: it is not in the future.
+// While the store moves, peers may still use the former one, whose clock may be far ahead.
+// Believed, its times would make the copy count as current for as long.
+bool IsPlausibleTime(const remote_clock& clock, uint64_t as_of_ms, time_point now);
+
 // Newest version that peers have announced; 0: none that the local copy lacks.
 uint64_t NewestAnnouncedVersion(const freshness& copy);
 
--- a/libs/gateway/src/details/placer.h
+++ b/libs/gateway/src/details/placer.h
@@ -14,6 +14,10 @@
 // Starts to compete for the lease and to place layers while holding it. Call once.
 void StartPlacer(gateway_state& state);
 
+// Gives the lease up, because it was acquired at the former address of the store, and competes for
+// it at the new one.
+void RestartLease(gateway_state& state);
+
 // Releases the lease, so that another gateway can acquire it at once.
 void StopPlacer(gateway_state& state);
 
--- a/libs/gateway/src/freshness.cc
+++ b/libs/gateway/src/freshness.cc
@@ -79,6 +79,15 @@
   copy.unanswered = 0;
 }
 
+void OnStoreMoved(freshness& copy) {
+  copy.confirmed_ms = 0;
+  copy.unanswered = 0;
+}
+
+bool IsPlausibleTime(const remote_clock& clock, uint64_t as_of_ms, time_point now) {
+  return clock.offset && ToLocal(clock, as_of_ms) <= now;
+}
+
 void OnChangeApplied(freshness& copy, uint64_t changed, uint64_t complete, uint64_t as_of_ms) {
   Advance(copy, changed, complete, as_of_ms);
 }
@@ -93,7 +102,8 @@
     AddAnnounced(copy, changed, now + copy.delivery_grace);
     return IsCheckDue(copy, clock, now);
   }
-  if (copy.confirmed_ms != 0) copy.confirmed_ms = std::max(copy.confirmed_ms, as_of_ms);
+  if (copy.confirmed_ms != 0 && IsPlausibleTime(clock, as_of_ms, now))
+    copy.confirmed_ms = std::max(copy.confirmed_ms, as_of_ms);
   return false;
 }
 
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -149,11 +149,19 @@
     ApplyQuarantineRecords(state_, records);
   }
 
+  void OnStoreMoved() override {
+    std::ranges::for_each(state_.feeds,
+                          [](freshness& copy) { balsambay::gateway::OnStoreMoved(copy); });
+    state_.store_clock = {};
+    RestartLease(state_);
+  }
+
   void OnSettings(const settings& settings) override {
     state_.config.retry_ratio = settings.retry_ratio;
     state_.config.retry_window = settings.retry_window;
     state_.config.retry_slack = settings.retry_slack;
     state_.config.stop_grace = settings.stop_grace;
+    state_.config.engine_stall = settings.engine_stall;
     state_.config.feed_age_limit = settings.feed_age_limit;
     state_.config.change_propagation_limit = settings.change_propagation_limit;
     state_.config.memory_limit_bytes = settings.memory_limit_bytes;
--- a/libs/gateway/src/peers.cc
+++ b/libs/gateway/src/peers.cc
@@ -284,7 +284,10 @@
   const applied_change applied = state.store.apply(static_cast<feed>(index), change);
   switch (applied.outcome) {
     case replica::change_outcome::kApplied:
-      return OnChangeApplied(copy, applied.changed, applied.complete, message.rows->as_of_ms);
+      return OnChangeApplied(copy, applied.changed, applied.complete,
+                             IsPlausibleTime(state.store_clock, message.rows->as_of_ms, now)
+                                 ? message.rows->as_of_ms
+                                 : 0);
     case replica::change_outcome::kAlreadyApplied:
       return;
     case replica::change_outcome::kGap:
--- a/libs/gateway/src/placer.cc
+++ b/libs/gateway/src/placer.cc
@@ -421,6 +421,8 @@
   Tick(state, MonotonicNow());
 }
 
+void RestartLease(gateway_state& state) { lease::OnTableMoved(state.lease, MonotonicNow()); }
+
 void StopPlacer(gateway_state& state) {
   if (state.stopping_lease) return;
   state.stopping_lease = true;
--- a/libs/gateway/tests/freshness_test.cc
+++ b/libs/gateway/tests/freshness_test.cc
@@ -28,6 +28,23 @@
   return copies;
 }
 
+// Guards against a copy that counts as current for hours: while the store moves, a peer that still
+// uses the former one states times of its clock, which may be far ahead of that of the new one.
+TEST_CASE("times of another clock do not confirm a copy") {
+  auto copies = MakeCopies(1);
+  freshness& copy = copies[0];
+  OnStoreMoved(copy);
+  CHECK(copy.confirmed_ms == 0);
+  CHECK(copy.complete == 9);
+  OnStoreReply(copy, 5, 9, StoreMs(kStart), kStart);
+  OnPeerPosition(copy, 5, StoreMs(kStart + 1h), kClock, kStart + 10ms);
+  CHECK(copy.confirmed_ms == StoreMs(kStart));
+  CHECK(IsCheckDue(copy, kClock, kStart + 2s));
+  OnPeerPosition(copy, 5, StoreMs(kStart + 5ms), kClock, kStart + 10ms);
+  CHECK(copy.confirmed_ms == StoreMs(kStart + 5ms));
+  CHECK_FALSE(IsPlausibleTime({}, StoreMs(kStart), kStart));
+}
+
 // Guards against a large installation in which each gateway polls the store on its own.
 TEST_CASE("a check by one gateway confirms the copies of all gateways") {
   auto copies = MakeCopies(60);
--- a/libs/lease/include/lease/holder.h
+++ b/libs/lease/include/lease/holder.h
@@ -47,6 +47,12 @@
 // take it over at once.
 std::vector<table_call> Release(holder& holder, time_point now);
 
+// The table is served by another service from now on. Whatever is known of the row came from the
+// former one, so MayAct() is false until the lease has been acquired again, and replies to open
+// calls are ignored. The row is observed anew for the whole lease duration, even if it names this
+// process: another process may have read it there and be about to take it over.
+void OnTableMoved(holder& holder, time_point now);
+
 // When OnTick() has to be called next; kNever when nothing is due.
 time_point NextDeadline(const holder& holder);
 
--- a/libs/lease/src/holder.cc
+++ b/libs/lease/src/holder.cc
@@ -136,6 +136,13 @@
   return OnTick(holder, now);
 }
 
+void OnTableMoved(holder& holder, time_point now) {
+  holder.attempt.reset();
+  holder.act_until = {};
+  Step(holder, lease_event::kLost);
+  ResetObservation(holder, now);
+}
+
 time_point NextDeadline(const holder& holder) {
   if (holder.attempt) return holder.attempt->deadline;
   if (holder.state != holder_state::kObserving) return holder.next_renewal;
--- a/libs/lease/tests/lease_test.cc
+++ b/libs/lease/tests/lease_test.cc
@@ -25,6 +25,48 @@
   CHECK(TakeoverTime(observed, timing) == kStart + milliseconds(1100));
 }
 
+// Guards against a lease that is held through a store that the process no longer uses, while
+// another process takes it over in the new one.
+TEST_CASE("after the table has moved, the lease is not held until it is acquired there") {
+  table::memory_table former;
+  table::memory_table moved;
+  holder holder;
+  holder.key = "lease/g";
+  holder.self = "a#1";
+  const auto run = [&](table::memory_table& table, std::vector<table_call> calls, time_point now) {
+    while (!calls.empty()) {
+      const table_call call = calls.front();
+      calls.erase(calls.begin());
+      const auto* tx = std::get_if<table::transaction>(&call.request);
+      const table_outcome outcome =
+          tx != nullptr ? table_outcome{Commit(table, *tx)}
+                        : table_outcome{Read(table, std::get<table::read_request>(call.request))};
+      for (const table_call& next : OnTableReply(holder, call.id, outcome, now))
+        calls.push_back(next);
+    }
+  };
+  run(former, OnTick(holder, kStart), kStart);
+  run(former, OnTick(holder, kStart), kStart);
+  REQUIRE(MayAct(holder, kStart));
+  // The row was copied to the new table.
+  Commit(moved, {{}, {{"lease/g", Read(former, {{"lease/g"}, {}}).rows.front().value}}});
+  const time_point renewal = kStart + holder.config.renew_interval;
+  const auto late_calls = OnTick(holder, renewal);
+  REQUIRE(late_calls.size() == 1);
+  OnTableMoved(holder, renewal);
+  CHECK_FALSE(MayAct(holder, renewal));
+  run(former, late_calls, renewal);
+  CHECK_FALSE(MayAct(holder, renewal));
+  const time_point expiry = renewal + holder.config.lease_duration;
+  for (time_point now = renewal; now < expiry; now += milliseconds(100)) {
+    run(moved, OnTick(holder, now), now);
+    CHECK_FALSE(MayAct(holder, now));
+  }
+  run(moved, OnTick(holder, expiry), expiry);
+  CHECK(MayAct(holder, expiry));
+  CHECK(holder.row.epoch == 2);
+}
+
 TEST_CASE("an invalid lease row is never taken over, so that its epoch cannot decrease") {
   observation observed;
   const table::row row{"lease/g", 7, "{}"};
--- a/libs/replica/include/replica/poller.h
+++ b/libs/replica/include/replica/poller.h
@@ -21,7 +21,7 @@
 struct poller {
   poll_phase phase = poll_phase::kReadingTable;
   bool following = true;
-  bool loaded = false;  // the whole table has been read at least once
+  bool loaded = false;  // the whole table has been read from this address of the store
   duration backoff{0};  // delay after the last failed call; 0: the last call succeeded
   // Delay after a change of a followed table, before the next long poll.
   duration coalescing_delay = std::chrono::milliseconds(100);
@@ -55,6 +55,9 @@
 poll_step OnHistoryGone(poller& poller);
 // The delay of the last kSleep is over.
 poll_step OnWake(poller& poller);
+// The store has another address: the whole table must be read again, as it may differ there.
+// `delay`: until the read; 0: at once.
+poll_step OnStoreMoved(poller& poller, duration delay);
 // Starts or stops to follow the table.
 poll_step OnFollowing(poller& poller, bool following);
 
--- a/libs/replica/src/poller.cc
+++ b/libs/replica/src/poller.cc
@@ -63,6 +63,13 @@
   return poller.loaded ? Poll(poller) : OnHistoryGone(poller);
 }
 
+poll_step OnStoreMoved(poller& poller, duration delay) {
+  poller.loaded = false;
+  poller.backoff = duration::zero();
+  if (delay <= duration::zero()) return OnHistoryGone(poller);
+  return Enter(poller, poll_phase::kBackingOff, {poll_action::kSleep, delay});
+}
+
 poll_step OnFollowing(poller& poller, bool following) {
   poller.following = following;
   const bool no_open_call =
--- a/libs/replica/tests/poller_test.cc
+++ b/libs/replica/tests/poller_test.cc
@@ -29,6 +29,18 @@
   CHECK(OnCheck(poller).action == poll_action::kPoll);
 }
 
+// Guards against changes that are requested from a version that the new store never had.
+TEST_CASE("after the store has moved, the whole table is read before changes are requested") {
+  poller followed = LoadedPoller(true);
+  CHECK(OnStoreMoved(followed, 0ms).action == poll_action::kReadTable);
+  CHECK(OnFailure(followed) == poll_step{poll_action::kSleep, 100ms});
+  CHECK(OnWake(followed).action == poll_action::kReadTable);
+  CHECK(OnSuccess(followed, false).action == poll_action::kLongPoll);
+  poller other = LoadedPoller(false);
+  CHECK(OnStoreMoved(other, 700ms) == poll_step{poll_action::kSleep, 700ms});
+  CHECK(OnWake(other).action == poll_action::kReadTable);
+}
+
 TEST_CASE("a followed table is long-polled again after the coalescing delay") {
   poller poller;
   CHECK(OnSuccess(poller, false).action == poll_action::kLongPoll);
