A request that silences plain endpoints is contained when they are back

Cause: a loss counted only for requests that were still open on the endpoint. A plain endpoint that a request crashes silently is found lost by its return as a new incarnation, when the request has ended; if its entry had expired, no loss was reported at all.

Change: an attempt at a plain endpoint that ends without an answer is kept for 15 s; if that incarnation is then found lost, the loss counts for its fingerprint. No health checks or messages are added. Slow requests, endpoints that answer again as the same incarnation, and requests placed after another one had ended unanswered are not blamed.

Limit: a silent endpoint is found lost when it is back, not within the 2 s of an engine.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -405,6 +405,7 @@
   endpoint* target = IsForeign(*request, attempt->facts) || head.status == 421
                          ? nullptr
                          : FindEndpoint(state, attempt->path.front().endpoint_id);
+  if (target != nullptr) OnEndpointAnswered(state, *target);
   if (target != nullptr) ApplyReplyMetadata(state, *target, attempt->facts);
   if (!IsCurrent(request, attempt)) return;
   // A refusal of another request does not prove that this one did not run.
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -121,8 +121,12 @@
 
 // Ends a request after its final reply: closes its attempts and forgets it.
 void Retire(gateway_state& state, const call_ptr& request) {
+  const std::array<attempt_ptr, 2> attempts = {request->open, request->successor};
+  for (const attempt_ptr& attempt : attempts) {
+    if (attempt) RecordUnanswered(state, *request, *attempt);
+  }
   if (request->open) EndAttempt(state, *request, attempt_end::kClosed);
-  for (const attempt_ptr& attempt : {request->open, request->successor}) {
+  for (const attempt_ptr& attempt : attempts) {
     if (attempt) CloseAttempt(state, *attempt);
   }
   request->open = request->successor = nullptr;
@@ -430,6 +434,7 @@
   if (attempt->cut && target != nullptr) {
     OnConnectionBroken(state, *request, *target);
   } else {
+    if (failure == attempt_failure::kStalled) RecordUnanswered(state, *request, *attempt);
     EndAttempt(state, *request, attempt_end::kClosed);
   }
   CloseAttempt(state, *attempt);
--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -27,6 +27,9 @@
 // How long a completed run clears its request: after that, the request may crash endpoints that
 // were added since. Shorter than the 3 s or more within which gateways have to contain a request.
 constexpr duration kProofLifetime = 2000ms;
+// How long a request that was not answered is a possible cause of the loss of its plain endpoint:
+// the time in which a crashed endpoint is back, some seconds, and its new entry is known.
+constexpr duration kUnansweredLifetime = 15'000ms;
 // Number of passed-on outputs that show that a request does not crash its engines. More than one,
 // because a crashing engine may still send the first outputs.
 constexpr int kProofOutputs = 3;
@@ -280,6 +283,17 @@
   }
 }
 
+void LogUnansweredOn(const gateway_state& state, const quarantine::endpoint_instance& instance) {
+  for (const quarantine::unanswered_run& ended : state.quarantine.unanswered) {
+    if (ended.instance != instance) continue;
+    log::Log(log::level::kInfo, "unanswered request was on a lost endpoint",
+             {{"fingerprint", quarantine::ToString(ended.key)},
+              {"endpoint", instance.endpoint},
+              {"incarnation", instance.incarnation},
+              {"ended_ms_ago", WholeMilliseconds(MonotonicNow() - ended.ended_at)}});
+  }
+}
+
 struct decoded_record {
   quarantine::fingerprint fingerprint;
   int64_t until_ms = 0;                             // Unix time
@@ -422,6 +436,31 @@
   ConfirmLoss(state, target);
 }
 
+void RecordUnanswered(gateway_state& state, const call& request, const attempt& ended) {
+  if (IsPipelined(ended) || ended.head.status != 0 || ended.no_socket) return;
+  const std::string& id = ended.path.front().endpoint_id;
+  const auto reached = request.reached.find(id);
+  if (reached == request.reached.end()) return;
+  const time_point now = MonotonicNow();
+  quarantine::ReportUnanswered(state.quarantine, request.number, {id, reached->second}, now,
+                               now + kUnansweredLifetime);
+}
+
+void OnEndpointAnswered(gateway_state& state, const endpoint& target) {
+  if (state.quarantine.unanswered.empty()) return;
+  quarantine::ReportAnswer(state.quarantine, LifeOf(target),
+                           MonotonicNow() + state.config.change_propagation_limit);
+}
+
+void OnRemovedEndpointLost(gateway_state& state, const std::string& id, uint64_t incarnation) {
+  const quarantine::endpoint_instance instance{id, incarnation};
+  LogUnansweredOn(state, instance);
+  quarantine::side_effects outputs;
+  // Requests that are still open on it may have been sent after the loss.
+  quarantine::ReportLost(state.quarantine, instance, MonotonicNow(), outputs, time_point::min());
+  Process(state, outputs, record_writer::kSelf);
+}
+
 void EndAttempt(gateway_state& state, const call& request, attempt_end how) {
   const auto end = how == attempt_end::kCompleted ? quarantine::run_end::kCompleted
                                                   : quarantine::run_end::kFailed;
@@ -440,6 +479,7 @@
 
 void OnEndpointLost(gateway_state& state, const endpoint& target, time_point silent_since) {
   LogRequestsOn(state, target);
+  LogUnansweredOn(state, LifeOf(target));
   const time_point now = MonotonicNow();
   const time_point alive_until = LastSignOfLife(state, target, silent_since, now);
   quarantine::side_effects outputs;
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -131,6 +131,14 @@
   target.listed.leaving = has_departed;
 }
 
+// The entry of a crashed endpoint expires. Reports the loss when it is back.
+void ReportLossIfRestarted(gateway_state& state, const listed_endpoint& added) {
+  const auto removed = state.unlisted.find(added.id);
+  if (removed == state.unlisted.end()) return;
+  const uint64_t incarnation = removed->second.incarnation;
+  if (incarnation < added.incarnation) OnRemovedEndpointLost(state, added.id, incarnation);
+}
+
 // Incarnation of an endpoint that was removed from the list lately; 0: none is known.
 uint64_t RemovedIncarnation(const gateway_state& state, const std::string& id) {
   const auto departed = state.departed.find(id);
@@ -268,6 +276,7 @@
     state.pending_removals.erase(entry.id);
     const auto [found, added] = state.endpoints.try_emplace(entry.id);
     if (added) InitializeEndpoint(state, found->second, entry);
+    if (added) ReportLossIfRestarted(state, entry);
     if (added) state.unlisted.erase(entry.id);
     if (added || found->second.listed != entry) {
       state.endpoints_changed = MonotonicNow();
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -292,6 +292,17 @@
   time_point progressing_since{};  // time of progress on the latest route on which it progressed
 };
 
+// A run that ended without an answer of the endpoint, which may have been slow or lost.
+struct unanswered_run {
+  endpoint_instance instance;
+  fingerprint key;
+  run_id id = 0;  // of the endpoints of one run, one counts
+  time_point ended_at;
+  time_point expires;
+  bool as_suspect = false;  // see `run`
+  bool answered = false;    // the endpoint has answered since, maybe as a later incarnation
+};
+
 struct lost_instance {
   endpoint_instance instance;
   time_point at;
@@ -316,6 +327,7 @@
   std::deque<lost_instance> recent_losses;  // with kConcurrent; oldest first
   // Of `recent_losses`, those that quarantined features explain.
   std::deque<endpoint_instance> explained;
+  std::deque<unanswered_run> unanswered;  // with kConcurrent; in the order of their ends
   time_point next_sweep{};
   uint64_t start_count = 0;  // runs started so far
 };
@@ -367,6 +379,17 @@
 void End(table& state, run_id id, run_end how, const std::optional<endpoint_instance>& broken,
          time_point now, side_effects& effects);
 
+// Reports that the run is about to end without an answer of the endpoint; call before End(). If the
+// endpoint is reported lost by `until`, the loss counts for the run's fingerprint, unless it has
+// completed meanwhile. Nothing is suspected until then, because the endpoint may only be slow. Only
+// with kConcurrent. No effect for ended runs.
+void ReportUnanswered(table& state, run_id id, const endpoint_instance& instance, time_point now,
+                      time_point until);
+
+// Reports that the endpoint answered a request. A later incarnation may have sent the answer, if
+// the restart is not known yet, so unanswered runs are kept until the time at which it would be.
+void ReportAnswer(table& state, const endpoint_instance& instance, time_point until);
+
 // Reports that the endpoint was lost: it refuses connections or came back with another incarnation.
 // All fingerprints that were running on `instance` become suspects, so call it before End() for
 // runs whose own connection did not break. Cost: O(runs + pending entries).
--- a/libs/quarantine/src/details/blame.cc
+++ b/libs/quarantine/src/details/blame.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "details/unanswered.h"
+
 namespace balsambay::quarantine::details {
 namespace {
 
@@ -133,6 +135,7 @@
   // Runs first, while the pending losses still show which other suspects were on the endpoint.
   for (auto& [id, active] : state.runs) GradeRun(state, active, instance, alive_until, losses);
   for (const fingerprint& key : state.flagged) GradePending(state, key, instance, losses);
+  GradeUnanswered(state, instance, now, losses);
   return state.config.test_faults.no_grading ? WithFullWeight(std::move(losses)) : losses;
 }
 
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -14,6 +14,7 @@
 #include "details/blame.h"
 #include "details/entries.h"
 #include "details/features.h"
+#include "details/unanswered.h"
 
 namespace balsambay::quarantine {
 namespace {
@@ -138,6 +139,7 @@
   const bool was_suspected = !entry.losses.empty() || entry.claimed_at.has_value() || as_suspect;
   details::ClearLosses(entry);
   details::ReleaseClaim(entry);
+  details::ForgetUnanswered(state, key);
   if (was_suspected) {
     PublishUpdate(state, key, entry, effects);
   } else {
@@ -554,6 +556,7 @@
 
 void ReportLost(table& state, const endpoint_instance& instance, time_point now,
                 side_effects& effects, time_point alive_until) {
+  alive_until = std::min(alive_until, details::InDoubtSince(state, instance, now));
   const auto features = AllowsConcurrentSuspects(state)
                             ? details::AttributeToFeatures(state, instance, now, alive_until)
                             : details::feature_losses();
--- a/libs/quarantine/tests/silence_test.cc
+++ b/libs/quarantine/tests/silence_test.cc
@@ -93,5 +93,78 @@
   CHECK(StateOf(f.state, kKey) == fingerprint_state::kClear);
 }
 
+// Ends the run, which was placed at `placed`, without an answer of its endpoints.
+void EndUnanswered(fixture& f, std::initializer_list<const char*> endpoints, time_point placed) {
+  const run_id id = f.next_id++;
+  REQUIRE(Start(f.state, id, kKey, placed, f.effects).answer != verdict::kRefuse);
+  std::vector<endpoint_instance> route;
+  for (const char* endpoint : endpoints) route.push_back({endpoint, 1});
+  SetRoute(f.state, id, route, f.effects, placed);
+  const time_point now = placed + 1s;
+  for (const endpoint_instance& hop : route) {
+    ReportUnanswered(f.state, id, hop, now, now + 15s);
+  }
+  End(f.state, id, run_end::kFailed, std::nullopt, now, f.effects);
+}
+
+bool IsRefused(const fixture& f) {
+  return StateOf(f.state, kKey) == fingerprint_state::kQuarantined;
+}
+
+// Guards against a request that is never refused because its endpoints, silent since it reached
+// them, are found lost only after it has ended.
+TEST_CASE("requests that ended unanswered are the cause of losses that are found later") {
+  fixture f;
+  EndUnanswered(f, {"e1", "e2"}, kStart);
+  CHECK(StateOf(f.state, kKey) == fingerprint_state::kClear);
+  ReportLost(f.state, {"e1", 1}, kStart + 3s, f.effects);
+  // The second one of the same run does not count in addition.
+  ReportLost(f.state, {"e2", 1}, kStart + 3s, f.effects);
+  CHECK(StateOf(f.state, kKey) == fingerprint_state::kSuspected);
+  EndUnanswered(f, {"e3"}, kStart + 4s);
+  ReportLost(f.state, {"e3", 1}, kStart + 7s, f.effects);
+  CHECK(IsRefused(f));
+}
+
+// Guards against a request that is refused because it was slow on healthy endpoints, or because it
+// reached endpoints that had been lost before.
+TEST_CASE("slow requests and those on silent endpoints are not the cause of later losses") {
+  fixture f;
+  SECTION("the endpoints were not lost") {
+    for (const char* endpoint : {"e1", "e2", "e3"}) EndUnanswered(f, {endpoint}, kStart);
+  }
+  SECTION("the endpoints answered as the same incarnation before they were lost") {
+    for (const char* endpoint : {"e1", "e2"}) {
+      EndUnanswered(f, {endpoint}, kStart);
+      ReportAnswer(f.state, {endpoint, 1}, kStart + 4s);
+      ReportLost(f.state, {endpoint, 1}, kStart + 5s, f.effects);
+    }
+  }
+  SECTION("the request completed on another endpoint") {
+    for (const char* endpoint : {"e1", "e2"}) EndUnanswered(f, {endpoint}, kStart);
+    REQUIRE(f.RunOn("e3", kStart + 2s) == verdict::kAllow);
+    End(f.state, f.next_id - 1, run_end::kCompleted, std::nullopt, kStart + 2s, f.effects);
+    for (const char* endpoint : {"e1", "e2"}) {
+      ReportLost(f.state, {endpoint, 1}, kStart + 10s, f.effects);
+    }
+  }
+  SECTION("another request was not answered before it was placed") {
+    const fingerprint other{3, 4};
+    for (const char* endpoint : {"e1", "e2"}) {
+      const endpoint_instance instance{endpoint, 1};
+      const run_id id = f.next_id++;
+      Start(f.state, id, {other}, kStart, f.effects);
+      SetRoute(f.state, id, {&instance, 1}, f.effects, kStart);
+      ReportUnanswered(f.state, id, instance, kStart + 1s, kStart + 15s);
+      End(f.state, id, run_end::kFailed, std::nullopt, kStart + 1s, f.effects);
+      EndUnanswered(f, {endpoint}, kStart + 1500ms);
+      f.RunOn(endpoint, kStart + 2s);
+      ReportLost(f.state, instance, kStart + 4s, f.effects);
+    }
+    CHECK(StateOf(f.state, other) == fingerprint_state::kQuarantined);
+  }
+  CHECK(StateOf(f.state, kKey) == fingerprint_state::kClear);
+}
+
 }  // namespace
 }  // namespace balsambay::quarantine
