net: bounds on header sections and connections of callers

Change: a connection collects each header section and gives it to libsoup only when it is whole, within its limits (bytes, lines, empty lines before it, time) and when a common limit of a tenth of the memory has room for what the parser allocates. Without room, the connections that hold the most and wait longest for their own bytes are closed, never one whose request is executing. Trailers and chunk extensions are bounded with http_parser, pipelined bytes stay outside libsoup. The server accepts connections itself, with limits in total and for each address; checks and metrics in platform mode have room of their own.

--- a/apps/balsambayd/flags.cc
+++ b/apps/balsambayd/flags.cc
@@ -30,6 +30,18 @@
 ABSL_FLAG(std::string, log_level, "info", "debug, info, warning or error");
 ABSL_FLAG(int, max_body_kb, 1024, "largest request body, KiB (1 to 65536)");
 ABSL_FLAG(int, body_timeout_ms, 10000, "time for a request body to arrive, ms (100 to 600000)");
+ABSL_FLAG(int, max_header_bytes, 65536,
+          "largest header section of a request, and trailers of its body, bytes (4096 to 65536)");
+ABSL_FLAG(int, max_header_lines, 1024,
+          "most lines of a header section, and of trailers (64 to 65536)");
+ABSL_FLAG(int, header_timeout_ms, 10000,
+          "time for a header section to arrive, from its first byte, ms (100 to 600000)");
+ABSL_FLAG(int, max_connections, 4000,
+          "open connections of callers; at the limit, the one that waits longest for a request is "
+          "closed for a new one (8 to 1000000)");
+ABSL_FLAG(int, max_connections_per_address, 0,
+          "open connections of callers of one address; further ones are refused; 0: no limit "
+          "(0 to 1000000)");
 ABSL_FLAG(int, first_token_timeout_ms, 5000,
           "an attempt without a token for this long has stalled, ms");
 ABSL_FLAG(int, token_timeout_ms, 1000, "largest pause between two tokens of an attempt, ms");
@@ -60,6 +72,11 @@
                                    "log_level",
                                    "max_body_kb",
                                    "body_timeout_ms",
+                                   "max_header_bytes",
+                                   "max_header_lines",
+                                   "header_timeout_ms",
+                                   "max_connections",
+                                   "max_connections_per_address",
                                    "first_token_timeout_ms",
                                    "token_timeout_ms",
                                    "unready_delay_ms",
@@ -129,6 +146,17 @@
       1024;
   settings.body_timeout = Milliseconds(
       CheckRange("body_timeout_ms", absl::GetFlag(FLAGS_body_timeout_ms), 100, 600000, errors));
+  settings.max_header_bytes = static_cast<size_t>(
+      CheckRange("max_header_bytes", absl::GetFlag(FLAGS_max_header_bytes), 4096, 65536, errors));
+  settings.max_header_lines = static_cast<size_t>(
+      CheckRange("max_header_lines", absl::GetFlag(FLAGS_max_header_lines), 64, 65536, errors));
+  settings.header_timeout = Milliseconds(
+      CheckRange("header_timeout_ms", absl::GetFlag(FLAGS_header_timeout_ms), 100, 600000, errors));
+  settings.max_connections = static_cast<size_t>(
+      CheckRange("max_connections", absl::GetFlag(FLAGS_max_connections), 8, 1'000'000, errors));
+  settings.max_connections_per_address = static_cast<size_t>(
+      CheckRange("max_connections_per_address", absl::GetFlag(FLAGS_max_connections_per_address), 0,
+                 1'000'000, errors));
   settings.first_token_timeout = Milliseconds(CheckRange(
       "first_token_timeout_ms", absl::GetFlag(FLAGS_first_token_timeout_ms), 10, 600000, errors));
   settings.token_timeout = Milliseconds(
--- a/libs/catalog/include/catalog/catalog.h
+++ b/libs/catalog/include/catalog/catalog.h
@@ -53,6 +53,8 @@
 struct request_limits {
   size_t max_body_bytes = 1 << 20;
   duration idle_timeout = std::chrono::seconds(15);
+  size_t max_header_bytes = 65536;
+  duration header_timeout = std::chrono::seconds(10);
 };
 
 struct document {
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -647,6 +647,12 @@
   CountCutReply(state.metrics, reason);
 }
 
+void LogClosed(gateway_state& state, net::close_reason why) {
+  log::Log(log::level::kInfo, "connection of a caller closed by a limit",
+           {{"reason", net::ToString(why)}, {"header_bytes", net::UsedBytes(*state.head_buffers)}});
+  CountClosedConnection(state.metrics, net::ToString(why));
+}
+
 namespace {
 
 std::vector<call_ptr> FindCalls(const gateway_state& state, const quarantine::fingerprint& key) {
--- a/libs/gateway/src/details/calls.h
+++ b/libs/gateway/src/details/calls.h
@@ -19,6 +19,9 @@
 // Logs and counts a reply whose connection was closed with `bytes` bytes not taken by the caller.
 void LogCutReply(gateway_state& state, net::cut_reason why, size_t bytes);
 
+// Logs and counts a connection that the server refused or closed.
+void LogClosed(gateway_state& state, net::close_reason why);
+
 // Callbacks for the attempts of all requests.
 const attempt_callbacks& CallAttemptCallbacks();
 
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -236,6 +236,10 @@
 // of bodies is smaller, because each is held a second time while it is sent to an endpoint.
 constexpr size_t kRequestMemoryDivisor = 8;
 constexpr size_t kReplyMemoryDivisor = 4;
+// The same for the header sections of requests, as the parser allocates them, and for those of
+// readiness checks and calls for metrics, which have room of their own.
+constexpr size_t kHeaderMemoryDivisor = 10;
+constexpr size_t kCheckHeaderMemoryDivisor = 80;
 
 struct gateway_state {
   gateway_state(const settings& values, wire calls, store_hooks hooks, net::loop& main_loop)
@@ -249,7 +253,10 @@
         request_buffers(
             std::make_shared<buffer_budget>(values.memory_limit_bytes / kRequestMemoryDivisor)),
         reply_buffers(
-            std::make_shared<buffer_budget>(values.memory_limit_bytes / kReplyMemoryDivisor)) {}
+            std::make_shared<buffer_budget>(values.memory_limit_bytes / kReplyMemoryDivisor)),
+        head_buffers(net::MakeHeadBudget(values.memory_limit_bytes / kHeaderMemoryDivisor)),
+        check_head_buffers(
+            net::MakeHeadBudget(values.memory_limit_bytes / kCheckHeaderMemoryDivisor)) {}
 
   settings config;
   quarantine::table quarantine;
@@ -266,6 +273,8 @@
   // cannot be given up, and without room for its reply the execution would be in vain.
   std::shared_ptr<buffer_budget> request_buffers;
   std::shared_ptr<buffer_budget> reply_buffers;
+  std::shared_ptr<net::head_budget> head_buffers;
+  std::shared_ptr<net::head_budget> check_head_buffers;
 
   std::shared_ptr<const catalog::catalog> configuration;  // null: none yet
   // The configuration table is reachable, so newer versions are noticed.
--- a/libs/gateway/src/details/telemetry.h
+++ b/libs/gateway/src/details/telemetry.h
@@ -25,9 +25,10 @@
   metrics::histogram_id duration_seconds;
   metrics::gauge_id open_calls;
   metrics::gauge_id config_version;
-  metrics::gauge_id buffer_bytes;       // held by requests and replies, of the common limit
-  metrics::gauge_id buffer_limit;       // bytes
-  metrics::gauge_id peak_memory_bytes;  // largest resident size of the process so far
+  metrics::gauge_id buffer_bytes;  // held by requests and replies, of the common limit
+  metrics::gauge_id buffer_limit;  // bytes
+  metrics::gauge_id peak_memory_bytes;
+  metrics::gauge_id header_bytes;  // largest resident size of the process so far
 };
 
 // A request that the gateway itself answered with an error.
@@ -36,6 +37,7 @@
 void CountStopRefusal(telemetry& metrics, std::string_view reason);
 // A reply that its caller had not taken when the gateway closed the connection.
 void CountCutReply(telemetry& metrics, std::string_view reason);
+void CountClosedConnection(telemetry& metrics, std::string_view reason);
 // A report or health check requested of an endpoint.
 void CountReport(telemetry& metrics, std::string_view reason);
 // A call that requests the changes of a shared table at once.
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -31,6 +31,15 @@
 // Limit of a request body of readiness checks and of calls for metrics, which have none.
 constexpr size_t kMaxCheckBodyBytes = 65536;
 
+// Shares of the sockets: for connections of callers, and for those to each of the other servers.
+// The rest is for connections to endpoints, of which a waiting caller has none.
+constexpr size_t CallerSockets(int max_sockets) {
+  return std::max<size_t>(1, static_cast<size_t>(max_sockets) * 3 / 4);
+}
+constexpr size_t CheckSockets(int max_sockets) {
+  return std::max<size_t>(8, static_cast<size_t>(max_sockets) / 32);
+}
+
 // Largest resident size of this process so far.
 double PeakMemoryBytes() {
   constexpr double kBytesPerUnit = 1024;  // of ru_maxrss
@@ -52,6 +61,8 @@
     net::server_limits limits{.max_body_bytes = kMaxBodyBytes,
                               .body_timeout = std::chrono::seconds(30),
                               .idle_timeout = kIdleTimeout,
+                              .head_buffers = state_.head_buffers,
+                              .max_connections = CallerSockets(state_.config.max_sockets),
                               .body_buffers = state_.request_buffers,
                               .reply_buffers = state_.reply_buffers,
                               .write_timeout = kWriteTimeout};
@@ -61,12 +72,17 @@
       return RejectCall(state_, why, headers);
     };
     calls.on_cut = [this](net::cut_reason why, size_t bytes) { LogCutReply(state_, why, bytes); };
+    const auto on_closed = [this](net::close_reason why) { LogClosed(state_, why); };
+    calls.on_closed = on_closed;
     BOOST_OUTCOME_TRY(server, net::ListenHttp(state_.config.listen, limits, state_.loop.Timers(),
                                               std::move(calls)));
     state_.server = std::move(server);
     limits.max_body_bytes = kMaxCheckBodyBytes;
+    limits.head_buffers = state_.check_head_buffers;
+    limits.max_connections = CheckSockets(state_.config.max_sockets);
     net::server_handlers ready;
     ready.on_request = [this](const net::exchange_ptr& exchange) { RespondReadiness(exchange); };
+    ready.on_closed = on_closed;
     ready.on_reject = [](net::rejection, std::vector<net::header>&) { return std::string(); };
     BOOST_OUTCOME_TRY(ready_server, net::ListenHttp(state_.config.listen_ready, limits,
                                                     state_.loop.Timers(), std::move(ready)));
@@ -74,6 +90,7 @@
     if (state_.config.listen_metrics.empty()) return Success();
     net::server_handlers metrics;
     metrics.on_request = [this](const net::exchange_ptr& exchange) { RespondMetrics(exchange); };
+    metrics.on_closed = on_closed;
     metrics.on_reject = [](net::rejection, std::vector<net::header>&) { return std::string(); };
     auto metrics_server = net::ListenHttp(state_.config.listen_metrics, limits,
                                           state_.loop.Timers(), std::move(metrics));
@@ -113,7 +130,9 @@
               {"workspaces", document.workspaces.size()}});
     state_.configuration =
         std::make_shared<const catalog::catalog>(catalog::Build(std::move(document)));
-    state_.server->SetMaxBodyBytes(state_.configuration->content.limits.max_body_bytes);
+    const catalog::request_limits& limits = state_.configuration->content.limits;
+    state_.server->SetMaxBodyBytes(limits.max_body_bytes);
+    state_.server->SetHeaderLimits(limits.max_header_bytes, limits.header_timeout);
     ForgetOtherRoutes(state_);
     metrics::Set(state_.metrics.registry, state_.metrics.config_version,
                  static_cast<double>(state_.configuration->content.version));
@@ -159,7 +178,14 @@
     state_.config.memory_limit_bytes = settings.memory_limit_bytes;
     state_.request_buffers->limit_bytes = settings.memory_limit_bytes / kRequestMemoryDivisor;
     state_.reply_buffers->limit_bytes = settings.memory_limit_bytes / kReplyMemoryDivisor;
+    net::SetLimit(*state_.head_buffers, settings.memory_limit_bytes / kHeaderMemoryDivisor);
+    net::SetLimit(*state_.check_head_buffers,
+                  settings.memory_limit_bytes / kCheckHeaderMemoryDivisor);
     state_.config.max_sockets = settings.max_sockets;
+    state_.server->SetMaxConnections(CallerSockets(settings.max_sockets));
+    state_.ready_server->SetMaxConnections(CheckSockets(settings.max_sockets));
+    if (state_.metrics_server)
+      state_.metrics_server->SetMaxConnections(CheckSockets(settings.max_sockets));
     ApplyBudgetSettings();
     AdaptFeeds(state_);
   }
@@ -221,6 +247,8 @@
     metrics::Set(state_.metrics.registry, state_.metrics.buffer_limit,
                  static_cast<double>(state_.request_buffers->limit_bytes +
                                      state_.reply_buffers->limit_bytes));
+    metrics::Set(state_.metrics.registry, state_.metrics.header_bytes,
+                 static_cast<double>(net::UsedBytes(*state_.head_buffers)));
     metrics::Set(state_.metrics.registry, state_.metrics.peak_memory_bytes, PeakMemoryBytes());
     const std::vector<net::header> headers = {{"Content-Type", std::string(metrics::kContentType)}};
     exchange->Respond(200, headers, metrics::PrometheusText(state_.metrics.registry));
--- a/libs/gateway/src/telemetry.cc
+++ b/libs/gateway/src/telemetry.cc
@@ -48,7 +48,9 @@
       buffer_limit(metrics::AddGauge(registry, "gateway_buffer_limit_bytes",
                                      "Limit of the bytes held for requests and replies.")),
       peak_memory_bytes(metrics::AddGauge(registry, "gateway_peak_memory_bytes",
-                                          "Largest resident size of the process.")) {}
+                                          "Largest resident size of the process.")),
+      header_bytes(metrics::AddGauge(registry, "gateway_header_bytes",
+                                     "Bytes held for header sections of requests.")) {}
 
 void CountRefusal(telemetry& metrics, std::string_view reason) {
   Count(metrics, "gateway_refusals_total", "Requests answered without an endpoint's answer.",
@@ -65,6 +67,11 @@
         reason);
 }
 
+void CountClosedConnection(telemetry& metrics, std::string_view reason) {
+  Count(metrics, "gateway_connections_closed_total",
+        "Connections of callers refused or closed by a limit.", reason);
+}
+
 void CountReport(telemetry& metrics, std::string_view reason) {
   Count(metrics, "gateway_reports_total", "Reports asked of engines.", reason);
 }
--- a/libs/net/include/net/http_server.h
+++ b/libs/net/include/net/http_server.h
@@ -14,6 +14,13 @@
 
 namespace balsambay::net {
 
+struct head_budget;
+
+// A common limit of what the header sections of all requests hold, as the parser allocates it.
+std::shared_ptr<head_budget> MakeHeadBudget(size_t bytes);
+void SetLimit(head_budget& budget, size_t bytes);
+size_t UsedBytes(const head_budget& budget);
+
 struct header {
   std::string name;
   std::string value;
@@ -23,6 +30,16 @@
   size_t max_body_bytes = 1 << 20;
   duration body_timeout = std::chrono::seconds(10);  // from the request's headers to its whole body
   duration idle_timeout = std::chrono::seconds(120);  // for the headers of the next request
+  // Limits of one header section, and of the trailers of a chunked body.
+  size_t max_header_bytes = 65536;
+  size_t max_header_lines = 1024;
+  duration header_timeout = std::chrono::seconds(10);  // from its first byte to its end; 0: none
+  // Common limit of the header sections of all requests; null: none.
+  std::shared_ptr<head_budget> head_buffers = nullptr;
+  // Open connections in total and of one address; 0: no limit. At the limit of the total, the
+  // connection that waits longest for the headers of a request is closed for a new one.
+  size_t max_connections = 0;
+  size_t max_connections_per_address = 0;
   // Common limit of the bodies of all requests; null: none. A body that has arrived is not
   // reclaimed.
   std::shared_ptr<buffer_budget> body_buffers = nullptr;
@@ -39,6 +56,19 @@
 // Why a connection was closed before the caller had taken its reply.
 enum class cut_reason { kNoMemory, kSlowReader };
 
+// Why a connection was refused, or closed while no request on it was executing.
+enum class close_reason : uint8_t {
+  kHeaderBytes,   // a header section over its limit; 431
+  kHeaderLines,   // 431
+  kEmptyLines,    // before a request; 400
+  kSlowHeader,    // 408
+  kHeaderMemory,  // no room for the header section, 503; or closed for that of another connection
+  kChunks,        // a malformed chunked body, or trailers or a chunk extension over a limit; 400
+  kConnections,   // too many connections; 503, or closed for a new one
+};
+
+std::string_view ToString(close_reason why);
+
 // One request and its reply. After the reply has ended or the caller has hung up, calls have no
 // effect.
 class exchange {
@@ -85,6 +115,10 @@
   virtual int Port() const = 0;
   // Applies to requests whose headers have not arrived yet.
   virtual void SetMaxBodyBytes(size_t bytes) = 0;
+  // Apply to header sections that are not complete yet.
+  virtual void SetHeaderLimits(size_t max_bytes, duration timeout) = 0;
+  // Applies to new connections.
+  virtual void SetMaxConnections(size_t count) = 0;
   // Replies that have been started, or are still due, and are not yet in the socket's buffer.
   virtual size_t UnfinishedReplies() const = 0;
   // Answers 503 with `body` and the headers to each request that has not arrived whole, and closes
@@ -103,6 +137,9 @@
   // Called when the server closes a connection although `bytes` of a reply were not taken. May not
   // use any exchange. Optional.
   std::function<void(cut_reason, size_t bytes)> on_cut;
+  // Called for each connection that is refused, or closed while no request on it is executing. May
+  // not use any exchange. Optional.
+  std::function<void(close_reason)> on_closed;
 };
 
 // Listens on `address` (IP:PORT, port 0 for any). Errors: kInvalidArgument for a bad address,
--- a/libs/net/src/details/server_state.h
+++ b/libs/net/src/details/server_state.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 
+#include "details/client_connection.h"
 #include "net/http_server.h"
 
 namespace balsambay::net {
@@ -27,6 +28,7 @@
   // Connections that wait for the headers of a request, the oldest first.
   std::shared_ptr<idle_map> idle = std::make_shared<idle_map>();
   uint64_t started = 0;  // connections and further requests on them
+  std::shared_ptr<connection_set> connections = std::make_shared<connection_set>();
 };
 
 // Ends the connection of a message for both sides.
@@ -49,6 +51,9 @@
   std::shared_ptr<std::set<intake*>> unread = nullptr;
   uint64_t number = 0;                       // key in `idle`
   std::shared_ptr<idle_map> idle = nullptr;  // that it may be in
+  std::shared_ptr<client_connection> connection = nullptr;
+  size_t head_bytes = 0;  // counted by the connection
+  bool executed = false;
 };
 
 // Answers a request that has not arrived whole on its socket, because libsoup replies only after
--- a/libs/net/src/intake.cc
+++ b/libs/net/src/intake.cc
@@ -1,6 +1,4 @@
 // Requests before they reach the handler: limits of their bodies and of the time they take.
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -26,6 +24,7 @@
   state->unread->erase(state);
   Cancel(*state->timers, state->timer);
   state->idle->erase(state->number);
+  if (state->connection) state->connection->EndRequest(state->head_bytes, state->executed);
   delete state;
 }
 
@@ -98,8 +97,11 @@
   state->timer =
       Subscribe(*state->server->timers, MonotonicNow() + state->server->limits.body_timeout,
                 [state](time_point) { Reject(*state, rejection::kSlowSender); });
-  const auto length = static_cast<size_t>(
-      soup_message_headers_get_content_length(soup_server_message_get_request_headers(message)));
+  SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
+  const auto length = static_cast<size_t>(soup_message_headers_get_content_length(headers));
+  state->head_bytes = state->connection->HeadBytes();
+  state->connection->BeginBody(soup_message_headers_get_encoding(headers),
+                               soup_message_headers_get_content_length(headers));
   if (length > state->server->limits.max_body_bytes) return Reject(*state, rejection::kTooLarge);
   if (!ReserveBody(state->body, length)) Reject(*state, rejection::kNoMemory);
 }
@@ -126,8 +128,7 @@
   text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
   // What libsoup sends after the body finds the connection closed.
   soup_server_message_set_status(state.message, SOUP_STATUS_SERVICE_UNAVAILABLE, nullptr);
-  GSocket* socket = soup_server_message_get_socket(state.message);
-  if (socket == nullptr) return;
+  GSocket* socket = state.connection->Socket();
   send(g_socket_get_fd(socket), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
   shutdown(g_socket_get_fd(socket), SHUT_WR);
   Cancel(*state.timers, state.timer);
@@ -137,9 +138,6 @@
 
 void OnRequestStarted(SoupServer*, SoupServerMessage* message, gpointer data) {
   auto* server = static_cast<server_state*>(data);
-  // Small pieces of a stream must not wait for the acknowledgement of earlier ones.
-  GSocket* socket = soup_server_message_get_socket(message);
-  if (socket != nullptr) g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, TRUE, nullptr);
   soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
   auto* state = new intake{.server = server,
                            .timers = server->timers,
@@ -147,7 +145,8 @@
                            .body = {},
                            .unread = server->unread,
                            .number = ++server->started,
-                           .idle = server->idle};
+                           .idle = server->idle,
+                           .connection = ConnectionOf(message)};
   server->idle->emplace(state->number, state);
   state->body.share =
       std::make_unique<buffer_share>(server->limits.body_buffers, [state] { OnReclaim(*state); });
@@ -162,8 +161,10 @@
 void OnRequest(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer data) {
   auto* server = static_cast<server_state*>(data);
   intake* state = IntakeOf(message);
-  if (state->rejected) return;
+  if (state->rejected || state->connection->IsEvicted()) return;
   state->body.share->Pin();
+  state->executed = true;
+  state->connection->BeginExecution();
   server->handlers->on_request(StartExchange(message, std::move(state->body), *server));
 }
 
--- a/libs/net/src/soup_exchange.cc
+++ b/libs/net/src/soup_exchange.cc
@@ -24,6 +24,7 @@
  public:
   soup_exchange(SoupServerMessage* message, request_body body, const server_state& server)
       : message_(message),
+        connection_(ConnectionOf(message)),
         uri_(soup_server_message_get_uri(message)),
         body_(std::move(body)),
         handlers_(server.handlers),
@@ -119,7 +120,7 @@
     soup_server_message_pause(message_);
     g_signal_connect(message_, "finished", G_CALLBACK(OnFinished), this);
     g_signal_connect(message_, "wrote-body-data", G_CALLBACK(OnWroteData), this);
-    GSocket* socket = soup_server_message_get_socket(message_);
+    GSocket* socket = connection_->Socket();
     watch_ = g_socket_create_source(
         socket, static_cast<GIOCondition>(G_IO_IN | G_IO_HUP | G_IO_ERR), nullptr);
     g_source_set_callback(watch_, G_SOURCE_FUNC(OnSocketEvent), this, nullptr);
@@ -161,9 +162,9 @@
 
   // Bytes of the reply that have left for the caller and were acknowledged.
   int64_t TakenBytes() const {
-    GSocket* socket = soup_server_message_get_socket(message_);
+    GSocket* socket = connection_->Socket();
     int queued = 0;
-    if (socket != nullptr) ioctl(g_socket_get_fd(socket), SIOCOUTQ, &queued);
+    ioctl(g_socket_get_fd(socket), SIOCOUTQ, &queued);
     return static_cast<int64_t>(written_) - queued;
   }
 
@@ -252,6 +253,7 @@
   }
 
   SoupServerMessage* message_;
+  std::shared_ptr<client_connection> connection_;
   GUri* uri_;
   request_body body_;
   GSource* watch_ = nullptr;
@@ -275,8 +277,8 @@
 }  // namespace
 
 void ShutdownConnection(SoupServerMessage* message) {
-  GSocket* socket = soup_server_message_get_socket(message);
-  if (socket != nullptr) shutdown(g_socket_get_fd(socket), SHUT_RDWR);
+  const auto connection = ConnectionOf(message);
+  if (connection) connection->Shutdown();
 }
 
 exchange_ptr StartExchange(SoupServerMessage* message, request_body body,
--- a/libs/router/include/router/settings.h
+++ b/libs/router/include/router/settings.h
@@ -21,6 +21,11 @@
   std::string config_file;         // static configuration for test runs without a platform
   size_t max_body_bytes = 1 << 20;
   duration body_timeout = std::chrono::seconds(10);
+  size_t max_header_bytes = 65536;
+  size_t max_header_lines = 1024;
+  duration header_timeout = std::chrono::seconds(10);
+  size_t max_connections = 4000;
+  size_t max_connections_per_address = 0;  // 0: no limit
   duration first_token_timeout = std::chrono::seconds(5);
   duration token_timeout = std::chrono::seconds(1);
   duration unready_delay =
--- a/libs/router/src/admin_api.cc
+++ b/libs/router/src/admin_api.cc
@@ -172,6 +172,8 @@
   metrics::registry& registry = state.metrics.registry;
   metrics::Set(registry, state.metrics.in_flight, static_cast<double>(state.requests.size()));
   metrics::Set(registry, state.metrics.config_version, static_cast<double>(state.config_version));
+  metrics::Set(registry, state.metrics.header_bytes,
+               static_cast<double>(net::UsedBytes(*state.head_buffers)));
   metrics::Set(registry, state.metrics.buffer_bytes,
                static_cast<double>(state.buffers->used_bytes));
   metrics::Set(registry, state.metrics.buffer_limit,
--- a/libs/router/src/details/state.h
+++ b/libs/router/src/details/state.h
@@ -130,6 +130,9 @@
   planner::endpoint_index index = 0;
 };
 
+// Share of the memory limit for the header sections of requests, as the parser allocates them.
+constexpr size_t kHeaderMemoryDivisor = 10;
+
 struct router_state {
   router_state(const settings& values, net::loop& main_loop)
       : config(values),
@@ -137,6 +140,7 @@
         client(net::MakeHttpClient(main_loop.Timers())),
         rng(values.seed != 0 ? values.seed : std::random_device{}()),
         buffers(std::make_shared<buffer_budget>(values.memory_limit_bytes / kBufferMemoryDivisor)),
+        head_buffers(net::MakeHeadBudget(values.memory_limit_bytes / kHeaderMemoryDivisor)),
         start_id(std::to_string(WallClockMs())),
         instance_id(values.id + "#" + start_id) {}
 
@@ -145,7 +149,8 @@
   std::unique_ptr<net::http_client> client;
   std::unique_ptr<net::http_server> server;
   random_generator rng;
-  std::shared_ptr<buffer_budget> buffers;  // of all requests and their answers
+  std::shared_ptr<buffer_budget> buffers;          // of all requests and their answers
+  std::shared_ptr<net::head_budget> head_buffers;  // of the header sections of all requests
   std::string start_id;     // distinguishes this process from an earlier one with the same id
   std::string instance_id;  // "ID#START": how other daemons know this process
 
--- a/libs/router/src/details/telemetry.h
+++ b/libs/router/src/details/telemetry.h
@@ -14,9 +14,10 @@
   telemetry();
 
   metrics::registry registry;
-  std::map<std::string, metrics::counter_id, std::less<>> refusals;       // by reason
-  std::map<std::string, metrics::counter_id, std::less<>> retries;        // by reason
-  std::map<std::string, metrics::counter_id, std::less<>> kept_attempts;  // by reason
+  std::map<std::string, metrics::counter_id, std::less<>> refusals;            // by reason
+  std::map<std::string, metrics::counter_id, std::less<>> retries;             // by reason
+  std::map<std::string, metrics::counter_id, std::less<>> kept_attempts;       // by reason
+  std::map<std::string, metrics::counter_id, std::less<>> closed_connections;  // by reason
   metrics::counter_id accepted;
   metrics::counter_id completed;
   metrics::counter_id cancelled;
@@ -29,12 +30,14 @@
   metrics::gauge_id throughput_bound;
   metrics::gauge_id buffer_bytes;  // held by requests and their answers, of the common limit
   metrics::gauge_id buffer_limit;  // bytes
+  metrics::gauge_id header_bytes;  // held by header sections of requests
   metrics::histogram_id first_token;
   metrics::histogram_id duration_seconds;
   metrics::histogram_id claim;
 };
 
 void CountRefusal(telemetry& metrics_set, std::string_view reason);
+void CountClosedConnection(telemetry& metrics_set, std::string_view reason);
 void CountRetry(telemetry& metrics_set, std::string_view reason);
 // Counts a silent attempt that stays open without a successor.
 void CountKeptAttempt(telemetry& metrics_set, std::string_view reason);
--- a/libs/router/src/router.cc
+++ b/libs/router/src/router.cc
@@ -84,8 +84,21 @@
     handlers.on_reject = [this](net::rejection reason, std::vector<net::header>& headers) {
       return RenderRejection(state_, reason, headers);
     };
-    const net::server_limits limits{.max_body_bytes = state_.config.max_body_bytes,
-                                    .body_timeout = state_.config.body_timeout};
+    handlers.on_closed = [this](net::close_reason why) {
+      log::Log(
+          log::level::kInfo, "connection of a caller closed by a limit",
+          {{"reason", net::ToString(why)}, {"header_bytes", net::UsedBytes(*state_.head_buffers)}});
+      CountClosedConnection(state_.metrics, net::ToString(why));
+    };
+    const net::server_limits limits{
+        .max_body_bytes = state_.config.max_body_bytes,
+        .body_timeout = state_.config.body_timeout,
+        .max_header_bytes = state_.config.max_header_bytes,
+        .max_header_lines = state_.config.max_header_lines,
+        .header_timeout = state_.config.header_timeout,
+        .head_buffers = state_.head_buffers,
+        .max_connections = state_.config.max_connections,
+        .max_connections_per_address = state_.config.max_connections_per_address};
     BOOST_OUTCOME_TRY(server, net::ListenHttp(state_.config.listen, limits, state_.loop.Timers(),
                                               std::move(handlers)));
     state_.server = std::move(server);
--- a/libs/router/src/telemetry.cc
+++ b/libs/router/src/telemetry.cc
@@ -51,6 +51,8 @@
                                      "Bytes held for requests and their answers.")),
       buffer_limit(metrics::AddGauge(registry, "balsambay_buffer_limit_bytes",
                                      "Limit of the bytes held for requests and their answers.")),
+      header_bytes(metrics::AddGauge(registry, "balsambay_header_bytes",
+                                     "Bytes held for header sections of requests.")),
       first_token(metrics::AddHistogram(registry, "balsambay_first_token_seconds",
                                         "Time from acceptance to the first token.",
                                         metrics::kLatencySeconds)),
@@ -86,6 +88,16 @@
   metrics::Increment(metrics_set.registry, it->second);
 }
 
+void CountClosedConnection(telemetry& metrics_set, std::string_view reason) {
+  auto it = metrics_set.closed_connections.find(reason);
+  if (it == metrics_set.closed_connections.end()) {
+    const auto id = AddReason(metrics_set.registry, "balsambay_connections_closed_total",
+                              "Connections of callers refused or closed by a limit.", reason);
+    it = metrics_set.closed_connections.emplace(reason, id).first;
+  }
+  metrics::Increment(metrics_set.registry, it->second);
+}
+
 void CountRetry(telemetry& metrics_set, std::string_view reason) {
   const auto it = metrics_set.retries.find(reason);
   if (it != metrics_set.retries.end()) metrics::Increment(metrics_set.registry, it->second);
