--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -8,6 +8,7 @@
 #include "details/containment.h"
 #include "details/fleet.h"
 #include "details/monitor.h"
+#include "details/refusals.h"
 #include "details/replacement.h"
 #include "details/retries.h"
 #include "details/stop_check.h"
@@ -22,14 +23,6 @@
 // the common limit that all callers together may use. Reading pauses earlier with many requests.
 constexpr size_t kMaxPendingBytes = size_t{256} * 1024;
 constexpr size_t kPendingDivisor = 2;
-// Callers that were refused for lack of room are told to retry after the first time plus a random
-// part of the second. The first of the running requests end within this time.
-constexpr duration kRoomRetryAfter = 600ms;
-constexpr duration kRoomRetrySpread = 1400ms;
-// Time after which a missing endpoint has usually returned or been replaced.
-constexpr duration kEndpointRetryAfter = 1000ms;
-// Range of the random time that is added to the retry time that an endpoint asked for.
-constexpr duration kRefusalRetrySpread = 200ms;
 constexpr duration kStartRetryAfter = 500ms;
 // Callers that are refused because of a stop go to another gateway, which can take them at once.
 constexpr duration kStopRetryAfter = 50ms;
@@ -50,39 +43,6 @@
 constexpr duration kMaxStreamGap = 1500ms;
 constexpr duration kEndpointRetryInterval = 100ms;
 
-// Final reply of the gateway to a request that it refuses or gives up.
-struct refusal {
-  int status = 503;
-  std::string_view reason;
-  duration retry_after{0};  // 0: no Retry-After header
-};
-
-std::string RetryAfterText(duration value) {
-  std::array<char, 32> text{};
-  std::snprintf(text.data(), text.size(), "%.2f", Seconds(value));
-  return text.data();
-}
-
-void SendReply(gateway_state& state, const net::exchange_ptr& exchange, int status,
-               std::vector<net::header> headers, std::string_view body) {
-  if (state.unready) headers.push_back({"Connection", "close"});
-  exchange->Respond(status, headers, body);
-}
-
-std::vector<net::header> RefusalHeaders(const refusal& refusal) {
-  std::vector<net::header> headers = {{"Content-Type", "text/plain"}};
-  if (refusal.retry_after > duration::zero()) {
-    headers.push_back({"Retry-After", RetryAfterText(refusal.retry_after)});
-  }
-  return headers;
-}
-
-void SendRefusal(gateway_state& state, const net::exchange_ptr& exchange, const refusal& refusal) {
-  CountRefusal(state.metrics, refusal.reason);
-  SendReply(state, exchange, refusal.status, RefusalHeaders(refusal),
-            std::string(refusal.reason) + "\n");
-}
-
 uint64_t VersionInForce(const gateway_state& state) {
   return state.configuration ? state.configuration->content.version : 0;
 }
@@ -170,25 +130,6 @@
   Retire(state, request);
 }
 
-// Random time, so that refused callers do not all return at once.
-duration RandomRetryAfter(gateway_state& state) {
-  return kRoomRetryAfter +
-         duration(static_cast<duration::rep>(
-             UniformUnit(state.rng) * static_cast<double>(duration(kRoomRetrySpread).count())));
-}
-
-refusal RefusalOf(gateway_state& state, net::rejection why) {
-  switch (why) {
-    case net::rejection::kTooLarge:
-      return {413, "body_too_large"};
-    case net::rejection::kSlowSender:
-      return {408, "body_too_slow"};
-    case net::rejection::kNoMemory:
-      break;
-  }
-  return {503, "no_memory", RandomRetryAfter(state)};
-}
-
 // Refuses a quarantined request. A retry can succeed only after the quarantine has ended.
 void GiveUpQuarantined(gateway_state& state, const call_ptr& request) {
   const duration time_left = QuarantinedUntil(state, *request) - MonotonicNow();
@@ -472,17 +413,6 @@
   return true;
 }
 
-// If all endpoints have asked not to be called for a while, callers are told to retry when the
-// first of these times ends, plus a small random time, so that they do not all return at once.
-duration EndpointRetryAfter(gateway_state& state, const call& request) {
-  const time_point now = MonotonicNow();
-  const auto room_at = EarliestRetryTime(state, request.service, now);
-  if (!room_at) return kEndpointRetryAfter;
-  const auto spread = static_cast<duration::rep>(
-      UniformUnit(state.rng) * static_cast<double>(duration(kRefusalRetrySpread).count()));
-  return *room_at - now + duration(spread);
-}
-
 // Holds the request until `when`, or until the quarantine decides on its fingerprint.
 void Hold(gateway_state& state, const call_ptr& request, time_point when) {
   request->held = true;
