--- a/libs/gateway/src/overload.cc
+++ b/libs/gateway/src/overload.cc
@@ -182,6 +182,8 @@
 std::optional<duration> ShedByPriority(gateway_state& state, call& request) {
   if (request.admission_decided || request.attempts > 0) return std::nullopt;
   request.admission_decided = true;
+  // A caller that resumes an interrupted stream has been accepted before.
+  if (!request.incoming.last_event_id.empty()) return std::nullopt;
   const catalog::service* service = catalog::FindService(*request.configuration, request.service);
   if (service == nullptr || !IsControlled(state, request)) return std::nullopt;
   const time_point now = MonotonicNow();
