Know the load of engines in small installations too

Cause: in a small installation gateways announce their load to each other and reports of engines are not forwarded, so a gateway that does not watch an engine would have taken its load for unknown and never have shed.

--- a/libs/gateway/src/overload.cc
+++ b/libs/gateway/src/overload.cc
@@ -29,8 +29,17 @@
   return found == state.overload.end() ? nullptr : &found->second;
 }
 
-// Whether at least half of the engines that hold layers have reported lately.
+// Whether at least half of the other gateways were heard of lately.
+bool HearsPeers(const gateway_state& state, time_point now) {
+  const auto heard = std::ranges::count_if(
+      state.peers, [&](const auto& entry) { return now - entry.second.heard <= kMaxReportAge; });
+  return 2 * static_cast<size_t>(heard) >= state.peers.size();
+}
+
+// Whether the load of the engines is known: from the messages of all other gateways in a small
+// installation, otherwise from reports of at least half of the engines that hold layers.
 bool IsLoadCurrent(const gateway_state& state, std::string_view service, time_point now) {
+  if (state.topology.exact) return HearsPeers(state, now);
   int current = 0;
   int all = 0;
   for (const auto& [id, target] : state.endpoints) {
@@ -67,7 +76,7 @@
     slots += target.listed.slots;
   }
   sample.gateways = static_cast<int>(state.peers.size()) + 1;
-  sample.current = state.topology.exact && slots > 0;
+  sample.current = state.topology.exact && HearsPeers(state, now) && slots > 0;
   sample.fullness = slots > 0 ? sample.requests / slots : 0;
   return sample;
 }
