--- a/libs/gateway/include/gateway/settings.h
+++ b/libs/gateway/include/gateway/settings.h
@@ -31,6 +31,8 @@
   // First start of the whole installation: no earlier process has used the retry budget. Otherwise
   // the gateway sends no retries until `retry_window` after its start. Used at the start only.
   bool bootstrap = false;
+  // Refuses requests by priority while a service is close to its capacity (details/overload.h).
+  bool shed_by_priority = false;
   // After this time, an engine ends requests that wait for a lost engine.
   duration engine_stall = std::chrono::milliseconds(3000);
   // A copy of a shared table that has not been confirmed as current for this long is checked: about
--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -132,7 +132,12 @@
     if (committed) return;
     log::Log(log::level::kWarning, "quarantine record was not written; will retry",
              {{"fingerprint", quarantine::ToString(fingerprint)}});
-    ScheduleWrite(state, fingerprint, kRecordRetryDelay);
+    // Not ScheduleWrite(), which keeps an older record of the quarantine.
+    const time_point retry_at =
+        MonotonicNow() + Jitter(state.rng, kRecordRetryDelay, kRecordJitter);
+    Subscribe(state.loop.Timers(), retry_at, [&state, fingerprint](time_point) {
+      if (IsFingerprintQuarantined(state, fingerprint)) PutRecord(state, fingerprint);
+    });
   });
 }
 
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -151,7 +151,10 @@
 // one, as when an old entry is written again.
 bool IsIgnored(gateway_state& state, const listed_endpoint& entry) {
   endpoint* known = FindEndpoint(state, entry.id);
-  if (known != nullptr && known->unreadable != entry.unreadable) {
+  const bool is_old = known != nullptr && entry.incarnation < known->listed.incarnation;
+  const bool readable_again = !entry.unreadable && !is_old;
+  if (known != nullptr && known->unreadable != entry.unreadable &&
+      (entry.unreadable || readable_again)) {
     known->unreadable = entry.unreadable;
     state.endpoints_changed = MonotonicNow();
     log::Log(log::level::kInfo,
@@ -272,8 +275,9 @@
       removed_ids.push_back(id);
   }
   for (const listed_endpoint& entry : listed) {
-    if (IsIgnored(state, entry)) continue;
+    // An endpoint that is listed is not removed, whatever its entry says.
     state.pending_removals.erase(entry.id);
+    if (IsIgnored(state, entry)) continue;
     const auto [found, added] = state.endpoints.try_emplace(entry.id);
     if (added) InitializeEndpoint(state, found->second, entry);
     if (added) ReportLossIfRestarted(state, entry);
--- a/libs/gateway/src/overload.cc
+++ b/libs/gateway/src/overload.cc
@@ -103,6 +103,7 @@
 }
 
 bool IsControlled(gateway_state& state, const call& request) {
+  if (!state.config.shed_by_priority) return false;
   const catalog::document& content = request.configuration->content;
   if (!state.priorities || state.priorities->version != content.version) {
     state.priorities = priority_count{content.version, HasSeveralPriorities(content)};
--- a/libs/net/src/client_connection.cc
+++ b/libs/net/src/client_connection.cc
@@ -44,6 +44,8 @@
   g_set_error_literal(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK, "no whole header section");
 }
 
+gboolean KeepSource(gpointer) { return G_SOURCE_CONTINUE; }
+
 gboolean DispatchWait(GSource*, GSourceFunc callback, gpointer data) {
   return callback == nullptr ? G_SOURCE_CONTINUE : callback(data);
 }
@@ -83,7 +85,13 @@
   if (--entry->second == 0) set_->open_by_address.erase(entry);
 }
 
-void client_connection::Shutdown() { shutdown(g_socket_get_fd(socket_), SHUT_RDWR); }
+// A connection that waits for room does not watch its socket, so the end is passed on from here.
+void client_connection::Shutdown() {
+  shutdown(g_socket_get_fd(socket_), SHUT_RDWR);
+  shut_down_ = true;
+  waiting_ = false;
+  Wake();
+}
 
 size_t client_connection::Counted() const {
   return pending_.capacity() + request_bytes_ + kept_bytes_;
@@ -109,7 +117,7 @@
 }
 
 gssize client_connection::Read(char* buffer, size_t size, GError** error) {
-  if (share_.IsEvicted()) return 0;
+  if (share_.IsEvicted() || shut_down_) return 0;
   switch (phase_) {
     case phase::kHead:
       return ReadHead(buffer, size, error);
@@ -133,6 +141,8 @@
 }
 
 gssize client_connection::ReadHead(char* buffer, size_t size, GError** error) {
+  // Set again by Hold() if there is still no room.
+  waiting_ = false;
   while (!CheckHead()) {
     if (phase_ == phase::kRefused || waiting_) {
       SetWouldBlock(error);
@@ -245,7 +255,7 @@
 }
 
 bool client_connection::IsReadable() {
-  if (share_.IsEvicted()) return true;
+  if (share_.IsEvicted() || shut_down_) return true;
   switch (phase_) {
     case phase::kDeliver:
     case phase::kParsed:
@@ -269,7 +279,8 @@
   if (!waits && !IsReadable()) {
     return g_pollable_input_stream_create_source(G_POLLABLE_INPUT_STREAM(input_), nullptr);
   }
-  static GSourceFuncs functions{nullptr, nullptr, DispatchWait, nullptr, nullptr, nullptr};
+  // GLib requires a closure callback of sources that become children of others.
+  static GSourceFuncs functions{nullptr, nullptr, DispatchWait, nullptr, KeepSource, nullptr};
   GSource* source = g_source_new(&functions, sizeof(GSource));
   if (!waits) g_source_set_ready_time(source, 0);
   if (wait_ != nullptr) g_source_unref(wait_);
@@ -281,6 +292,11 @@
   if (wait_ != nullptr) g_source_set_ready_time(wait_, 0);
 }
 
+std::optional<size_t> client_connection::TakeHeadBytes() {
+  if (phase_ != phase::kParsed) return std::nullopt;
+  return std::exchange(head_bytes_, 0);
+}
+
 void client_connection::BeginBody(SoupEncoding encoding, goffset length) {
   if (phase_ != phase::kParsed) return;
   if (executing_ == 0) share_.SetWaiting(MonotonicNow());
--- a/libs/net/src/details/client_connection.h
+++ b/libs/net/src/details/client_connection.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -54,8 +55,10 @@
   void BeginExecution();
   // The request and its headers were freed. `executed`: BeginExecution() was called for it.
   void EndRequest(size_t head_bytes, bool executed);
-  // Bytes counted for the header section that was read last; EndRequest() returns them.
-  size_t HeadBytes() const { return head_bytes_; }
+  // Bytes counted for the header section that was read last; EndRequest() returns them. nullopt if
+  // no section was delivered: libsoup ends a body after its first trailer, and takes further ones
+  // for a request.
+  std::optional<size_t> TakeHeadBytes();
   bool IsEvicted() const { return share_.IsEvicted(); }
 
  private:
@@ -94,6 +97,7 @@
   size_t kept_bytes_ = 0;      // of libsoup's buffer, which it keeps for the next section
   int executing_ = 0;
   bool waiting_ = false;  // for room
+  bool shut_down_ = false;
   timer_id timer_ = 0;
   GSource* wait_ = nullptr;  // that is woken when there may be room
   head_share share_;
--- a/libs/net/src/head_budget.cc
+++ b/libs/net/src/head_budget.cc
@@ -2,7 +2,6 @@
 #include "details/head_budget.h"
 
 #include <bit>
-#include <ranges>
 #include <utility>
 #include <vector>
 
@@ -42,7 +41,9 @@
   }
   size_t after = wanted - budget_->closing_bytes;
   std::vector<head_share*> victims;
-  for (const auto& [size_class, age, share] : budget_->candidates | std::views::reverse) {
+  for (auto candidate = budget_->candidates.rbegin(); candidate != budget_->candidates.rend();
+       ++candidate) {
+    const auto& [size_class, age, share] = *candidate;
     if (after <= budget_->limit_bytes || size_class < SizeClass(bytes)) break;
     if (share == this) continue;
     victims.push_back(share);
--- a/libs/net/src/intake.cc
+++ b/libs/net/src/intake.cc
@@ -99,7 +99,13 @@
                 [state](time_point) { Reject(*state, rejection::kSlowSender); });
   SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
   const auto length = static_cast<size_t>(soup_message_headers_get_content_length(headers));
-  state->head_bytes = state->connection->HeadBytes();
+  const auto head_bytes = state->connection->TakeHeadBytes();
+  if (!head_bytes) {
+    // Not a request that the caller sent as one.
+    state->rejected = true;
+    return ShutdownConnection(message);
+  }
+  state->head_bytes = *head_bytes;
   state->connection->BeginBody(soup_message_headers_get_encoding(headers),
                                soup_message_headers_get_content_length(headers));
   if (length > state->server->limits.max_body_bytes) return Reject(*state, rejection::kTooLarge);
--- a/libs/quarantine/src/details/features.cc
+++ b/libs/quarantine/src/details/features.cc
@@ -233,10 +233,12 @@
   }
 }
 
-void EndTrials(table& state, run_id id, std::span<const shared_feature> features) {
-  for (const shared_feature& feature : features) {
+void EndTrials(table& state, run_id id, const run& ended) {
+  for (const shared_feature& feature : ended.features) {
     table_entry* entry = Find(state, feature.key);
-    if (entry != nullptr && entry->trial == id) entry->trial.reset();
+    if (entry == nullptr || entry->trial != id) continue;
+    entry->trial.reset();
+    if (ended.route.empty()) --entry->trials;
   }
 }
 
--- a/libs/quarantine/src/details/features.h
+++ b/libs/quarantine/src/details/features.h
@@ -50,8 +50,8 @@
 void ConfineTried(table& state, run_id id, std::span<const shared_feature> features,
                   side_effects& effects);
 
-// The run has ended.
-void EndTrials(table& state, run_id id, std::span<const shared_feature> features);
+// The run has ended. A trial that was placed on no endpoint does not count.
+void EndTrials(table& state, run_id id, const run& ended);
 
 // Keeps the source if it is among the first kMaxSources or of a further workspace.
 void AddSource(table_entry& entry, const feature_source& source);
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -546,7 +546,7 @@
     details::ClearFeatures(state, found->second.features, effects);
     details::ConfineTried(state, id, found->second.features, effects);
   }
-  details::EndTrials(state, id, found->second.features);
+  details::EndTrials(state, id, found->second);
   state.runs.erase(found);
   if (as_suspect) details::RebuildSuspectEndpoints(state);
   table_entry& entry = details::Touch(state, key);
@@ -577,7 +577,9 @@
   // First, so that a loss that a feature explains is counted for no content.
   details::AddFeatureLosses(state, features, now, effects);
   for (const auto& [key, loss] : attributed) {
-    ConfirmLoss(state, key, state.entries.find(key)->second, loss, now, effects);
+    // Entries without runs may have been evicted by those that were added since.
+    if (table_entry* entry = details::Find(state, key))
+      ConfirmLoss(state, key, *entry, loss, now, effects);
   }
 }
 
--- a/libs/quarantine/src/unanswered.cc
+++ b/libs/quarantine/src/unanswered.cc
@@ -49,14 +49,17 @@
   std::vector<unanswered_run> graded;
   std::ranges::copy_if(state.unanswered, std::back_inserter(graded),
                        [&](const auto& ended) { return ended.instance == instance; });
+  // A request that ran when the endpoint was lost is the likelier cause; the unanswered ones may
+  // only have been slow.
+  const bool has_likelier_cause = !losses.empty();
   for (const unanswered_run& ended : graded) {
     std::erase_if(state.unanswered, [&](const auto& other) {
       return other.id == ended.id && other.key == ended.key;
     });
     Touch(state, ended.key);
-    losses.emplace(ended.key,
-                   attributed_loss{
-                       .instance = instance, .half_weight = false, .as_suspect = ended.as_suspect});
+    losses.emplace(ended.key, attributed_loss{.instance = instance,
+                                              .half_weight = has_likelier_cause,
+                                              .as_suspect = ended.as_suspect});
   }
 }
 
