--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -194,7 +194,6 @@
   bool operator==(const update&) const = default;
 };
 
-// Effects of a call that the caller carries out. Functions append to the lists.
 // Why a feature on which a further loss was counted is not refused yet.
 enum class feature_finding : uint8_t {
   kTooFewRequests,  // the losses are known of one request only
@@ -217,6 +216,7 @@
   std::optional<fingerprint> other;  // kOtherFeature: the first one found
 };
 
+// Effects of a call that the caller carries out. Functions append to the lists.
 struct side_effects {
   std::vector<update> publish;    // updates to send to all peers
   std::vector<fingerprint> wake;  // fingerprints whose held requests should call Start() again
