net: keep connections of callers open after a reply

Cause: since callers' connections are accepted by the server itself, libsoup had no listener, and it closes each connection after its first reply then. Callers that reuse connections had to connect again for each request. Change: a listener on a loopback port that nobody is told; what connects to it is dropped. Result: 'a connection serves several requests' (test_net) is new; by hand, three requests on one connection got one reply with the daemon of and three with this one; 6,000 of 6,000 on 20 connections.

--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -87,7 +87,7 @@
                   g_socket_listen(socket_, &failure) != FALSE;
     }
     g_object_unref(parsed);
-    if (listening) {
+    if (listening && KeepConnections(&failure)) {
       Watch();
       return Success();
     }
@@ -121,6 +121,26 @@
   }
 
  private:
+  // libsoup closes each connection after its first reply unless the server has a listener. This one
+  // is on a port of the loopback interface that nobody is told; what connects to it is dropped
+  // (OnRequestStarted).
+  bool KeepConnections(GError** failure) {
+    GSocket* unused =
+        g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, failure);
+    if (unused == nullptr) return false;
+    GInetAddress* loopback = g_inet_address_new_loopback(G_SOCKET_FAMILY_IPV4);
+    GSocketAddress* any_port = g_inet_socket_address_new(loopback, 0);
+    g_socket_set_listen_backlog(unused, 1);
+    const bool kept =
+        g_socket_bind(unused, any_port, FALSE, failure) != FALSE &&
+        g_socket_listen(unused, failure) != FALSE &&
+        soup_server_listen_socket(server_, unused, SoupServerListenOptions{}, failure) != FALSE;
+    g_object_unref(any_port);
+    g_object_unref(loopback);
+    g_object_unref(unused);
+    return kept;
+  }
+
   void Watch() {
     watch_ = g_socket_create_source(socket_, G_IO_IN, nullptr);
     g_source_set_callback(watch_, G_SOURCE_FUNC(OnConnection), this, nullptr);
--- a/libs/net/src/intake.cc
+++ b/libs/net/src/intake.cc
@@ -144,6 +144,12 @@
 
 void OnRequestStarted(SoupServer*, SoupServerMessage* message, gpointer data) {
   auto* server = static_cast<server_state*>(data);
+  if (!ConnectionOf(message)) {
+    // Accepted by libsoup itself, on the port of soup_http_server::KeepConnections().
+    if (GSocket* socket = soup_server_message_get_socket(message))
+      shutdown(g_socket_get_fd(socket), SHUT_RDWR);
+    return;
+  }
   soup_message_body_set_accumulate(soup_server_message_get_request_body(message), FALSE);
   auto* state = new intake{.server = server,
                            .timers = server->timers,
@@ -167,7 +173,7 @@
 void OnRequest(SoupServer*, SoupServerMessage* message, const char*, GHashTable*, gpointer data) {
   auto* server = static_cast<server_state*>(data);
   intake* state = IntakeOf(message);
-  if (state->rejected || state->connection->IsEvicted()) return;
+  if (state == nullptr || state->rejected || state->connection->IsEvicted()) return;
   state->body.share->Pin();
   state->executed = true;
   state->connection->BeginExecution();
--- a/libs/net/tests/net_test.cc
+++ b/libs/net/tests/net_test.cc
@@ -1,5 +1,6 @@
 // Tests of the HTTP server and client on loopback.
 #include <arpa/inet.h>
+#include <glib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -181,6 +182,39 @@
   std::ranges::for_each(callers, [](int fd) { close(fd); });
 }
 
+// Guards against a server that closes each connection after its first reply.
+TEST_CASE("a connection serves several requests") {
+  loop main;
+  server_handlers handlers;
+  handlers.on_request = [](const exchange_ptr& exchange) { exchange->Respond(200, {}, "whole"); };
+  handlers.on_reject = [](rejection, std::vector<header>&) { return std::string(); };
+  const auto server = ListenHttp("127.0.0.1:0", {}, main.Timers(), std::move(handlers)).value();
+  const int caller = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<uint16_t>(server->Port()));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(connect(caller, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+  constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (int i = 0; i < 3; ++i) {
+    REQUIRE(send(caller, kRequest.data(), kRequest.size(), MSG_NOSIGNAL) ==
+            static_cast<ssize_t>(kRequest.size()));
+    std::string reply;
+    bool closed = false;
+    const time_point limit = MonotonicNow() + 5s;
+    while (!closed && !reply.ends_with("whole") && MonotonicNow() < limit) {
+      g_main_context_iteration(nullptr, FALSE);
+      std::array<char, 1024> piece{};
+      const ssize_t got = recv(caller, piece.data(), piece.size(), MSG_DONTWAIT);
+      if (got > 0) reply.append(piece.data(), static_cast<size_t>(got));
+      closed = got == 0;
+    }
+    CHECK_FALSE(closed);
+    CHECK(reply.starts_with("HTTP/1.1 200"));
+  }
+  close(caller);
+}
+
 TEST_CASE("a cancelled call runs no callback") {
   std::vector<exchange_ptr> held;
   fixture f([&](const exchange_ptr& request) { held.push_back(request); });
