--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/{6,7,8,9,10}/case.cpp; do
+for source in review/{6,7,8,9,10}/scenario.cpp; do
   [ -f "$source" ] || continue
   number=$(basename "$(dirname "$source")")
   g++ -std=c++20 -O1 -Wall -Wextra -I review/6 -o "target/review-2/case-$number" "$source" -lpthread
