net: refuse replies whose status line is not HTTP's

What callers saw: a reply of an engine with status 000 came as "HTTP/1.1 500 Internal Server Error" with the engine's body and signature; 600, 999, "0", "2 00" and "0200" came as the engine's reply. So did replies of another protocol version, with two blanks before the status, a control byte in the reason, or an empty line in front; and sound replies behind an interim one of that kind.

Cause: http_parser is packaged with HTTP_PARSER_STRICT=0 and takes any digits up to 999 for a status; nothing behind it checks the range.

Change: reply_scanner follows the bytes of a reply from its first one and checks the status line (RFC 9112, 4, and the classes of RFC 9110, 15) before http_parser gets them. A fault ends the call as kBroken, as other malformed replies do, so that requests may have run and callers get 502, or the outcome "unknown". A missing reason may lack its blank, and a line may end with a line feed alone, as senders do both.

Why it works: all replies of endpoints, the store and the platform are read by direct_call, and a head reaches its readers only when it is whole.

Evidence: malformed_replies_test sends each reply through a gateway process and through a daemon in its own mode; its callers read the bytes of their connection. Beside each broken line stands a sound one, which gets through before and after.

--- /dev/null
+++ b/libs/net/include/net/reply_scanner.h
@@ -0,0 +1,46 @@
+// Checks the grammar of replies (RFC 9112) before http_parser reads them. The library is packaged
+// without its strict checks and takes status codes of any length. No I/O.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace balsambay::net {
+
+enum class reply_fault : uint8_t {
+  kNone,
+  kStatusLine,
+};
+
+// Value of the label "reason" of metrics and log lines.
+std::string_view ToString(reply_fault fault);
+
+enum class reply_phase : uint8_t {
+  kStatusLine,
+  kReason,
+  kStatusLineEnd,  // after the carriage return
+  kLineStart,      // of a field line, or of the empty line that ends a section
+  kFieldLine,
+  kSectionEnd,  // after the carriage return of the empty line
+  kHeadEnd,     // a head is whole
+  kBody,        // not checked
+};
+
+// Progress in the replies on one connection: interim ones and the final one.
+struct reply_scanner {
+  reply_phase phase = reply_phase::kStatusLine;
+  reply_fault fault = reply_fault::kNone;
+  size_t status_line_bytes = 0;
+};
+
+// Scans the next bytes, up to the end of a head. Returns how many of them are sound. If
+// `state.fault` is set, the next one is at fault. If `state.phase` is kHeadEnd, one of the
+// functions below has to be called before the rest is scanned.
+size_t ScanReply(reply_scanner& state, std::string_view data);
+
+// Say what follows the head: another reply, or a body.
+void ExpectReply(reply_scanner& state);
+void ExpectBody(reply_scanner& state);
+
+}  // namespace balsambay::net
--- a/libs/net/src/direct_call.cc
+++ b/libs/net/src/direct_call.cc
@@ -14,6 +14,7 @@
 #include "base/text.h"
 #include "details/address.h"
 #include "details/socket_options.h"
+#include "net/reply_scanner.h"
 
 namespace balsambay::net {
 namespace {
@@ -223,18 +224,40 @@
       g_error_free(failure);
       return;
     }
-    const size_t parsed =
-        http_parser_execute(&parser_, &ParserSettings(), buffer.data(), static_cast<size_t>(size));
+    if (size > 0) return Parse({buffer.data(), static_cast<size_t>(size)});
+    // Ends a body that has neither a length nor chunks.
+    http_parser_execute(&parser_, &ParserSettings(), buffer.data(), 0);
     if (finished_) return;
     if (complete_) return Finish({});
-    if (size == 0) return Fail("connection closed before the end of the reply");
-    if (parsed != static_cast<size_t>(size) || HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
-      Fail(http_errno_description(HTTP_PARSER_ERRNO(&parser_)));
+    Fail("connection closed before the end of the reply");
+  }
+
+  // What precedes a fault is parsed, so that events of a stream do not depend on how its bytes
+  // arrive.
+  void Parse(std::string_view data) {
+    while (!data.empty()) {
+      const size_t sound = ScanReply(scanner_, data);
+      if (sound > 0) {
+        const size_t parsed = http_parser_execute(&parser_, &ParserSettings(), data.data(), sound);
+        if (finished_) return;
+        if (complete_) return Finish({});
+        const http_errno error = HTTP_PARSER_ERRNO(&parser_);
+        if (parsed != sound || error != HPE_OK) {
+          return Fail(http_errno_description(error));
+        }
+      }
+      if (scanner_.fault != reply_fault::kNone) {
+        return Fail("the reply breaks the grammar of HTTP (" +
+                    std::string(ToString(scanner_.fault)) + ")");
+      }
+      data.remove_prefix(sound);
     }
   }
 
   static direct_call& From(http_parser* parser) { return *static_cast<direct_call*>(parser->data); }
 
+  static bool IsInterim(const http_parser& parser) { return parser.status_code / 100 == 1; }
+
   static int OnHeaderField(http_parser* parser, const char* data, size_t size) {
     auto& headers = From(parser).head_.headers;
     if (From(parser).in_value_ || headers.empty()) headers.emplace_back();
@@ -252,7 +275,11 @@
   // Returns 1 for a reply without a body, as http_parser asks.
   static int OnHeadersComplete(http_parser* parser) {
     direct_call& self = From(parser);
-    if (parser->status_code / 100 == 1) return 0;
+    if (IsInterim(*parser)) {
+      ExpectReply(self.scanner_);
+      return 0;
+    }
+    ExpectBody(self.scanner_);
     self.head_.status = static_cast<int>(parser->status_code);
     balsambay::Cancel(self.timers_, self.timer_);
     const auto on_headers = self.callbacks_.on_headers;
@@ -268,7 +295,7 @@
 
   static int OnMessageComplete(http_parser* parser) {
     direct_call& self = From(parser);
-    const bool interim = parser->status_code / 100 == 1;
+    const bool interim = IsInterim(*parser);
     self.complete_ = !interim;
     if (interim) self.head_ = {};
     // Bytes after the reply belong to no request.
@@ -294,6 +321,7 @@
   timer_service& timers_;
   client_callbacks callbacks_;
   size_t read_bytes_ = kReadBufferBytes;
+  reply_scanner scanner_;
   http_parser parser_{};
   GSocket* socket_ = nullptr;
   GSource* source_ = nullptr;
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -18,7 +18,6 @@
 
 using nlohmann::json;
 
-constexpr const char* kToken = "secret-1";
 constexpr const char* kAdminToken = "admin-secret";
 constexpr const char* kPeerKey = "peer-secret";
 
@@ -44,7 +43,7 @@
           {"endpoints", json::object()},
           {"services", json::object()},
           {"workspaces",
-           {{"w1", {{"token_digests", json::array({Sha256Hex(kToken)})}}},
+           {{"w1", {{"token_digests", json::array({Sha256Hex(kCallerToken)})}}},
             {"w2", {{"token_digests", json::array({Sha256Hex("secret-2")})}}}}},
           {"links", json::object()},
           {"rules", rules}};
@@ -283,7 +282,7 @@
                             std::vector<net::header> headers) {
   if (std::ranges::none_of(
           headers, [](const net::header& entry) { return entry.name == "Authorization"; })) {
-    headers.push_back({"Authorization", std::string("Bearer ") + kToken});
+    headers.push_back({"Authorization", std::string("Bearer ") + kCallerToken});
   }
   return Send(Daemon(daemon).port, "POST", path, body.dump(), std::move(headers));
 }
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -18,6 +18,7 @@
 namespace balsambay::system_test {
 
 inline constexpr int kModelLayers = 32;
+inline constexpr const char* kCallerToken = "secret-1";  // of workspace w1
 
 struct engine_options {
   std::string zone = "z1";
--- /dev/null
+++ b/tests/support/reply_cases.cc
@@ -0,0 +1,85 @@
+// Lists of replies, made from a template and the line that varies.
+#include "reply_cases.h"
+
+#include <utility>
+
+#include "scripted_endpoint.h"
+
+namespace balsambay::system_test {
+namespace {
+
+constexpr std::string_view kLineEnd = "\r\n";
+
+struct line_case {
+  std::string name;
+  std::string line;
+  bool sound = false;
+};
+
+std::vector<line_case> StatusLines() {
+  return {{"status 000", "HTTP/1.1 000 OK"},
+          {"status 099", "HTTP/1.1 099 OK"},
+          {"a status of one digit", "HTTP/1.1 0 OK"},
+          {"a status of two digits", "HTTP/1.1 20 OK"},
+          {"a status of four digits", "HTTP/1.1 0200 OK"},
+          {"a status above 999", "HTTP/1.1 2000 OK"},
+          {"status 600", "HTTP/1.1 600 OK"},
+          {"status 999", "HTTP/1.1 999 OK"},
+          {"a blank within the status", "HTTP/1.1 2 00 OK"},
+          {"two blanks before the status", "HTTP/1.1  200 OK"},
+          {"a tab before the status", "HTTP/1.1\t200 OK"},
+          {"a tab after the status", "HTTP/1.1 200\tOK"},
+          {"no blank after the status", "HTTP/1.1 200OK"},
+          {"no status", "HTTP/1.1 OK"},
+          {"a negative status", "HTTP/1.1 -200 OK"},
+          {"another protocol version", "HTTP/9.9 200 OK"},
+          {"a version of two digits", "HTTP/1.11 200 OK"},
+          {"a control byte in the reason", "HTTP/1.1 200 O\x01K"},
+          {"a carriage return in the reason", "HTTP/1.1 200 O\rK"},
+          {"an empty line before the status line", "\r\nHTTP/1.1 200 OK"},
+          {"a blank before the status line", " HTTP/1.1 200 OK"},
+          {"sound status line", "HTTP/1.1 200 OK", true},
+          {"no reason", "HTTP/1.1 200 ", true},
+          {"no blank for the reason", "HTTP/1.1 200", true},
+          {"a reason with digits", "HTTP/1.1 200 000", true},
+          {"a reason with a tab and bytes above 127", "HTTP/1.1 200 \xc3\xa9\tOK", true}};
+}
+
+std::string Lines(const std::string& line) { return line + std::string(kLineEnd); }
+
+struct reply_parts {
+  std::string interim = {};
+  std::string status_line = "HTTP/1.1 200 OK";
+};
+
+std::string Render(const reply_template& from, const reply_parts& parts, bool chunked) {
+  const std::string framing = chunked ? "Transfer-Encoding: chunked"
+                                      : "Content-Length: " + std::to_string(from.body.size());
+  const std::string body = chunked ? Chunk(from.body) + Lines("0") + Lines("") : from.body;
+  return parts.interim + Lines(parts.status_line) + Lines(framing) + from.fields + Lines("") + body;
+}
+
+int StatusOf(const line_case& entry) { return entry.sound ? 200 : 0; }
+
+}  // namespace
+
+std::vector<reply_case> HeadCases(const reply_template& from, bool chunked) {
+  std::vector<reply_case> cases;
+  const auto add = [&](const std::string& name, const reply_parts& parts, int status) {
+    cases.push_back({name, Render(from, parts, chunked), status});
+  };
+  const std::string hints = Lines("HTTP/1.1 103 Early Hints");
+  for (const line_case& entry : StatusLines()) {
+    add(entry.name, {.status_line = entry.line}, StatusOf(entry));
+    const bool ends_as_interim = entry.sound;  // a final reply before the reply
+    if (!ends_as_interim)
+      add("interim: " + entry.name, {.interim = Lines(entry.line) + Lines("")}, 0);
+  }
+  // Version 1.0 has no chunks.
+  if (!chunked) add("version 1.0", {.status_line = "HTTP/1.0 200 OK"}, 200);
+  add("two interim replies", {.interim = hints + Lines("Link: x") + Lines("") + hints + Lines("")},
+      200);
+  return cases;
+}
+
+}  // namespace balsambay::system_test
--- /dev/null
+++ b/tests/support/reply_cases.h
@@ -0,0 +1,26 @@
+// Replies of endpoints whose syntax breaks HTTP's grammar in one place, and sound ones that are
+// close to them.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace balsambay::system_test {
+
+struct reply_case {
+  std::string name;
+  std::string text;  // all bytes that the endpoint sends before it ends the connection
+  int status = 0;    // 0: the reply is broken
+};
+
+// What is the same in all replies of an installation.
+struct reply_template {
+  std::string fields;  // field lines that its callers or gateways need
+  std::string body;
+};
+
+// Replies whose status line or interim replies vary, with a length or with chunks.
+std::vector<reply_case> HeadCases(const reply_template& from, bool chunked);
+
+}  // namespace balsambay::system_test
