net: refuse replies with field names and lines that are not HTTP's

What callers saw: a reply whose field name held a blank came as a whole success, without that line. With " Transfer-Encoding: chunked" as its first field the chunk sizes became part of the body; "Content-Length : 17" was obeyed as a length. A line that began with a blank changed the value of the field before it, which may be the engine's signature. The same in interim replies and trailers, and any byte ended a head in place of its last line feed.

Cause: the packaged http_parser takes blanks for token bytes and does not check the line feed that ends a head or trailer.

Change: reply_scanner takes a field line as a token and a colon (RFC 9110, 5.6.2), with line ends where they belong, in heads, interim replies and trailers. Folded lines are refused, as a gateway may (RFC 9112, 5.2): a field that begins with a blank by mistake would change another one.

Why it works: a head or trailer is parsed only as far as it is sound, so readers get no part of a broken head, and a reply with a broken trailer does not end.

--- a/libs/net/include/net/reply_scanner.h
+++ b/libs/net/include/net/reply_scanner.h
@@ -1,6 +1,6 @@
 // Checks the grammar of replies (RFC 9112) before http_parser reads them. The library is packaged
-// without its strict checks: it takes status codes of any length and any two bytes at the end of a
-// chunk. No I/O.
+// without its strict checks: it takes status codes of any length, blanks in field names, and any
+// two bytes at the end of a chunk. No I/O.
 #pragma once
 
 #include <cstddef>
@@ -12,6 +12,8 @@
 enum class reply_fault : uint8_t {
   kNone,
   kStatusLine,
+  kFieldName,
+  kFieldLine,  // folded, or with a carriage return that does not end it
   kChunk,
 };
 
@@ -23,7 +25,9 @@
   kReason,
   kStatusLineEnd,  // after the carriage return
   kLineStart,      // of a field line, or of the empty line that ends a section
-  kFieldLine,
+  kName,
+  kValue,
+  kLineEnd,     // after the carriage return
   kSectionEnd,  // after the carriage return of the empty line
   kHeadEnd,     // a head is whole
   kTrailerEnd,
--- a/libs/net/src/reply_scanner.cc
+++ b/libs/net/src/reply_scanner.cc
@@ -9,16 +9,26 @@
 namespace balsambay::net {
 namespace {
 
-constexpr std::array<std::string_view, 3> kFaultNames = {"none", "status_line", "chunk"};
+constexpr std::array<std::string_view, 5> kFaultNames = {"none", "status_line", "field_name",
+                                                         "field_line", "chunk"};
 
 // Form of a status line up to its code; 'd' stands for a digit, 'c' for the class of the code
 // (RFC 9110, 15).
 constexpr std::string_view kStatusLineForm = "HTTP/1.d cdd";
 
+constexpr std::string_view kNamePunctuation = "!#$%&'*+-.^_`|~";
+
 constexpr int kHexBase = 16;
 
 bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
+bool IsLetter(char c) { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z'); }
+
+// Of a token (RFC 9110, 5.6.2).
+bool IsNameByte(char c) {
+  return IsLetter(c) || IsDigit(c) || kNamePunctuation.find(c) != std::string_view::npos;
+}
+
 // Visible, a blank, a tab or above 127.
 bool IsTextByte(char c) {
   constexpr unsigned char kDelete = 0x7f;
@@ -70,9 +80,32 @@
   if (!IsTextByte(c)) Fail(state, reply_fault::kStatusLine);
 }
 
+// A blank here folds the line before it. A gateway may reject a reply for this (RFC 9112, 5.2), and
+// what is meant as a field of its own would otherwise become part of another one.
 void ScanLineStart(reply_scanner& state, char c) {
   if (c == '\n') return EndSection(state);
-  state.phase = c == '\r' ? reply_phase::kSectionEnd : reply_phase::kFieldLine;
+  if (c == '\r') {
+    state.phase = reply_phase::kSectionEnd;
+  } else if (c == ' ' || c == '\t') {
+    Fail(state, reply_fault::kFieldLine);
+  } else if (IsNameByte(c)) {
+    state.phase = reply_phase::kName;
+  } else {
+    Fail(state, reply_fault::kFieldName);
+  }
+}
+
+void ScanName(reply_scanner& state, char c) {
+  if (c == ':') {
+    state.phase = reply_phase::kValue;
+  } else if (!IsNameByte(c)) {
+    Fail(state, reply_fault::kFieldName);
+  }
+}
+
+// http_parser checks the bytes of a value.
+void ScanValue(reply_scanner& state, char c) {
+  if (IsLineEnd(c)) state.phase = c == '\r' ? reply_phase::kLineEnd : reply_phase::kLineStart;
 }
 
 void ScanChunkSize(reply_scanner& state, char c) {
@@ -117,10 +150,16 @@
       return;
     case reply_phase::kLineStart:
       return ScanLineStart(state, c);
-    case reply_phase::kFieldLine:
-      if (c == '\n') state.phase = reply_phase::kLineStart;
+    case reply_phase::kName:
+      return ScanName(state, c);
+    case reply_phase::kValue:
+      return ScanValue(state, c);
+    case reply_phase::kLineEnd:
+      if (c != '\n') return Fail(state, reply_fault::kFieldLine);
+      state.phase = reply_phase::kLineStart;
       return;
     case reply_phase::kSectionEnd:
+      if (c != '\n') return Fail(state, reply_fault::kFieldLine);
       return EndSection(state);
     case reply_phase::kChunkSize:
       return ScanChunkSize(state, c);
--- a/libs/net/tests/reply_scanner_test.cc
+++ b/libs/net/tests/reply_scanner_test.cc
@@ -94,6 +94,22 @@
   }));
 }
 
+TEST_CASE("each byte that is not of a token is at fault in a name") {
+  constexpr int kBytes = 256;
+  for (int value = 0; value < kBytes; ++value) {
+    const char byte = static_cast<char>(value);
+    const bool in_names = kNameBytes.find(byte) != std::string_view::npos;
+    if (byte == ':') continue;
+    const std::string start = "HTTP/1.1 200 OK\r\nX";
+    reply_scanner state;
+    CAPTURE(value);
+    const size_t sound = ScanReply(state, start + byte + "Y: 1\r\n\r\n");
+    CHECK((state.fault == reply_fault::kNone) == in_names);
+    if (!in_names) CHECK(state.fault == reply_fault::kFieldName);
+    if (!in_names) CHECK(sound == start.size());
+  }
+}
+
 TEST_CASE("each status from 100 to 599 is sound, and no other one") {
   constexpr int kStatuses = 1000;
   for (int status = 0; status < kStatuses; ++status) {
--- a/tests/support/reply_cases.cc
+++ b/tests/support/reply_cases.cc
@@ -8,6 +8,8 @@
 namespace balsambay::system_test {
 namespace {
 
+using std::string_literals::operator""s;
+
 constexpr std::string_view kLineEnd = "\r\n";
 
 struct line_case {
@@ -45,18 +47,60 @@
           {"a reason with a tab and bytes above 127", "HTTP/1.1 200 \xc3\xa9\tOK", true}};
 }
 
+std::vector<line_case> FieldLines() {
+  return {{"a blank within the name", "X Y: 1"},
+          {"a blank before the colon", "X-Y : 1"},
+          {"a tab within the name", "X\tY: 1"},
+          {"a tab before the colon", "X-Y\t: 1"},
+          {"a control byte in the name", "X\x01Y: 1"},
+          {"a null byte in the name", "X\0Y: 1"s},
+          {"a delete byte in the name", "X\x7fY: 1"},
+          {"a carriage return in the name", "X\rY: 1"},
+          {"a byte above 127 in the name", "X\x80Y: 1"},
+          {"a separator in the name", "X(Y: 1"},
+          {"a quote in the name", "X\"Y: 1"},
+          {"an empty name", ": 1"},
+          {"a name of one blank", " : 1"},
+          {"no colon", "X-Y"},
+          {"a blank before the name", " X-Y: 1"},
+          {"a tab before the name", "\tX-Y: 1"},
+          {"sound field", "X-Y: 1", true},
+          {"all bytes of a name", "!#$%&'*+-.^_`|~09az: 1", true},
+          {"no blank after the colon", "X-Y:1", true},
+          {"blanks and tabs around the value", "X-Y: \t1 2\t ", true},
+          {"no value", "X-Y:", true},
+          {"a colon in the value", "X-Y: a : b", true},
+          {"bytes above 127 in the value", "X-Y: \xc3\xa9", true}};
+}
+
+// Field lines that frame the body, with a fault in their name. The body ends where they say.
+std::vector<line_case> BrokenFraming(const std::string& name, const std::string& value) {
+  return {{"a blank before the colon of " + name, name + " : " + value},
+          {"a blank before " + name, " " + name + ": " + value},
+          {"a tab before the colon of " + name, name + "\t: " + value}};
+}
+
 std::string Lines(const std::string& line) { return line + std::string(kLineEnd); }
 
 struct reply_parts {
   std::string interim = {};
   std::string status_line = "HTTP/1.1 200 OK";
+  std::string first_lines = {};  // after the status line
+  std::string last_lines = {};   // of the head
+  std::string framing = {};      // empty: as usual
+  std::string trailers = {};
 };
 
 std::string Render(const reply_template& from, const reply_parts& parts, bool chunked) {
-  const std::string framing = chunked ? "Transfer-Encoding: chunked"
-                                      : "Content-Length: " + std::to_string(from.body.size());
-  const std::string body = chunked ? Chunk(from.body) + Lines("0") + Lines("") : from.body;
-  return parts.interim + Lines(parts.status_line) + Lines(framing) + from.fields + Lines("") + body;
+  const std::string framing =
+      !parts.framing.empty()
+          ? parts.framing
+          : Lines(chunked ? "Transfer-Encoding: chunked"
+                          : "Content-Length: " + std::to_string(from.body.size()));
+  const std::string body =
+      chunked ? Chunk(from.body) + Lines("0") + parts.trailers + Lines("") : from.body;
+  return parts.interim + Lines(parts.status_line) + parts.first_lines + framing + from.fields +
+         parts.last_lines + Lines("") + body;
 }
 
 int StatusOf(const line_case& entry) { return entry.sound ? 200 : 0; }
@@ -75,6 +119,15 @@
     if (!ends_as_interim)
       add("interim: " + entry.name, {.interim = Lines(entry.line) + Lines("")}, 0);
   }
+  for (const line_case& entry : FieldLines()) {
+    add("first: " + entry.name, {.first_lines = Lines(entry.line)}, StatusOf(entry));
+    add("last: " + entry.name, {.last_lines = Lines(entry.line)}, StatusOf(entry));
+    add("interim: " + entry.name, {.interim = hints + Lines(entry.line) + Lines("")},
+        StatusOf(entry));
+  }
+  const auto framing = chunked ? BrokenFraming("Transfer-Encoding", "chunked")
+                               : BrokenFraming("Content-Length", std::to_string(from.body.size()));
+  for (const line_case& entry : framing) add(entry.name, {.framing = Lines(entry.line)}, 0);
   // Version 1.0 has no chunks.
   if (!chunked) add("version 1.0", {.status_line = "HTTP/1.0 200 OK"}, 200);
   add("two interim replies", {.interim = hints + Lines("Link: x") + Lines("") + hints + Lines("")},
@@ -82,6 +135,19 @@
   return cases;
 }
 
+std::vector<reply_case> TrailerCases(const reply_template& from) {
+  std::vector<reply_case> cases;
+  for (const line_case& entry : FieldLines()) {
+    cases.push_back({"trailer: " + entry.name, Render(from, {.trailers = Lines(entry.line)}, true),
+                     StatusOf(entry), true});
+    cases.push_back({"second trailer: " + entry.name,
+                     Render(from, {.trailers = Lines("X-First: 1") + Lines(entry.line)}, true),
+                     StatusOf(entry), true});
+  }
+  cases.push_back({"no line feed at the end", Render(from, {.trailers = "\r!"}, true), 0, true});
+  return cases;
+}
+
 std::vector<reply_case> ChunkCases(const reply_template& from) {
   constexpr size_t kBreak = 2;  // the size of a line end
   const std::string head =
--- a/tests/support/reply_cases.h
+++ b/tests/support/reply_cases.h
@@ -21,9 +21,12 @@
   std::string body;
 };
 
-// Replies whose status line or interim replies vary, with a length or with chunks.
+// Replies whose status line, field lines or interim replies vary, with a length or with chunks.
 std::vector<reply_case> HeadCases(const reply_template& from, bool chunked);
 
+// Replies with chunks whose trailer varies.
+std::vector<reply_case> TrailerCases(const reply_template& from);
+
 // Replies whose chunks are framed in various ways.
 std::vector<reply_case> ChunkCases(const reply_template& from);
 
--- a/tests/system/malformed_replies_test.cc
+++ b/tests/system/malformed_replies_test.cc
@@ -1,6 +1,6 @@
-// Endpoints whose replies break HTTP's grammar. Guards against callers that get such a reply as an
-// answer, as callers of other systems did. The callers of the test read the bytes of their
-// connection.
+// Endpoints whose replies break HTTP's grammar: in the status line, in the name of a field, in an
+// interim reply or in a trailer. Guards against callers that get such a reply as an answer, as
+// callers of other systems did. The callers of the test read the bytes of their connection.
 #include <algorithm>
 #include <catch2/catch.hpp>
 
@@ -23,6 +23,7 @@
 std::vector<reply_case> AllCases(const reply_template& from, bool chunked) {
   std::vector<reply_case> cases = HeadCases(from, chunked);
   if (!chunked) return cases;
+  std::ranges::copy(TrailerCases(from), std::back_inserter(cases));
   std::ranges::copy(ChunkCases(from), std::back_inserter(cases));
   return cases;
 }
