net: an interim reply has no body

What callers saw: an engine that sent an interim reply with "Content-Length: 5" and five bytes gave its caller a 200 whose body began with these bytes. Since the scanner expects a status line there, such a reply is already refused; but a sound one behind an interim reply that announces a length was refused, too, with 502.

Cause: http_parser reads a body where the fields of an interim reply announce one, and its bytes were taken for those of the final reply.

Change: the parser is told that an interim reply has no body, whatever its fields say (RFC 9112, 6.3).

Why it works: what follows the head of an interim reply is then scanned and parsed as the next status line.

--- a/libs/net/src/direct_call.cc
+++ b/libs/net/src/direct_call.cc
@@ -272,12 +272,13 @@
     return 0;
   }
 
-  // Returns 1 for a reply without a body, as http_parser asks.
+  // Returns 1 for a reply without a body, as http_parser asks. An interim one has none, whatever
+  // its fields say (RFC 9112, 6.3).
   static int OnHeadersComplete(http_parser* parser) {
     direct_call& self = From(parser);
     if (IsInterim(*parser)) {
       ExpectReply(self.scanner_);
-      return 0;
+      return 1;
     }
     if ((parser->flags & F_CHUNKED) != 0) {
       ExpectChunks(self.scanner_);
--- a/tests/support/reply_cases.cc
+++ b/tests/support/reply_cases.cc
@@ -148,6 +148,21 @@
   return cases;
 }
 
+// An interim reply ends with its head, whatever its fields say (RFC 9112, 6.3).
+std::vector<reply_case> InterimBodyCases(const reply_template& from, bool chunked) {
+  const std::string hints = Lines("HTTP/1.1 103 Early Hints");
+  const std::string body = "hello";
+  const std::string length = Lines("Content-Length: 5") + Lines("");
+  const std::string chunks = Lines("Transfer-Encoding: chunked") + Lines("");
+  const auto reply = [&](const std::string& interim) {
+    return Render(from, {.interim = hints + interim}, chunked);
+  };
+  return {{"interim: a length", reply(length), 200},
+          {"interim: chunks announced", reply(chunks), 200},
+          {"interim: a body with a length", reply(length + body)},
+          {"interim: a body in chunks", reply(chunks + Chunk(body) + Lines("0") + Lines(""))}};
+}
+
 std::vector<reply_case> ChunkCases(const reply_template& from) {
   constexpr size_t kBreak = 2;  // the size of a line end
   const std::string head =
--- a/tests/support/reply_cases.h
+++ b/tests/support/reply_cases.h
@@ -27,6 +27,9 @@
 // Replies with chunks whose trailer varies.
 std::vector<reply_case> TrailerCases(const reply_template& from);
 
+// Replies whose interim reply has fields that would frame a body.
+std::vector<reply_case> InterimBodyCases(const reply_template& from, bool chunked);
+
 // Replies whose chunks are framed in various ways.
 std::vector<reply_case> ChunkCases(const reply_template& from);
 
--- a/tests/system/malformed_replies_test.cc
+++ b/tests/system/malformed_replies_test.cc
@@ -22,6 +22,7 @@
 
 std::vector<reply_case> AllCases(const reply_template& from, bool chunked) {
   std::vector<reply_case> cases = HeadCases(from, chunked);
+  std::ranges::copy(InterimBodyCases(from, chunked), std::back_inserter(cases));
   if (!chunked) return cases;
   std::ranges::copy(TrailerCases(from), std::back_inserter(cases));
   std::ranges::copy(ChunkCases(from), std::back_inserter(cases));
@@ -223,7 +224,9 @@
 
 std::vector<reply_case> RunCases(int attempt) {
   const reply_template from{"X-Marker: " + std::string(kMarker) + "\r\n", RunLines(attempt)};
-  return HeadCases(from, true);
+  std::vector<reply_case> cases = HeadCases(from, true);
+  std::ranges::copy(InterimBodyCases(from, true), std::back_inserter(cases));
+  return cases;
 }
 
 TEST_CASE("an engine's reply that breaks HTTP's grammar does not reach a caller of the daemon") {
