Count and log malformed replies with their reason

Cause: a reply that breaks HTTP's grammar ended as a broken connection; neither a metric nor the line "attempt failed" of the gateway told the two apart, and reports, orders and health checks left no line of it.

Change: the HTTP client reports each such reply to its owner. The gateway and the daemon log "malformed reply" with address, reason and detail, and count gateway_replies_malformed_total and balsambay_replies_malformed_total by reason; "attempt failed" of the gateway has the detail.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -493,6 +493,7 @@
   const auto fail = [&](attempt_failure reason) {
     callbacks.on_failure(state, request, attempt, reason);
   };
+  attempt->detail = end.detail;
   switch (end.failure) {
     case net::call_failure::kNoSocket:
       attempt->no_socket = true;
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -240,6 +240,7 @@
             {"endpoint", fault.endpoint_id},
             {"fault", fault.faulty_id},
             {"reason", ToString(fault.failure)},
+            {"detail", attempt.detail},
             {"status", attempt.head.status},
             {"events", request.events.events},
             {"silent_ms", WholeMilliseconds(now - attempt.last_progress)},
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -132,6 +132,7 @@
   int outputs = 0;          // since the engines last changed or the quarantine restarted its run
   bool first_at_endpoint = false;  // no earlier attempt was sent to the same endpoint
   bool cut = false;                // the connection broke
+  std::string detail;              // how its connection ended, if not with a whole reply
   bool no_socket = false;          // not sent, because this process has no socket left
   bool rerouting = false;
   int reroutes = 0;  // refused reroute orders in a row
@@ -265,7 +266,11 @@
         wire(std::move(calls)),
         store(std::move(hooks)),
         loop(main_loop),
-        client(net::MakeHttpClient(main_loop.Timers())),
+        client(net::MakeHttpClient(
+            main_loop.Timers(),
+            [this](std::string_view address, std::string_view reason, std::string_view detail) {
+              RecordMalformedReply(metrics, address, reason, detail);
+            })),
         rng(values.seed != 0 ? values.seed : std::random_device{}()),
         request_buffers(
             std::make_shared<buffer_budget>(values.memory_limit_bytes / kRequestMemoryDivisor)),
--- a/libs/gateway/src/details/telemetry.h
+++ b/libs/gateway/src/details/telemetry.h
@@ -48,6 +48,9 @@
 void CountUnusedChange(telemetry& metrics, std::string_view reason);
 // An attempt that failed because its reply has more bytes than can be held.
 void CountLargeReply(telemetry& metrics, std::string_view reason);
+// Counts and logs a reply from `address` that breaks the grammar of HTTP.
+void RecordMalformedReply(telemetry& metrics, std::string_view address, std::string_view reason,
+                          std::string_view detail);
 void CountRetry(telemetry& metrics, std::string_view reason);
 // An attempt that the gateway cancelled while its endpoint may still have been executing it.
 void CountCancelledAttempt(telemetry& metrics, std::string_view reason);
--- a/libs/gateway/src/telemetry.cc
+++ b/libs/gateway/src/telemetry.cc
@@ -3,6 +3,8 @@
 
 #include <string>
 
+#include "log/log.h"
+
 namespace balsambay::gateway {
 namespace {
 
@@ -97,6 +99,14 @@
         reason);
 }
 
+void RecordMalformedReply(telemetry& metrics, std::string_view address, std::string_view reason,
+                          std::string_view detail) {
+  log::Log(log::level::kWarning, "malformed reply",
+           {{"address", address}, {"reason", reason}, {"detail", detail}});
+  Count(metrics, "gateway_replies_malformed_total", "Replies that break the grammar of HTTP.",
+        reason);
+}
+
 void CountRetry(telemetry& metrics, std::string_view reason) {
   Count(metrics, "gateway_retries_total", "Further attempts of requests.", reason);
 }
--- a/libs/net/include/net/http_client.h
+++ b/libs/net/include/net/http_client.h
@@ -38,7 +38,7 @@
   kNone,
   kConnect,   // no byte of the request was written
   kTimeout,   // headers did not come in time; the request may have arrived
-  kBroken,    // the connection broke after the request was started
+  kBroken,    // the connection broke, or the reply is malformed, after the request was started
   kNoSocket,  // this process has no socket left; nothing was sent, nothing is known of the peer
 };
 
@@ -71,7 +71,13 @@
   virtual timer_service& Timers() = 0;
 };
 
-std::unique_ptr<http_client> MakeHttpClient(timer_service& timers);
+// Called for each reply that breaks the grammar of HTTP, before its call ends as kBroken. `reason`:
+// "status_line", "field_name", "field_line", "chunk" or "other".
+using malformed_reply_handler =
+    std::function<void(std::string_view address, std::string_view reason, std::string_view detail)>;
+
+std::unique_ptr<http_client> MakeHttpClient(timer_service& timers,
+                                            malformed_reply_handler on_malformed = nullptr);
 
 struct whole_reply {
   call_end end;
--- a/libs/net/src/direct_call.cc
+++ b/libs/net/src/direct_call.cc
@@ -21,6 +21,9 @@
 
 constexpr std::string_view kScheme = "http://";
 constexpr size_t kReadBufferBytes = 65536;
+// Reason of replies that the scanner takes and http_parser refuses: for a length, a value or a
+// size.
+constexpr std::string_view kOtherFault = "other";
 
 struct target {
   std::string_view address;
@@ -60,8 +63,9 @@
 
 class direct_call final : public client_call, public std::enable_shared_from_this<direct_call> {
  public:
-  direct_call(timer_service& timers, client_callbacks callbacks)
-      : timers_(timers), callbacks_(std::move(callbacks)) {
+  direct_call(timer_service& timers, const malformed_reply_handler& on_malformed,
+              client_callbacks callbacks)
+      : timers_(timers), on_malformed_(on_malformed), callbacks_(std::move(callbacks)) {
     http_parser_init(&parser_, HTTP_RESPONSE);
     parser_.data = this;
   }
@@ -71,11 +75,12 @@
   void Start(const client_request& request) {
     is_head_ = request.method == "HEAD";
     output_ = RenderRequest(request);
+    address_ = SplitUrl(request.url).address;
     read_bytes_ = std::min(request.read_bytes, kReadBufferBytes);
     header_deadline_ = MonotonicNow() + request.header_timeout;
     WaitUntil(MonotonicNow() + std::min(request.connect_timeout, request.header_timeout));
     self_ = shared_from_this();
-    GSocketAddress* address = ParseAddress(SplitUrl(request.url).address);
+    GSocketAddress* address = ParseAddress(address_);
     if (address == nullptr) return FailLater("invalid URL " + request.url);
     GError* failure = nullptr;
     socket_ =
@@ -243,17 +248,21 @@
         if (complete_) return Finish({});
         const http_errno error = HTTP_PARSER_ERRNO(&parser_);
         if (parsed != sound || error != HPE_OK) {
-          return Fail(http_errno_description(error));
+          return FailMalformed(kOtherFault, http_errno_description(error));
         }
       }
       if (scanner_.fault != reply_fault::kNone) {
-        return Fail("the reply breaks the grammar of HTTP (" +
-                    std::string(ToString(scanner_.fault)) + ")");
+        return FailMalformed(ToString(scanner_.fault), "the reply breaks the grammar of HTTP");
       }
       data.remove_prefix(sound);
     }
   }
 
+  void FailMalformed(std::string_view reason, std::string_view detail) {
+    if (on_malformed_) on_malformed_(address_, reason, detail);
+    Fail(std::string(detail) + " (" + std::string(reason) + ")");
+  }
+
   static direct_call& From(http_parser* parser) { return *static_cast<direct_call*>(parser->data); }
 
   static bool IsInterim(const http_parser& parser) { return parser.status_code / 100 == 1; }
@@ -324,7 +333,9 @@
   }
 
   timer_service& timers_;
+  const malformed_reply_handler& on_malformed_;
   client_callbacks callbacks_;
+  std::string address_;
   size_t read_bytes_ = kReadBufferBytes;
   reply_scanner scanner_;
   http_parser parser_{};
@@ -346,9 +357,10 @@
 
 }  // namespace
 
-std::shared_ptr<client_call> SendDirect(timer_service& timers, client_request request,
-                                        client_callbacks callbacks) {
-  auto call = std::make_shared<direct_call>(timers, std::move(callbacks));
+std::shared_ptr<client_call> SendDirect(timer_service& timers,
+                                        const malformed_reply_handler& on_malformed,
+                                        client_request request, client_callbacks callbacks) {
+  auto call = std::make_shared<direct_call>(timers, on_malformed, std::move(callbacks));
   call->Start(request);
   return call;
 }
--- a/libs/net/src/http_client.cc
+++ b/libs/net/src/http_client.cc
@@ -12,7 +12,8 @@
 
 class direct_http_client final : public http_client {
  public:
-  explicit direct_http_client(timer_service& timers) : timers_(timers) {}
+  direct_http_client(timer_service& timers, malformed_reply_handler on_malformed)
+      : timers_(timers), on_malformed_(std::move(on_malformed)) {}
   // Callbacks may refer to the owner of the client, so none runs after it is gone.
   ~direct_http_client() override {
     for (const std::weak_ptr<client_call>& open : calls_) {
@@ -24,7 +25,7 @@
 
   std::shared_ptr<client_call> Send(client_request request, client_callbacks callbacks) override {
     if (calls_.size() >= prune_at_) Prune();
-    auto call = SendDirect(timers_, std::move(request), std::move(callbacks));
+    auto call = SendDirect(timers_, on_malformed_, std::move(request), std::move(callbacks));
     calls_.push_back(call);
     return call;
   }
@@ -38,6 +39,7 @@
   static constexpr size_t kPruneAt = 64;
 
   timer_service& timers_;
+  malformed_reply_handler on_malformed_;
   std::vector<std::weak_ptr<client_call>> calls_;  // that may be open
   size_t prune_at_ = kPruneAt;
 };
@@ -91,8 +93,9 @@
   return it == headers.end() ? std::string_view() : it->value;
 }
 
-std::unique_ptr<http_client> MakeHttpClient(timer_service& timers) {
-  return std::make_unique<direct_http_client>(timers);
+std::unique_ptr<http_client> MakeHttpClient(timer_service& timers,
+                                            malformed_reply_handler on_malformed) {
+  return std::make_unique<direct_http_client>(timers, std::move(on_malformed));
 }
 
 std::shared_ptr<client_call> Fetch(http_client& client, client_request request,
--- a/libs/router/src/details/state.h
+++ b/libs/router/src/details/state.h
@@ -137,7 +137,11 @@
   router_state(const settings& values, net::loop& main_loop)
       : config(values),
         loop(main_loop),
-        client(net::MakeHttpClient(main_loop.Timers())),
+        client(net::MakeHttpClient(
+            main_loop.Timers(),
+            [this](std::string_view address, std::string_view reason, std::string_view detail) {
+              RecordMalformedReply(metrics, address, reason, detail);
+            })),
         rng(values.seed != 0 ? values.seed : std::random_device{}()),
         buffers(std::make_shared<buffer_budget>(values.memory_limit_bytes / kBufferMemoryDivisor)),
         head_buffers(net::MakeHeadBudget(values.memory_limit_bytes / kHeaderMemoryDivisor)),
--- a/libs/router/src/details/telemetry.h
+++ b/libs/router/src/details/telemetry.h
@@ -18,6 +18,7 @@
   std::map<std::string, metrics::counter_id, std::less<>> retries;             // by reason
   std::map<std::string, metrics::counter_id, std::less<>> kept_attempts;       // by reason
   std::map<std::string, metrics::counter_id, std::less<>> closed_connections;  // by reason
+  std::map<std::string, metrics::counter_id, std::less<>> malformed_replies;   // by reason
   metrics::counter_id accepted;
   metrics::counter_id completed;
   metrics::counter_id cancelled;
@@ -38,6 +39,9 @@
 
 void CountRefusal(telemetry& metrics_set, std::string_view reason);
 void CountClosedConnection(telemetry& metrics_set, std::string_view reason);
+// Counts and logs a reply from `address` that breaks the grammar of HTTP.
+void RecordMalformedReply(telemetry& metrics_set, std::string_view address, std::string_view reason,
+                          std::string_view detail);
 void CountRetry(telemetry& metrics_set, std::string_view reason);
 // Counts a silent attempt that stays open without a successor.
 void CountKeptAttempt(telemetry& metrics_set, std::string_view reason);
--- a/libs/router/src/telemetry.cc
+++ b/libs/router/src/telemetry.cc
@@ -5,6 +5,7 @@
 #include <array>
 
 #include "admission/reason.h"
+#include "log/log.h"
 
 namespace balsambay::router {
 namespace {
@@ -98,6 +99,19 @@
   metrics::Increment(metrics_set.registry, it->second);
 }
 
+void RecordMalformedReply(telemetry& metrics_set, std::string_view address, std::string_view reason,
+                          std::string_view detail) {
+  log::Log(log::level::kWarning, "malformed reply",
+           {{"address", address}, {"reason", reason}, {"detail", detail}});
+  auto it = metrics_set.malformed_replies.find(reason);
+  if (it == metrics_set.malformed_replies.end()) {
+    const auto id = AddReason(metrics_set.registry, "balsambay_replies_malformed_total",
+                              "Replies that break the grammar of HTTP.", reason);
+    it = metrics_set.malformed_replies.emplace(reason, id).first;
+  }
+  metrics::Increment(metrics_set.registry, it->second);
+}
+
 void CountRetry(telemetry& metrics_set, std::string_view reason) {
   const auto it = metrics_set.retries.find(reason);
   if (it != metrics_set.retries.end()) metrics::Increment(metrics_set.registry, it->second);
--- a/tests/system/malformed_replies_test.cc
+++ b/tests/system/malformed_replies_test.cc
@@ -2,7 +2,10 @@
 // interim reply or in a trailer. Guards against callers that get such a reply as an answer, as
 // callers of other systems did. The callers of the test read the bytes of their connection.
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
+#include <fstream>
+#include <iterator>
 
 #include "gateway_process.h"
 #include "raw_caller.h"
@@ -152,6 +155,43 @@
   }
 }
 
+// One broken reply for each reason.
+std::vector<reply_case> OneOfEachFault(const reply_template& from) {
+  std::vector<reply_case> cases = AllCases(from, true);
+  std::erase_if(cases, [](const reply_case& entry) {
+    return entry.name != "status 000" && entry.name != "first: a blank within the name" &&
+           entry.name != "last: a blank before the name" && entry.name != "no size";
+  });
+  return cases;
+}
+
+constexpr std::array<std::string_view, 4> kReasons = {"status_line", "field_name", "field_line",
+                                                      "chunk"};
+
+// Checks the metrics and the lines of a log after one reply for each reason.
+void CheckRecorded(const std::string& metrics, const std::string& log_file,
+                   const std::string& metric) {
+  std::ifstream file(log_file);
+  const std::string log(std::istreambuf_iterator<char>(file), {});
+  for (const std::string_view reason : kReasons) {
+    const std::string quoted = "\"" + std::string(reason) + "\"";
+    CAPTURE(reason, log);
+    CHECK(metrics.find(metric + "{reason=" + quoted + "} 1\n") != std::string::npos);
+    CHECK(log.find("\"reason\":" + quoted) != std::string::npos);
+    CHECK(log.find("(" + std::string(reason) + ")\"") != std::string::npos);
+  }
+  CHECK(log.find("\"message\":\"malformed reply\",\"address\":\"127.0.0.1:") != std::string::npos);
+}
+
+TEST_CASE("each malformed reply is counted and logged with its reason on the platform") {
+  const std::vector<reply_case> cases = OneOfEachFault(PlatformTemplate(kMarker));
+  REQUIRE(cases.size() == kReasons.size());
+  platform_installation site(cases, std::string::npos);
+  for (size_t i = 0; i < cases.size(); ++i) site.Call("plain", i);
+  const std::string metrics = site.site.Call(site.site.metrics_port, "/metrics").body;
+  CheckRecorded(metrics, site.site.log_file, "gateway_replies_malformed_total");
+}
+
 // Sends a request of workspace w1 to the daemon.
 std::unique_ptr<raw_caller> SendRaw(scripted_installation& site, const std::string& path,
                                     const std::string& fields, const nlohmann::json& body) {
@@ -216,6 +256,19 @@
   }
 }
 
+TEST_CASE("each malformed reply is counted and logged with its reason by the daemon") {
+  const std::vector<reply_case> cases = OneOfEachFault({"X-Marker: 1\r\n", R"({"whole":true})"});
+  scripted_installation site("malformed-log");
+  for (size_t i = 0; i < cases.size(); ++i)
+    site.AddService("s" + std::to_string(i), {}, cases[i].text);
+  site.c.Start();
+  for (size_t i = 0; i < cases.size(); ++i)
+    site.c.Wait(site.CallService("s" + std::to_string(i), false));
+  const std::string metrics =
+      site.c.Wait(site.c.Send(site.c.Daemon("d1").port, "GET", "/metrics", "")).body;
+  CheckRecorded(metrics, site.c.FilePath("d1.log"), "balsambay_replies_malformed_total");
+}
+
 std::string RunLines(int attempt) {
   using nlohmann::json;
   return json{{"attempt", attempt}, {"index", 0}, {"token", kMarker}}.dump() + "\n" +
