Use no status reply, VM list or order reply that has not ended well

What was wrong: the daemon took an endpoint for ready, and a VM list for true, when the reply's head said 200 and its body could be read, although the reply then broke off or had a malformed trailer. The gateway read the engine at fault from such a reply to a reroute order.

Cause: these readers look at the status, which comes with the head, and not at how the reply ended.

Change: they require a whole reply, as all other readers do. A status reply that is not whole counts as a failed probe.

The VM list, the stage status of a stalled run and the reroute order have no test of their own.

--- a/libs/gateway/src/attempt.cc
+++ b/libs/gateway/src/attempt.cc
@@ -628,8 +628,9 @@
 // If the refusal of a reroute order names an engine, orders a path without this engine.
 void OnRerouteRefused(gateway_state& state, const call_ptr& request, const net::whole_reply& reply,
                       const attempt_callbacks& callbacks) {
+  const bool refused = reply.end.failure == net::call_failure::kNone && reply.status == 409;
   endpoint* refusing_engine =
-      reply.status == 409 ? FindByAddress(state, state.wire.read_order_fault(reply.body)) : nullptr;
+      refused ? FindByAddress(state, state.wire.read_order_fault(reply.body)) : nullptr;
   if (refusing_engine != nullptr && ++request->open->reroutes <= kMaxReroutes) {
     request->avoided.insert(refusing_engine->listed.id);
     if (Reroute(state, request, false, callbacks)) return;
--- a/libs/router/src/endpoint_monitor.cc
+++ b/libs/router/src/endpoint_monitor.cc
@@ -63,7 +63,8 @@
 }
 
 void OnProbeReply(router_state& state, const std::string& endpoint, const net::whole_reply& reply) {
-  const auto status = reply.status == 200 ? ReadStatus(reply.body) : std::nullopt;
+  const bool usable = reply.end.failure == net::call_failure::kNone && reply.status == 200;
+  const auto status = usable ? ReadStatus(reply.body) : std::nullopt;
   health::evidence evidence{.endpoint = endpoint,
                             .kind = health::evidence_kind::kProbeFailed,
                             .incarnation = std::nullopt,
@@ -149,7 +150,7 @@
   call.header_timeout = kVmListTimeout;
   net::Fetch(*state.client, std::move(call),
              [&state](const net::whole_reply& reply) {
-               if (reply.status != 200) return;
+               if (reply.end.failure != net::call_failure::kNone || reply.status != 200) return;
                const auto list = ParseVmList(reply.body);
                // An empty list indicates a fault of the platform, not the loss of all VMs.
                if (list.empty()) return;
--- a/libs/router/src/model_attempt.cc
+++ b/libs/router/src/model_attempt.cc
@@ -63,7 +63,8 @@
   const bool latest =
       !request->open_attempts.empty() && request->open_attempts.back().number == attempt;
   const bool stalled = MonotonicNow() - request->last_progress >= ProgressLimit(state, *request);
-  if (!latest || !stalled || reply.status == 200) return;
+  const bool answers = reply.end.failure == net::call_failure::kNone && reply.status == 200;
+  if (!latest || !stalled || answers) return;
   HandleSilentAttempt(
       state, request,
       {attempt_failure::kStalled, retry_reason::kStalled, endpoint, "stage does not answer", true});
--- a/tests/support/scripted_installation.cc
+++ b/tests/support/scripted_installation.cc
@@ -9,7 +9,7 @@
 
 scripted_installation::scripted_installation(const std::string& name,
                                              const std::vector<std::string>& flags)
-    : c(name) {
+    : c(name), status_reply(WholeReply(R"({"state":"ready","active":0,"started_ms":1})")) {
   c.document["zones"]["z1"] = {{"region", "r1"}};
   c.document["models"] = json::object();
   c.AddDaemon("d1", "z1", flags);
@@ -64,8 +64,7 @@
 json scripted_installation::Add(const std::string& id, const scripted_faults& how,
                                 scripted_endpoint::reply_function reply_to) {
   auto reply = [this, id, reply_to = std::move(reply_to)](std::string_view request) {
-    if (request.starts_with("GET /v1/status"))
-      return WholeReply(R"({"state":"ready","active":0,"started_ms":1})");
+    if (request.starts_with("GET /v1/status")) return status_reply;
     ++requests[id];
     return reply_to(request);
   };
--- a/tests/support/scripted_installation.h
+++ b/tests/support/scripted_installation.h
@@ -31,6 +31,7 @@
   cluster c;
   std::map<std::string, int> requests;  // by endpoint, without status requests
   int timeout_ms = 1500;                // of the next calls
+  std::string status_reply;             // of all endpoints, to status requests
 
  private:
   nlohmann::json Add(const std::string& id, const scripted_faults& how,
--- a/tests/system/malformed_replies_test.cc
+++ b/tests/system/malformed_replies_test.cc
@@ -315,5 +315,32 @@
   }
 }
 
+// Guards against an endpoint that counts as ready because of a broken reply to its health check.
+TEST_CASE("a malformed status reply does not show that an endpoint is ready, a sound one does") {
+  const reply_template from{"Content-Type: application/json\r\n",
+                            R"({"state":"ready","active":0,"started_ms":1})"};
+  std::vector<reply_case> cases = AllCases(from, true);
+  std::ranges::copy(HeadCases(from, false), std::back_inserter(cases));
+  const auto name =
+      GENERATE(as<std::string>(), "status 000", "last: a blank before the colon",
+               "a blank before the colon of Content-Length", "trailer: a blank within the name",
+               "no line feed at the end", "interim: a body with a length", "sound status line",
+               "last: sound field", "trailer: sound field");
+  const reply_case& entry = *std::ranges::find(cases, name, &reply_case::name);
+  CAPTURE(name);
+  scripted_installation site("malformed-status");
+  site.AddService("s", {}, WholeReply("{}"));
+  site.status_reply = entry.text;
+  site.c.Start();
+  // A few failed probes, one a second, make an endpoint suspect.
+  constexpr int kProbeTimeMs = 4000;
+  const bool suspected = site.c.RunUntil(
+      [&] {
+        return site.c.AdminGet("d1", "endpoints").dump().find("suspect") != std::string::npos;
+      },
+      kProbeTimeMs);
+  CHECK(suspected == (entry.status == 0));
+}
+
 }  // namespace
 }  // namespace balsambay::system_test
