balsambayctl: read replies with the HTTP client of the daemons

What operators saw: a reply of a daemon with status 999 was shown as one, and a reply whose head had a field name with a blank, a control byte, a byte above 127 or nothing passed as sound, also as the outcome of "apply".

Cause: libsoup's client takes statuses up to 999 and leaves out lines that it cannot read.

Change: the command uses net's client, which reads the replies of all other processes; one parser less decides what a reply is. The outcome of a change whose reply is malformed is unknown, and the change is read back. The client connects to IPv6 addresses now, in brackets or without, as the command did before.

--- a/apps/balsambayctl/src/http_client.h
+++ b/apps/balsambayctl/src/http_client.h
@@ -1,4 +1,4 @@
-// One synchronous HTTP request through libsoup.
+// One synchronous HTTP request.
 #pragma once
 
 #include <string>
@@ -24,7 +24,7 @@
 
 // Proxies and redirects are not followed, so that the token reaches only `address`. Errors:
 // kUnavailable when nothing was sent, kUnknownOutcome when the connection failed or timed out after
-// the request was started.
+// the request was started, or when the reply is malformed.
 result<http_reply> Send(const http_request& request);
 
 }  // namespace balsambay::ctl
--- a/apps/balsambayctl/tests/ctl_test.cc
+++ b/apps/balsambayctl/tests/ctl_test.cc
@@ -277,6 +277,37 @@
   CHECK(RunCtl({"reasons"}, env).code == kFailure);
 }
 
+// Guards against a reply that breaks HTTP's grammar and is shown, or taken for the outcome of a
+// change.
+TEST_CASE("a reply that breaks the grammar of HTTP is no answer, a sound one close to it is") {
+  struct raw_case {
+    std::string status_line;
+    std::string line;
+    bool sound = false;
+  };
+  const temporary_file file(Document().dump());
+  for (const raw_case& entry :
+       {raw_case{"HTTP/1.1 000 OK", "X-Y: 1"}, raw_case{"HTTP/1.1 0200 OK", "X-Y: 1"},
+        raw_case{"HTTP/1.1 999 OK", "X-Y: 1"}, raw_case{"HTTP/1.1 200 OK", "X Y: 1"},
+        raw_case{"HTTP/1.1 200 OK", "X-Y : 1"}, raw_case{"HTTP/1.1 200 OK", " X-Y: 1"},
+        raw_case{"HTTP/1.1 200 OK", "X\x01Y: 1"}, raw_case{"HTTP/1.1 200 OK", "X\x80Y: 1"},
+        raw_case{"HTTP/1.1 200 OK", ": 1"}, raw_case{"HTTP/1.1 200 OK", "X-Y: 1", true},
+        raw_case{"HTTP/1.1 200 Odd", "X-Y:1 2", true}}) {
+    CAPTURE(entry.status_line, entry.line);
+    const std::string body = R"({"id":"d1","zone":"z1","state":"ready","version":1})";
+    const scripted_reply raw{0, entry.status_line + "\r\n" + entry.line + "\r\nContent-Length: " +
+                                    std::to_string(body.size()) + "\r\n\r\n" + body};
+    fake_daemon daemon;
+    daemon.Script("GET /admin/v1/status", {raw});
+    daemon.Script(std::string("POST ") + kConfig, {raw});
+    daemon.Script(std::string("GET ") + kConfig, {{200, ConfigReply(7, Document("r2"))}});
+    const environment env{daemon.Address(), ""};
+    CHECK(RunCtl({"status"}, env).code == (entry.sound ? kOk : kUnreachable));
+    const outcome applied = RunCtl({"apply", file.Path(), "--base_version=7"}, env);
+    CHECK(applied.code == (entry.sound ? kOk : kUnknownOutcome));
+  }
+}
+
 TEST_CASE("malformed replies are failures, never a crash") {
   const temporary_file file(Document().dump());
   for (const std::string& body :
--- a/apps/balsambayctl/tests/fake_daemon.cc
+++ b/apps/balsambayctl/tests/fake_daemon.cc
@@ -74,6 +74,8 @@
        std::string(body->data, static_cast<size_t>(body->length))});
   if (reply.status == 0) {
     GIOStream* connection = soup_server_message_steal_connection(message);
+    g_output_stream_write_all(g_io_stream_get_output_stream(connection), reply.body.data(),
+                              reply.body.size(), nullptr, nullptr, nullptr);
     g_io_stream_close(connection, nullptr, nullptr);
     g_object_unref(connection);
     return;
--- a/apps/balsambayctl/tests/fake_daemon.h
+++ b/apps/balsambayctl/tests/fake_daemon.h
@@ -13,7 +13,7 @@
 namespace balsambay::ctl {
 
 struct scripted_reply {
-  unsigned status = 200;  // 0 closes the connection without a reply
+  unsigned status = 200;  // 0 closes the connection after `body`, which is sent without a head
   std::string body;
 };
 
--- a/libs/net/src/direct_call.cc
+++ b/libs/net/src/direct_call.cc
@@ -83,8 +83,8 @@
     GSocketAddress* address = ParseAddress(address_);
     if (address == nullptr) return FailLater("invalid URL " + request.url);
     GError* failure = nullptr;
-    socket_ =
-        g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &failure);
+    socket_ = g_socket_new(g_socket_address_get_family(address), G_SOCKET_TYPE_STREAM,
+                           G_SOCKET_PROTOCOL_TCP, &failure);
     if (socket_ != nullptr) {
       g_socket_set_blocking(socket_, FALSE);
       SetStreamOptions(socket_);
--- a/libs/net/tests/net_test.cc
+++ b/libs/net/tests/net_test.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <catch2/catch.hpp>
 
+#include "net/address.h"
 #include "net/http_client.h"
 #include "net/loop.h"
 
@@ -401,5 +402,14 @@
   }
 }
 
+TEST_CASE("addresses are IPv4, or IPv6 in brackets or without, with a port") {
+  for (const char* text : {"127.0.0.1:80", "[::1]:80", "::1:80"}) CHECK(IsAddress(text));
+  for (const char* text :
+       {"localhost:80", "127.0.0.1", "[::1]", "[127.0.0.1:80", "[::1]:0", ":80"}) {
+    CAPTURE(text);
+    CHECK_FALSE(IsAddress(text));
+  }
+}
+
 }  // namespace
 }  // namespace balsambay::net
