peer: refuse a malformed reply to the handshake

What was wrong: a daemon opened a link to a process whose reply to the handshake had "0101" for a status, or field names with blanks around them or empty ones. Nothing of it reached callers, since both sides then have to prove that they have the key.

Cause: websocketpp reads any digits and trims names.

Change: the bytes of the reply pass the scanner of net before websocketpp gets them, up to the end of the head. A malformed one ends the link as other breaches of the protocol do.

--- a/libs/peer/tests/loop.h
+++ b/libs/peer/tests/loop.h
@@ -52,6 +52,8 @@
     Forward(ends_[1], ends_[0]);
   }
   bool stalled = false;
+  // Changes the bytes that come from `upstream`.
+  std::function<void(std::string&)> rewrite = [](std::string&) {};
 
  private:
   struct end {
@@ -66,6 +68,7 @@
           g_socket_receive(from.socket.get(), buffer.data(), buffer.size(), nullptr, nullptr);
       if (got == 0) return Cut();
       if (got > 0) to.pending.assign(buffer.data(), static_cast<size_t>(got));
+      if (got > 0 && &from == &ends_[1]) rewrite(to.pending);
     }
     const gssize put =
         g_socket_send(to.socket.get(), to.pending.data(), to.pending.size(), nullptr, nullptr);
--- a/libs/peer/tests/peer_test.cc
+++ b/libs/peer/tests/peer_test.cc
@@ -192,6 +192,41 @@
   REQUIRE(l.RunUntil([&] { return !b.received.empty() && b.received.back() == "again"; }));
 }
 
+// Guards against a link to a process whose reply to the handshake is no reply in HTTP's grammar.
+TEST_CASE("a malformed reply to the handshake opens no link, a sound one close to it does") {
+  constexpr std::string_view kStatus = "HTTP/1.1 101 ";
+  struct handshake_reply {
+    std::string status;
+    std::string line;  // the first field line
+    bool sound = false;
+  };
+  const auto reply = GENERATE_COPY(values<handshake_reply>({{"HTTP/1.1 000 ", "X-Y: 1"},
+                                                            {"HTTP/1.1 0101 ", "X-Y: 1"},
+                                                            {"HTTP/1.1  101 ", "X-Y: 1"},
+                                                            {"HTTP/1.1 101 ", "X Y: 1"},
+                                                            {"HTTP/1.1 101 ", "X-Y : 1"},
+                                                            {"HTTP/1.1 101 ", " X-Y: 1"},
+                                                            {"HTTP/1.1 101 ", "X-Y\t: 1"},
+                                                            {"HTTP/1.1 101 ", "X\x01Y: 1"},
+                                                            {"HTTP/1.1 101 ", ": 1"},
+                                                            {"HTTP/1.1 101 ", "X-Y: 1", true},
+                                                            {"HTTP/1.1 101 ", "X-Y:1 2", true},
+                                                            {"HTTP/1.1 101 Odd ", "X-Y:", true}}));
+  CAPTURE(reply.status, reply.line);
+  loop l;
+  endpoint a(l, "a");
+  endpoint b(l, "b");
+  relay between(b.node->LocalAddress());
+  between.rewrite = [&](std::string& bytes) {
+    if (!bytes.starts_with(kStatus)) return;
+    bytes.insert(bytes.find("\r\n") + 2, reply.line + "\r\n");
+    bytes.replace(0, kStatus.size(), reply.status);
+  };
+  l.each_turn = [&] { between.Pump(); };
+  REQUIRE(a.node->Connect(between.address()));
+  CHECK(l.RunUntil([&] { return a.ups == 1; }, milliseconds(500)) == reply.sound);
+}
+
 TEST_CASE("a silent peer is dropped within ping interval and timeout; a short stall is survived") {
   loop l;
   endpoint a(l, "a");
--- a/libs/peer/websocket/websocket_link.cc
+++ b/libs/peer/websocket/websocket_link.cc
@@ -2,6 +2,7 @@
 #include "websocket_link.h"
 
 #include "gio_stream.h"
+#include "net/reply_scanner.h"
 #include "websocket_config.h"
 
 namespace balsambay::peer {
@@ -18,7 +19,8 @@
   link_impl(GSocket* socket, bool connecting, const link_limits& limits, link_handlers handlers)
       : limits_(limits),
         handlers_(std::move(handlers)),
-        stream_(std::make_shared<gio_stream>(socket, connecting)) {}
+        stream_(std::make_shared<gio_stream>(socket, connecting)),
+        awaits_reply_(connecting) {}
   ~link_impl() override { Release(); }
 
   // `begin` starts the connection once the socket is usable.
@@ -98,7 +100,17 @@
     if (!ended_) handlers_.on_message(message.get_payload());
   }
 
+  // Checks the head of the reply to the handshake, of which websocketpp trims the field names.
+  // Returns false if it is malformed.
+  bool CheckReply(std::string_view bytes) {
+    if (!awaits_reply_) return true;
+    net::ScanReply(reply_, bytes);
+    awaits_reply_ = reply_.phase != net::reply_phase::kHeadEnd;
+    return reply_.fault == net::reply_fault::kNone;
+  }
+
   void OnBytes(std::string_view bytes) {
+    if (!CheckReply(bytes)) return End(link_end::kProtocol);
     connection_->read_all(bytes.data(), bytes.size());
     if (ended_) {
       // A handler closed the link during the read, after which websocketpp asked for more input.
@@ -135,6 +147,8 @@
   link_handlers handlers_;
   std::shared_ptr<gio_stream> stream_;
   connection_ptr connection_;
+  bool awaits_reply_;  // to the handshake that this side has sent
+  net::reply_scanner reply_;
   bool open_ = false;
   bool ended_ = false;
 };
