net: one branch for each outcome of a chunk's size

Change: adding a digit and choosing what follows the size are apart; the limit of a size is what fits into 64 bits.

--- a/libs/net/src/reply_scanner.cc
+++ b/libs/net/src/reply_scanner.cc
@@ -108,20 +108,22 @@
   if (IsLineEnd(c)) state.phase = c == '\r' ? reply_phase::kLineEnd : reply_phase::kLineStart;
 }
 
+void AddChunkDigit(reply_scanner& state, int digit) {
+  if (state.chunk_bytes > std::numeric_limits<uint64_t>::max() / kHexBase) {
+    return Fail(state, reply_fault::kChunk);
+  }
+  ++state.chunk_digits;
+  state.chunk_bytes = state.chunk_bytes * kHexBase + static_cast<uint64_t>(digit);
+}
+
 void ScanChunkSize(reply_scanner& state, char c) {
   const int digit = HexValue(c);
-  if (digit >= 0 && state.chunk_bytes <= std::numeric_limits<uint64_t>::max() / kHexBase / 2) {
-    ++state.chunk_digits;
-    state.chunk_bytes = state.chunk_bytes * kHexBase + static_cast<uint64_t>(digit);
-  } else if (state.chunk_digits == 0 || digit >= 0) {
-    Fail(state, reply_fault::kChunk);
-  } else if (c == '\r') {
-    state.phase = reply_phase::kChunkSizeEnd;
-  } else if (c == ';' || c == ' ' || c == '\t') {
-    state.phase = reply_phase::kChunkExtension;
-  } else {
-    Fail(state, reply_fault::kChunk);
+  if (digit >= 0) return AddChunkDigit(state, digit);
+  const bool has_extension = c == ';' || c == ' ' || c == '\t';
+  if (state.chunk_digits == 0 || (c != '\r' && !has_extension)) {
+    return Fail(state, reply_fault::kChunk);
   }
+  state.phase = has_extension ? reply_phase::kChunkExtension : reply_phase::kChunkSizeEnd;
 }
 
 void ScanChunkExtension(reply_scanner& state, char c) {
