--- a/apps/balsambayctl/src/http_client.cc
+++ b/apps/balsambayctl/src/http_client.cc
@@ -1,8 +1,6 @@
 // Runs the HTTP client of the daemons until its call has ended; see the header.
 #include "http_client.h"
 
-#include <optional>
-
 #include "net/http_client.h"
 #include "net/loop.h"
 
--- a/tests/support/reply_cases.cc
+++ b/tests/support/reply_cases.cc
@@ -115,9 +115,8 @@
   const std::string hints = Lines("HTTP/1.1 103 Early Hints");
   for (const line_case& entry : StatusLines()) {
     add(entry.name, {.status_line = entry.line}, StatusOf(entry));
-    const bool ends_as_interim = entry.sound;  // a final reply before the reply
-    if (!ends_as_interim)
-      add("interim: " + entry.name, {.interim = Lines(entry.line) + Lines("")}, 0);
+    // A sound line in front would begin the final reply.
+    if (!entry.sound) add("interim: " + entry.name, {.interim = Lines(entry.line) + Lines("")}, 0);
   }
   for (const line_case& entry : FieldLines()) {
     add("first: " + entry.name, {.first_lines = Lines(entry.line)}, StatusOf(entry));
