--- a/tests/system/malformed_replies_test.cc
+++ b/tests/system/malformed_replies_test.cc
@@ -94,9 +94,7 @@
 };
 
 reply_template PlatformTemplate(const std::string& body) {
-  return {"Balsambay-Request-Id: r1\r\nBalsambay-Upstream-Seal: seal\r\nX-Marker: " +
-              std::string(kMarker) + "\r\n",
-          body};
+  return {platform::kReplyFields + ("X-Marker: " + std::string(kMarker)) + "\r\n", body};
 }
 
 // The caller is told that its request may have run, and gets nothing of what the endpoint sent.
