gateway: find silent plain endpoints lost by checks, not by their return

Each copy of it cost two endpoints, and harmless requests beside it were answered 502 or 504.

Cause: a silent plain endpoint was found lost only when a later incarnation of its id was listed or a connection was refused. With a new id neither comes; the removal of the former entry counts as leaving without notice.

Change: an endpoint whose request has no answer after 1 s, or ended without one, gets health checks at its address. It is lost if it refuses the connection, if another endpoint answers there, or if it answers nothing, neither requests nor checks, for 2 s, the limit for engines. Loss and blame are reported as before, by the one quarantine. If the endpoint answers later and the list has no later incarnation of it, the loss is withdrawn; if its whole zone is silent, nothing is concluded. The check after a broken connection is the same one, and an answer of another id is no longer taken for a sign of life.

--- a/libs/gateway/include/gateway/wire.h
+++ b/libs/gateway/include/gateway/wire.h
@@ -60,6 +60,7 @@
 struct reply_metadata {
   bool not_executed = false;  // the endpoint guarantees that it did not execute the request
   std::string request_id;     // empty: not stated
+  std::string endpoint_id;    // the endpoint that answered a health check; empty: not stated
   std::string fault_address;  // the engine on the path that caused a refusal; empty: not stated
   bool authentic = false;     // carries the endpoint's signature
   bool encoded = false;       // the body is compressed or otherwise encoded
--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -9,6 +9,7 @@
 #include "details/calls.h"
 #include "details/fleet.h"
 #include "details/monitor.h"
+#include "details/silence.h"
 #include "log/log.h"
 #include "quarantine/message.h"
 
@@ -285,7 +286,8 @@
 // reached it when it was already dead.
 time_point LastSignOfLife(const gateway_state& state, const endpoint& target,
                           time_point silent_since, time_point now) {
-  return std::min({AliveUntil(state, target, now), silent_since, now - kMinDetectionTime});
+  return std::min({AliveUntil(state, target, now), silent_since, now - kMinDetectionTime,
+                   SilentSince(state, target.listed.id, target.listed.incarnation)});
 }
 
 void LogRequestOn(gateway_state& state, const call& active, const attempt& sent,
@@ -475,23 +477,27 @@
   const std::string& id = ended.path.front().endpoint_id;
   const auto reached = request.reached.find(id);
   if (reached == request.reached.end()) return;
+  // The endpoint may have been lost before the request was sent to it.
+  if (ended.last_progress > SilentSince(state, id, reached->second)) return;
   const time_point now = MonotonicNow();
   quarantine::ReportUnanswered(state.quarantine, request.number, {id, reached->second}, now,
                                now + kUnansweredLifetime);
+  CheckSilence(state, request, ended);
 }
 
 void OnEndpointAnswered(gateway_state& state, const endpoint& target) {
+  EndSilence(state, target);
   if (state.quarantine.unanswered.empty()) return;
   quarantine::ReportAnswer(state.quarantine, LifeOf(target),
                            MonotonicNow() + state.config.change_propagation_limit);
 }
 
-void OnRemovedEndpointLost(gateway_state& state, const std::string& id, uint64_t incarnation) {
+void OnRemovedEndpointLost(gateway_state& state, const std::string& id, uint64_t incarnation,
+                           time_point alive_until) {
   const quarantine::endpoint_instance instance{id, incarnation};
   LogUnansweredOn(state, instance);
   quarantine::side_effects outputs;
-  // Requests that are still open on it may have been sent after the loss.
-  quarantine::ReportLost(state.quarantine, instance, MonotonicNow(), outputs, time_point::min());
+  quarantine::ReportLost(state.quarantine, instance, MonotonicNow(), outputs, alive_until);
   Process(state, outputs, record_writer::kSelf);
 }
 
--- a/libs/gateway/src/details/containment.h
+++ b/libs/gateway/src/details/containment.h
@@ -67,17 +67,18 @@
   kClosed,     // failed or cancelled, without evidence of a lost endpoint
 };
 
-// Call before EndAttempt() when an attempt ends because its endpoint has not answered in time. If a
-// plain endpoint comes back as a new incarnation, it was lost with the request on it; engines are
-// asked for reports instead. No effect for other attempts.
+// Call before EndAttempt() when an attempt ends without an answer of its endpoint. If the endpoint
+// is a plain one and is found lost, it was lost with the request on it; starts a check of it. No
+// effect for other attempts.
 void RecordUnanswered(gateway_state& state, const call& request, const attempt& ended);
 
 // Call when an endpoint has answered a request.
 void OnEndpointAnswered(gateway_state& state, const endpoint& target);
 
-// Call when an endpoint that was removed from the list is back as a new incarnation. The removed
-// one had not announced that it leaves.
-void OnRemovedEndpointLost(gateway_state& state, const std::string& id, uint64_t incarnation);
+// Call when an endpoint that was removed from the list, without having announced that it leaves, is
+// found lost. Requests that were sent to it after `alive_until` are not the cause.
+void OnRemovedEndpointLost(gateway_state& state, const std::string& id, uint64_t incarnation,
+                           time_point alive_until = time_point::min());
 
 // No effect if the attempt has ended already.
 void EndAttempt(gateway_state& state, const call& request, attempt_end how);
--- a/libs/gateway/src/details/monitor.h
+++ b/libs/gateway/src/details/monitor.h
@@ -21,8 +21,8 @@
 // in turn, and requests move off those that are lost. Plain endpoints have no reports: no effect.
 void RequestReport(gateway_state& state, endpoint& target, std::string_view reason);
 
-// Checks whether an endpoint that closed a connection early is alive. Plain endpoints count as lost
-// only when they refuse the next connection.
+// Checks whether an endpoint that closed a connection early is alive. For plain endpoints, see
+// CheckSilence().
 void ConfirmLoss(gateway_state& state, endpoint& target);
 
 // Whether a report requested now could give new information: none is under way, the endpoint is in
--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -229,6 +229,35 @@
   time_point left_at;
 };
 
+// One start of a plain endpoint, as it was listed when a request was sent to it.
+struct plain_instance {
+  std::string id;
+  uint64_t incarnation = 0;
+  std::string address;  // IP:PORT
+  std::string service;
+  std::string zone;  // empty: not known, its entry has expired
+  bool operator==(const plain_instance&) const = default;
+};
+
+// A check whether a plain endpoint is alive (silence.h).
+struct silence_check {
+  plain_instance target;
+  time_point silent_since;  // when the first unanswered request was sent
+  time_point started;
+  time_point due;  // when silence shows that the endpoint is lost
+  time_point next_check;
+};
+
+// A plain endpoint that was found lost by its silence.
+struct silent_endpoint {
+  plain_instance target;
+  time_point since;  // as in `silence_check`
+  time_point found_at;
+  time_point next_check;
+  // When the check that it answered was sent; time_point(): it has not answered.
+  time_point answered_check;
+};
+
 // Whether a version of the configuration has more than one priority.
 struct priority_count {
   uint64_t version = 0;
@@ -314,7 +343,9 @@
   // Removed from the list without notice; they may go on serving for a while. By id; kept for a
   // limited time.
   std::map<std::string, departed_endpoint> unlisted;
-  std::map<std::string, endpoint> endpoints;  // by id
+  std::map<std::string, endpoint> endpoints;            // by id
+  std::map<std::string, silence_check> silence_checks;  // under way, by endpoint id
+  std::map<std::string, silent_endpoint> silent;        // by endpoint id
   std::unordered_map<std::string, std::string> id_by_address;
   std::unordered_map<uint32_t, std::string> endpoint_names;  // id by numeric name in messages
   std::map<std::string, peer> peers;                         // by id, without this gateway
--- a/libs/gateway/src/monitor.cc
+++ b/libs/gateway/src/monitor.cc
@@ -8,6 +8,7 @@
 #include "details/containment.h"
 #include "details/fleet.h"
 #include "details/replacement.h"
+#include "details/silence.h"
 #include "details/watch.h"
 #include "log/log.h"
 
@@ -149,37 +150,6 @@
       kShortReplyLimits);
 }
 
-// A plain endpoint answers health checks in turn with its requests, so only a refused connection
-// shows that it is lost.
-void OnHealthReply(gateway_state& state, const std::string& id, const net::whole_reply& reply,
-                   time_point requested_at) {
-  endpoint* target = FindEndpoint(state, id);
-  if (target == nullptr) return;
-  target->probing = false;
-  const bool timely = MonotonicNow() < requested_at + kMaxReportTimeout;
-  if (reply.end.failure == net::call_failure::kConnect && timely) {
-    MarkDown(state, *target, "refuses connections", loss_evidence::kProof);
-  } else if (reply.end.failure == net::call_failure::kNone) {
-    OnEndpointAlive(state, *target, target->listed.incarnation, requested_at);
-  }
-}
-
-void SendHealthCheck(gateway_state& state, endpoint& target) {
-  const catalog::service* service =
-      catalog::FindService(*state.configuration, target.listed.service);
-  if (service == nullptr || service->health_path.empty()) return;
-  target.probing = true;
-  net::client_request request;
-  request.method = "GET";
-  request.url = "http://" + target.listed.address + service->health_path;
-  request.header_timeout = kMaxReportTimeout;
-  net::Fetch(
-      *state.client, std::move(request),
-      [&state, id = target.listed.id, requested_at = MonotonicNow()](
-          const net::whole_reply& reply) { OnHealthReply(state, id, reply, requested_at); },
-      kShortReplyLimits);
-}
-
 // Watchers of lower rank probe less often; they only make up for first ones that are lost.
 duration DownProbeInterval(size_t rank) {
   return std::min<duration>(kDownProbeInterval * (1 + 2 * rank), kMaxDownProbeInterval);
@@ -276,6 +246,7 @@
 void Tick(gateway_state& state, time_point now) {
   PollEngines(state, now);
   ResumePlainEndpoints(state, now);
+  UpdateSilence(state, now);
   CheckZones(state, now);
   Subscribe(state.loop.Timers(), now + kTickInterval, [&state](time_point at) { Tick(state, at); });
 }
@@ -308,8 +279,10 @@
   target.checked_at = MonotonicNow();
   if (IsEngine(state, target))
     return SendReportRequest(state, target, kConnectionBroken, AdaptiveReportTimeout(state));
-  CountReport(state.metrics, kConnectionBroken);
-  SendHealthCheck(state, target);
+  CheckSilence(state,
+               {target.listed.id, target.listed.incarnation, target.listed.address,
+                target.listed.service, target.listed.zone},
+               MonotonicNow());
 }
 
 void StartMonitor(gateway_state& state) {
