quarantine: one trial of a refused part, on one daemon and with a pause

Cause: a request of a workspace without losses may run as a trial, two in a quarantine and on each daemon that holds the placement lease meanwhile. The second one was the next attempt of the first one's request, before its loss was known; a change of the lease holder allowed two more, since the number of trials is known to one daemon only.

Made no difference: a store that takes 400 ms, restarts of single gateways and all, 12 and 26 gateways, all on two processors.

Change: a part may be tried on a daemon that held the lease when the part was quarantined, and ever since. After a trial that reached an endpoint there is a pause of 5 s, in which its loss becomes known, so that neither its next attempt nor another request is one. Two remain possible in one quarantine if the first one ends without an answer and without a loss. The price: after a change of the lease holder a sound part of another workspace is refused until the quarantine ends. Why it works: one daemon at a time holds the lease, and one that gets it later tries no earlier quarantine; so one arrival, or two 5 s apart if the loss of the first one was not noticed, at any number of gateways and any order of restarts.

Tests: "a quarantine has a bounded number of trials, with a pause between them" replaces the case that allowed two trials at once; it asks for the same bound of two and also for one before the pause. "a daemon that takes over runs no trials of earlier quarantines" is new. The two other cases with trials state the lease before the quarantine now, as the contract asks.

--- a/libs/gateway/src/containment.cc
+++ b/libs/gateway/src/containment.cc
@@ -258,8 +258,14 @@
             });
 }
 
+// The holder of the placement lease runs trials.
+void UpdateMayRunTrials(gateway_state& state) {
+  quarantine::SetMayRunTrials(state.quarantine, lease::MayAct(state.lease, MonotonicNow()));
+}
+
 void Tick(gateway_state& state, time_point now) {
   quarantine::side_effects outputs;
+  UpdateMayRunTrials(state);
   quarantine::Tick(state.quarantine, now, outputs);
   // Records of quarantines that have expired are removed by RemoveExpired().
   quarantine::side_effects released;
@@ -399,7 +405,7 @@
 
 quarantine::decision AdmitAttempt(gateway_state& state, const call& request) {
   quarantine::side_effects outputs;
-  quarantine::SetMayRunTrials(state.quarantine, lease::MayAct(state.lease, MonotonicNow()));
+  UpdateMayRunTrials(state);
   const quarantine::decision decision = quarantine::Start(
       state.quarantine, request.number, IdentityOf(request), MonotonicNow(), outputs);
   Process(state, outputs, record_writer::kSelf);
@@ -543,6 +549,7 @@
     gateway_state& state, const std::string& peer, std::span<const quarantine::update> updates) {
   std::vector<quarantine::fingerprint> changed;
   const time_point now = MonotonicNow();
+  UpdateMayRunTrials(state);
   for (quarantine::update update : updates) {
     update.daemon = peer;
     quarantine::side_effects outputs;
--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -9,7 +9,8 @@
 // features of the requests that had made no output on them: after
 // `settings::max_loss_rounds` rounds of losses, without an answer of a request with the feature in
 // between, requests with it are refused, those of all workspaces. If all losses are those of one
-// workspace, a request of another one may run as a trial on one daemon (SetMayRunTrials()). If it
+// workspace, a request of another one may run once as a trial, on the daemon that could run trials
+// when the feature was quarantined (SetMayRunTrials()). If it
 // is answered, the quarantine is confined to the workspace of the losses, so that no caller gets
 // the requests of others refused for long. The losses that the feature explains are cleared for all
 // other fingerprints, except features that explain them as well.
@@ -296,11 +297,14 @@
   std::vector<endpoint_instance> executing;
   std::optional<time_point> proven_at;  // since when the losses suffice to refuse the feature
   // The quarantine covers the workspaces of `sources` only: another one was answered. Reset, like
-  // `trials`, when the quarantine ends.
+  // the state of its trials, when the quarantine ends.
   bool confined = false;
-  std::optional<run_id> trial;  // run of a workspace without losses, see SetMayRunTrials()
-  int trials = 0;               // of this quarantine, on this daemon
-  bool flagged = false;         // in the list `flagged` rather than `unflagged`
+  // This daemon has been allowed to run trials since before the quarantine, see SetMayRunTrials().
+  bool may_be_tried = false;
+  std::optional<run_id> trial;      // run of a workspace without losses
+  int trials = 0;                   // of this quarantine
+  time_point trial_paused_until{};  // no further trial until a loss of the last one is known
+  bool flagged = false;             // in the list `flagged` rather than `unflagged`
   std::list<fingerprint>::iterator position;  // in that list
 };
 
@@ -370,7 +374,10 @@
 void SetHasPeers(table& state, bool has_peers);
 
 // States whether this daemon may run single requests of workspaces that lost no endpoint although
-// they have a quarantined feature. To be true on one daemon at a time.
+// they have a quarantined feature. To be true on one daemon at a time. Applies to features that are
+// quarantined while it is true: a daemon for which it becomes true later does not know the trials
+// that others have run, so that together they would lose more endpoints than a contained feature
+// may. Call at the latest when the next function would rely on a former value.
 void SetMayRunTrials(table& state, bool may_run);
 
 // Decides whether the run `id` may start now and, on kAllow and kAllowIsolated, registers it. The
--- a/libs/quarantine/src/details/entries.cc
+++ b/libs/quarantine/src/details/entries.cc
@@ -115,9 +115,12 @@
   if (before == fingerprint_state::kQuarantined) {
     entry.confined = false;
     entry.trials = 0;
+    entry.trial_paused_until = {};
     effects.released.push_back(key);
   }
-  if (entry.state == fingerprint_state::kQuarantined) effects.quarantined.push_back(key);
+  if (entry.state != fingerprint_state::kQuarantined) return;
+  entry.may_be_tried = state.may_run_trials;
+  effects.quarantined.push_back(key);
 }
 
 bool Contains(std::span<const endpoint_instance> instances, const endpoint_instance& instance) {
--- a/libs/quarantine/src/details/features.cc
+++ b/libs/quarantine/src/details/features.cc
@@ -37,9 +37,10 @@
 constexpr size_t kUnrelatedPerRound = 2;
 constexpr size_t kMaxExtraRounds = 2;
 constexpr size_t kMaxExplained = 64;
-// Trials of one quarantine on one daemon. Each may lose an endpoint, and at most three requests may
-// reach endpoints once a feature has to be contained.
+// Trials of one quarantine. A second one is for a trial that ended without an answer or a loss.
 constexpr int kMaxTrials = 2;
+// Within this time the loss of an endpoint of a trial is known.
+constexpr duration kTrialPause = 5s;
 
 bool IsPresentAt(const table_entry& entry, const endpoint_instance& instance) {
   return Contains(entry.losses, instance) || Contains(entry.cleared, instance);
@@ -206,10 +207,11 @@
 
 }  // namespace
 
-bool IsCovered(const table& state, const table_entry& entry, const feature_source& request) {
+bool IsCovered(const table_entry& entry, const feature_source& request) {
   if (CountWorkspaces(entry) != 1 || entry.sources.front().workspace == request.workspace)
     return true;
-  const bool may_try = state.may_run_trials && !entry.trial && entry.trials < kMaxTrials;
+  const bool paused = entry.trial_paused_until != time_point();
+  const bool may_try = entry.may_be_tried && !entry.trial && !paused && entry.trials < kMaxTrials;
   return !entry.confined && !may_try;
 }
 
@@ -233,15 +235,27 @@
   }
 }
 
-void EndTrials(table& state, run_id id, const run& ended) {
+void EndTrials(table& state, run_id id, const run& ended, time_point now) {
   for (const shared_feature& feature : ended.features) {
     table_entry* entry = Find(state, feature.key);
     if (entry == nullptr || entry->trial != id) continue;
     entry->trial.reset();
-    if (ended.route.empty()) --entry->trials;
+    if (ended.route.empty()) {
+      --entry->trials;
+    } else {
+      entry->trial_paused_until = now + kTrialPause;
+    }
   }
 }
 
+void ResumeTrials(table_entry& entry, time_point now) {
+  if (now >= entry.trial_paused_until) entry.trial_paused_until = {};
+}
+
+void ForbidTrials(table& state) {
+  for (const fingerprint& key : state.flagged) Find(state, key)->may_be_tried = false;
+}
+
 void AddSource(table_entry& entry, const feature_source& source) {
   if (std::ranges::find(entry.sources, source) != entry.sources.end()) return;
   if (entry.sources.size() < kMaxSources) return entry.sources.push_back(source);
--- a/libs/quarantine/src/details/features.h
+++ b/libs/quarantine/src/details/features.h
@@ -40,7 +40,7 @@
 
 // Whether a quarantine of the feature covers the request. It does not if requests of one other
 // workspace caused all losses and the quarantine is confined, or a trial may run.
-bool IsCovered(const table& state, const table_entry& entry, const feature_source& request);
+bool IsCovered(const table_entry& entry, const feature_source& request);
 
 // Registers the run as the trial of those of its features that are quarantined and would cover it
 // otherwise. Precondition: no quarantine covers the run.
@@ -50,8 +50,15 @@
 void ConfineTried(table& state, run_id id, std::span<const shared_feature> features,
                   side_effects& effects);
 
-// The run has ended. A trial that was placed on no endpoint does not count.
-void EndTrials(table& state, run_id id, const run& ended);
+// The run has ended. A trial that was placed on no endpoint does not count. After any other one
+// there is a pause, in which an attempt of the same request is no trial either.
+void EndTrials(table& state, run_id id, const run& ended, time_point now);
+
+// Ends the pause after a trial if it is over.
+void ResumeTrials(table_entry& entry, time_point now);
+
+// Forbids trials of all present quarantines.
+void ForbidTrials(table& state);
 
 // Keeps the source if it is among the first kMaxSources or of a further workspace.
 void AddSource(table_entry& entry, const feature_source& source);
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -353,6 +353,7 @@
   ExpirePending(state, key, entry, now, effects);
   ResolveDisputed(state, key, now, effects);
   details::SettleFeature(state, key, now, effects);
+  details::ResumeTrials(entry, now);
   const bool had_claim = entry.claimed_at.has_value();
   bool changed = ExpireClaims(state, entry, now);
   changed |= ExpireLosses(entry, now);
@@ -413,7 +414,10 @@
 
 void SetHasPeers(table& state, bool has_peers) { state.has_peers = has_peers; }
 
-void SetMayRunTrials(table& state, bool may_run) { state.may_run_trials = may_run; }
+void SetMayRunTrials(table& state, bool may_run) {
+  if (!may_run && state.may_run_trials) details::ForbidTrials(state);
+  state.may_run_trials = may_run;
+}
 
 decision Start(table& state, run_id id, const run_identity& identity, time_point now,
                side_effects& effects) {
@@ -456,7 +460,7 @@
     if (found == state.entries.end()) return;
     const table_entry& entry = found->second;
     if (entry.state != fingerprint_state::kQuarantined) return;
-    if (entry.is_feature && !details::IsCovered(state, entry, source)) return;
+    if (entry.is_feature && !details::IsCovered(entry, source)) return;
     if (refused && entry.loss_expires <= until) return;
     refused = key;
     until = entry.loss_expires;
@@ -546,7 +550,7 @@
     details::ClearFeatures(state, found->second.features, effects);
     details::ConfineTried(state, id, found->second.features, effects);
   }
-  details::EndTrials(state, id, found->second);
+  details::EndTrials(state, id, found->second, now);
   state.runs.erase(found);
   if (as_suspect) details::RebuildSuspectEndpoints(state);
   table_entry& entry = details::Touch(state, key);
--- a/libs/quarantine/tests/features_test.cc
+++ b/libs/quarantine/tests/features_test.cc
@@ -192,8 +192,8 @@
 // Guards against trials that together lose more endpoints than a contained feature may.
 TEST_CASE("a trial that loses its endpoint is the last one") {
   daemon_fixture d("a");
-  d.LoseWith(kCause, 3, 1);
   SetMayRunTrials(d.state, true);
+  d.LoseWith(kCause, 3, 1);
   CHECK(d.Place(std::array{kCause}, Endpoint(9), 1) == verdict::kRefuse);
   CHECK(d.Place(std::array{kCause}, Endpoint(9), 2) != verdict::kRefuse);
   CHECK(d.Place(std::array{kCause}, Endpoint(10), 2) == verdict::kRefuse);
@@ -204,25 +204,60 @@
     CHECK(d.Place(std::array{kCause}, Endpoint(10), workspace) == verdict::kRefuse);
 }
 
-// Guards against trials without an answer that go on for as long as the quarantine.
-TEST_CASE("a quarantine has a bounded number of trials") {
+// Guards against trials without an answer that go on for as long as the quarantine, and against a
+// second one before the loss of an endpoint by the first one is known, as by the next attempt of
+// the same request.
+TEST_CASE("a quarantine has a bounded number of trials, with a pause between them") {
   daemon_fixture d("a");
-  d.LoseWith(kCause, 3, 1);
   SetMayRunTrials(d.state, true);
+  d.LoseWith(kCause, 3, 1);
   int trials = 0;
-  for (size_t i = 0; i < 9; ++i) {
-    if (d.Place(std::array{kCause}, Endpoint(9), 2) != verdict::kRefuse) ++trials;
-    d.EndAll(run_end::kFailed);
+  const auto try_often = [&] {
+    for (size_t i = 0; i < 9; ++i) {
+      if (d.Place(std::array{kCause}, Endpoint(9), 2) != verdict::kRefuse) ++trials;
+      d.EndAll(run_end::kFailed);
+    }
+  };
+  try_often();
+  CHECK(trials == 1);
+  for (int i = 0; i < 3; ++i) {
+    d.now += 6s;
+    Tick(d.state, d.now, d.effects);
+    try_often();
   }
   CHECK(trials == 2);
 }
 
+// Guards against trials of several daemons, which together lose more endpoints than a contained
+// feature may: a daemon that takes over knows the quarantine, but not the trials of the others.
+TEST_CASE("a daemon that takes over runs no trials of earlier quarantines") {
+  daemon_fixture holder("a");
+  daemon_fixture next("b");
+  SetMayRunTrials(holder.state, true);
+  holder.LoseWith(kCause, 3, 1);
+  for (update message : holder.effects.publish) {
+    message.daemon = "a";
+    Merge(next.state, message, next.now, next.effects);
+  }
+  REQUIRE(next.IsRefused(kCause));
+  REQUIRE(holder.Place(std::array{kCause}, Endpoint(9), 2) != verdict::kRefuse);
+  SetMayRunTrials(holder.state, false);
+  SetMayRunTrials(next.state, true);
+  CHECK(next.Place(std::array{kCause}, Endpoint(10), 2) == verdict::kRefuse);
+  // Nor does the former holder when it has the task again.
+  holder.EndAll(run_end::kFailed);
+  holder.now += 6s;
+  Tick(holder.state, holder.now, holder.effects);
+  SetMayRunTrials(holder.state, true);
+  CHECK(holder.Place(std::array{kCause}, Endpoint(9), 2) == verdict::kRefuse);
+}
+
 // Guards against a caller that gets the requests of another workspace refused by naming its parts.
 TEST_CASE("an answered trial confines the quarantine to the workspace of the losses") {
   daemon_fixture d("a");
   daemon_fixture peer("b");
-  d.LoseWith(kCause, 3, 1);
   SetMayRunTrials(d.state, true);
+  d.LoseWith(kCause, 3, 1);
   REQUIRE(d.Place(std::array{kCause}, Endpoint(9), 2) != verdict::kRefuse);
   Progress(d.state, d.last_run, d.now, d.effects);
   for (const update& message : d.effects.publish) {
