quarantine: count losses that are found soon after a run has ended

Cause: the loss of an engine was attributed to features of runs that were open or whose own connection broke. A run that ended otherwise, by a new path, a refusal or a denied attempt, in the 0.1 to 0.4 s until the loss was found, was forgotten. Its loss counted as one of another cause and raised the number of rounds that are required, to 4 or 5.

Change: features of runs that ended without output are kept for 1 s, at most 256 runs, and get the losses that are found by then. Contents are not affected.

Test: "losses that are found soon after the runs with a feature have ended count"; without the change the feature is not refused.

--- a/libs/quarantine/include/quarantine/quarantine.h
+++ b/libs/quarantine/include/quarantine/quarantine.h
@@ -340,6 +340,14 @@
   bool answered = false;    // the endpoint has answered since, maybe as a later incarnation
 };
 
+// A run that ended without output. The loss of an endpoint that it crashed may not be known yet.
+struct ended_run {
+  std::vector<route_hop> route;
+  std::vector<shared_feature> features;
+  bool executing = false;  // see `run`
+  time_point ended_at;
+};
+
 struct lost_instance {
   endpoint_instance instance;
   time_point at;
@@ -366,6 +374,7 @@
   // Of `recent_losses`, those that quarantined features explain.
   std::deque<endpoint_instance> explained;
   std::deque<unanswered_run> unanswered;  // with kConcurrent; in the order of their ends
+  std::deque<ended_run> ended_runs;       // with kConcurrent; in the order of their ends
   time_point next_sweep{};
   uint64_t start_count = 0;  // runs started so far
 };
--- a/libs/quarantine/src/details/features.cc
+++ b/libs/quarantine/src/details/features.cc
@@ -37,6 +37,10 @@
 constexpr size_t kUnrelatedPerRound = 2;
 constexpr size_t kMaxExtraRounds = 2;
 constexpr size_t kMaxExplained = 64;
+// Within this time after the end of a run, the loss of an endpoint that it crashed is usually
+// found.
+constexpr duration kEndedRunLifetime = 1s;
+constexpr size_t kMaxEndedRuns = 256;
 // Trials of one quarantine. A second one is for a trial that ended without an answer or a loss.
 constexpr int kMaxTrials = 2;
 // Within this time the loss of an endpoint of a trial is known.
@@ -264,6 +268,14 @@
   if (!same_workspace && CountWorkspaces(entry) == 1) entry.sources.back() = source;
 }
 
+void KeepEndedRun(table& state, const run& ended, time_point now) {
+  if (ended.answer_begun || ended.features.empty() || ended.route.empty()) return;
+  std::erase_if(state.ended_runs,
+                [&](const ended_run& kept) { return now - kept.ended_at > kEndedRunLifetime; });
+  if (state.ended_runs.size() >= kMaxEndedRuns) state.ended_runs.pop_front();
+  state.ended_runs.push_back({ended.route, ended.features, ended.executing, now});
+}
+
 feature_losses AttributeToFeatures(const table& state, const endpoint_instance& instance,
                                    time_point now, time_point alive_until) {
   feature_losses losses;
@@ -285,6 +297,12 @@
     if (hop == active.route.end() || hop->placed_at > alive_until) continue;
     add(active.features, hop->placed_at, now, active.executing);
   }
+  for (const ended_run& ended : state.ended_runs) {
+    const auto hop = std::ranges::find(ended.route, instance, &route_hop::instance);
+    if (hop == ended.route.end() || hop->placed_at > alive_until) continue;
+    if (now - ended.ended_at <= kEndedRunLifetime)
+      add(ended.features, hop->placed_at, now, ended.executing);
+  }
   for (const fingerprint& key : state.flagged) {
     for (const pending_loss& pending : state.entries.find(key)->second.pending) {
       if (pending.instance == instance)
--- a/libs/quarantine/src/details/features.h
+++ b/libs/quarantine/src/details/features.h
@@ -18,8 +18,12 @@
 
 using feature_losses = std::map<fingerprint, feature_loss>;
 
+// Keeps the features of a run that ends without output for the losses that are found soon after.
+void KeepEndedRun(table& state, const run& ended, time_point now);
+
 // The features of the runs that may have crashed `instance`: those without any output so far, that
-// were placed on it until `alive_until`. Cost: O(runs + pending entries).
+// were placed on it until `alive_until` and run or have ended lately. Cost: O(runs + pending
+// entries).
 feature_losses AttributeToFeatures(const table& state, const endpoint_instance& instance,
                                    time_point now, time_point alive_until);
 
--- a/libs/quarantine/src/quarantine.cc
+++ b/libs/quarantine/src/quarantine.cc
@@ -551,6 +551,8 @@
     details::ConfineTried(state, id, found->second.features, effects);
   }
   details::EndTrials(state, id, found->second, now);
+  if (AllowsConcurrentSuspects(state) && how != run_end::kCompleted)
+    details::KeepEndedRun(state, found->second, now);
   state.runs.erase(found);
   if (as_suspect) details::RebuildSuspectEndpoints(state);
   table_entry& entry = details::Touch(state, key);
--- a/libs/quarantine/tests/features_test.cc
+++ b/libs/quarantine/tests/features_test.cc
@@ -277,6 +277,22 @@
   CHECK(d.Place(std::array{kCause}, Endpoint(11), 4) == verdict::kRefuse);
 }
 
+// Guards against a feature that is refused late because its requests end, as when their paths
+// change or they are refused, before the losses of their endpoints are found. Such losses would
+// count as those of another cause.
+TEST_CASE("losses that are found soon after the runs with a feature have ended count") {
+  daemon_fixture d("a");
+  const duration delay = GENERATE(300ms, 1500ms);
+  for (size_t i = 0; i < 3; ++i) {
+    d.Place(std::array{kCause}, Endpoint(i));
+    d.EndAll(run_end::kFailed);
+    d.now += delay;
+    d.Lose(Endpoint(i));
+  }
+  d.Settle();
+  CHECK(d.IsRefused(kCause) == (delay == 300ms));
+}
+
 // Guards against the cause being hidden by a feature that mostly comes with it and is refused in
 // its place, so that the cause needs as many further losses as at first.
 TEST_CASE("a cause beside a feature that was refused for it is refused after one more loss") {
