gateway: withdraw the loss of a silent endpoint whose answer was asked for before

A check that was sent before its endpoint was found silent, and answered after it, counted as evidence from the time it was sent. The loss, being later, was not withdrawn then, and the endpoint was not checked again; and a further answer withdrew it without waiting for the list to show a restart. Found by reading, before any landing. The time of the answer counts now, and only the list decides.

silence_test plays the detection with an endpoint over loopback: lost after 2 s of silence, at once when another id answers, not when it answers late, serves on without an entry, or its zone is silent; withdrawn when it answers as it was, kept when the list shows a restart. "the loss of a silent endpoint is withdrawn when it answers as it was" failed with the former time.

--- a/libs/gateway/src/details/state.h
+++ b/libs/gateway/src/details/state.h
@@ -254,8 +254,8 @@
   time_point since;  // as in `silence_check`
   time_point found_at;
   time_point next_check;
-  // When the check that it answered was sent; time_point(): it has not answered.
-  time_point answered_check;
+  // Its first answer since; time_point(): it has not answered.
+  time_point answered_at;
 };
 
 // Whether a version of the configuration has more than one priority.
--- a/libs/gateway/src/silence.cc
+++ b/libs/gateway/src/silence.cc
@@ -9,6 +9,7 @@
 #include <array>
 #include <vector>
 
+#include "details/attempt.h"
 #include "details/containment.h"
 #include "details/fleet.h"
 #include "details/monitor.h"
@@ -47,7 +48,7 @@
 bool IsFoundSilent(const gateway_state& state, const std::string& id, uint64_t incarnation) {
   const auto found = state.silent.find(id);
   return found != state.silent.end() && found->second.target.incarnation == incarnation &&
-         found->second.answered_check == time_point();
+         found->second.answered_at == time_point();
 }
 
 bool IsUnderCheck(const gateway_state& state, const std::string& id, uint64_t incarnation) {
@@ -95,11 +96,13 @@
   return facts.endpoint_id.empty() || facts.endpoint_id == target.id;
 }
 
-// The endpoint answered a check that was sent at `asked`.
+// The endpoint answered a check that was sent at `asked`. If it was found silent, a restart may
+// have ended the silence, so that CheckSilentEndpoints() draws the conclusion.
 void OnAlive(gateway_state& state, const plain_instance& target, time_point asked) {
   if (IsUnderCheck(state, target.id, target.incarnation)) state.silence_checks.erase(target.id);
-  if (IsFoundSilent(state, target.id, target.incarnation)) {
-    state.silent.at(target.id).answered_check = asked;
+  if (const auto silent = state.silent.find(target.id); silent != state.silent.end()) {
+    if (IsFoundSilent(state, target.id, target.incarnation))
+      silent->second.answered_at = MonotonicNow();
     return;
   }
   endpoint* listed = FindEndpoint(state, target.id);
@@ -203,8 +206,8 @@
   std::vector<plain_instance> unanswered;
   for (auto& [id, silent] : state.silent) {
     if (!IsListed(FindEndpoint(state, id), silent.target.incarnation)) continue;
-    const bool answered = silent.answered_check != time_point();
-    if (answered && WouldShowRestart(state, silent.answered_check, now)) {
+    const bool answered = silent.answered_at != time_point();
+    if (answered && WouldShowRestart(state, silent.answered_at, now)) {
       recovered.push_back(silent);
     } else if (!answered && now >= silent.next_check) {
       silent.next_check = now + kCheckInterval;
@@ -217,9 +220,9 @@
     log::Log(log::level::kInfo, "silent endpoint answers, its loss is withdrawn",
              {{"endpoint", silent.target.id},
               {"incarnation", silent.target.incarnation},
-              {"silent_ms", WholeMilliseconds(silent.answered_check - silent.since)}});
+              {"silent_ms", WholeMilliseconds(silent.answered_at - silent.since)}});
     endpoint& target = *FindEndpoint(state, silent.target.id);
-    OnEndpointAlive(state, target, silent.target.incarnation, silent.answered_check);
+    OnEndpointAlive(state, target, silent.target.incarnation, silent.answered_at);
     OnEndpointAnswered(state, target);
   }
 }
@@ -250,7 +253,7 @@
 }
 
 void CheckSilence(gateway_state& state, const call& request, const attempt& unanswered) {
-  if (unanswered.path.front().range.Size() > 0) return;
+  if (IsPipelined(unanswered)) return;
   const call_hop& hop = unanswered.path.front();
   const auto reached = request.reached.find(hop.endpoint_id);
   if (reached == request.reached.end()) return;
@@ -265,8 +268,8 @@
 void EndSilence(gateway_state& state, const endpoint& target) {
   state.silence_checks.erase(target.listed.id);
   const auto silent = state.silent.find(target.listed.id);
-  if (silent == state.silent.end() || silent->second.answered_check != time_point()) return;
-  silent->second.answered_check = MonotonicNow();
+  if (silent == state.silent.end() || silent->second.answered_at != time_point()) return;
+  silent->second.answered_at = MonotonicNow();
 }
 
 time_point SilentSince(const gateway_state& state, const std::string& id, uint64_t incarnation) {
