Placement: check an order against the engine as it is when it is sent (LIMIT)

What callers would see: an engine that is ordered to hold more layers than its memory holds crashes with all requests on it.

Cause: an order was checked when it was planned and sent later, up to 8 s if its engine is busy or gives no report. If the engine is listed with another kind meanwhile, or the configuration has larger layers, the order no longer fits. It named no engine either, so that another one at the address would take it.

Change: SendOrder(), the only place where orders are sent, checks it again by the list and the configuration of that moment, and drops it if it does not fit; the next plan makes another one. AddOrder() uses the same check. An order carries the id of its engine, and another one refuses it.

--- a/libs/gateway/include/gateway/wire.h
+++ b/libs/gateway/include/gateway/wire.h
@@ -116,10 +116,10 @@
   std::function<std::vector<net::header>(const net::reply_head&)> reply_headers;
   std::function<net::client_request(std::string_view address)> write_report_request;
   std::function<result<engine_report>(std::string_view body)> read_report;
-  // Placement order: the engine is to hold `range`. It refuses unless it has accepted exactly
-  // `expected_orders` orders so far.
-  std::function<net::client_request(std::string_view address, pipeline::layer_range range,
-                                    uint64_t expected_orders)>
+  // Placement order: the engine is to hold `range`. It refuses unless it has this id and has
+  // accepted exactly `expected_orders` orders so far.
+  std::function<net::client_request(std::string_view address, std::string_view endpoint_id,
+                                    pipeline::layer_range range, uint64_t expected_orders)>
       write_placement_order;
   // Reroute order: the engine at the head of a running request is to continue it on `path`, which
   // has other engines after the head.
--- a/libs/gateway/src/details/fleet.h
+++ b/libs/gateway/src/details/fleet.h
@@ -10,6 +10,9 @@
 
 namespace balsambay::gateway {
 
+// Index of the kind of accelerator in the model's kinds; their number: it is not one of them.
+size_t KindIndex(const pipeline::model_spec& model, std::string_view name);
+
 // The Find functions return null for an unknown endpoint; the registry keeps ownership.
 endpoint* FindEndpoint(gateway_state& state, std::string_view id);
 endpoint* FindByAddress(gateway_state& state, std::string_view address);
--- a/libs/gateway/src/fleet.cc
+++ b/libs/gateway/src/fleet.cc
@@ -34,11 +34,6 @@
 // no requests because of its rate is tried again soon.
 constexpr double kFailureHalfLifeS = 3.0;
 
-size_t KindIndex(const pipeline::model_spec& model, std::string_view name) {
-  const auto it = std::ranges::find(model.kinds, name, &pipeline::accelerator_kind::name);
-  return static_cast<size_t>(it - model.kinds.begin());
-}
-
 void UpdateEndpoint(gateway_state& state, endpoint& target, const listed_endpoint& listed) {
   const bool restarted = target.listed.incarnation != listed.incarnation;
   if (restarted && !target.listed.id.empty() && !target.listed.leaving) {
@@ -216,6 +211,11 @@
          now - target.last_not_leaving_at >= state.config.change_propagation_limit;
 }
 
+size_t KindIndex(const pipeline::model_spec& model, std::string_view name) {
+  const auto it = std::ranges::find(model.kinds, name, &pipeline::accelerator_kind::name);
+  return static_cast<size_t>(it - model.kinds.begin());
+}
+
 endpoint* FindEndpoint(gateway_state& state, std::string_view id) {
   const auto found = state.endpoints.find(std::string(id));
   return found == state.endpoints.end() ? nullptr : &found->second;
--- a/libs/gateway/src/placer.cc
+++ b/libs/gateway/src/placer.cc
@@ -108,10 +108,35 @@
   }
 }
 
+// Whether the engine, as it is listed now, can hold the layers by the configuration in force. If
+// not, the order is logged.
+bool CanHold(gateway_state& state, const endpoint& target, pipeline::layer_range range) {
+  const catalog::service* service = PipelinedService(state);
+  if (service == nullptr) return false;
+  pipeline::engine engine;
+  engine.kind = KindIndex(*service->pipelined, target.listed.accelerator);
+  const auto valid = pipeline::CheckOrder(*service->pipelined, engine, range);
+  if (!valid.has_error()) return true;
+  if (log::AdmitLine(state.rejected_order_lines, log::level::kError, MonotonicNow())) {
+    log::Log(log::level::kError, "placement order rejected: the engine cannot hold the layers",
+             {{"endpoint", target.listed.id},
+              {"kind", target.listed.accelerator},
+              {"tokens_per_stage", state.tokens_per_stage},
+              {"detail", valid.error().detail}});
+  }
+  return false;
+}
+
+// The only place where orders are sent. What an engine can hold may have changed since the order
+// was planned, and its address may have another engine.
 void SendOrder(gateway_state& state, const endpoint& target, placement_order& order) {
   if (!MayAct(state)) return;
-  net::client_request request =
-      state.wire.write_placement_order(target.listed.address, order.range, *order.expected_orders);
+  if (!CanHold(state, target, order.range)) {
+    state.orders.erase(target.listed.id);
+    return;
+  }
+  net::client_request request = state.wire.write_placement_order(
+      target.listed.address, target.listed.id, order.range, *order.expected_orders);
   request.header_timeout = kOrderTimeout;
   order.call_in_flight = true;
   metrics::Increment(state.metrics.registry, state.metrics.orders);
@@ -194,20 +219,11 @@
   }
 }
 
-// Creates an order. The only place where that happens, so that an engine is never ordered to hold
-// layers that it cannot hold, whatever the plan says: such an order is logged and not sent.
-void AddOrder(gateway_state& state, const pipeline::model_spec& model,
-              const pipeline::engine& engine, pipeline::layer_range range, time_point now) {
+// Creates an order, unless the engine cannot hold the layers, whatever the plan says.
+void AddOrder(gateway_state& state, const pipeline::engine& engine, pipeline::layer_range range,
+              time_point now) {
   const endpoint& target = *FindEndpoint(state, engine.id);
-  if (const auto valid = pipeline::CheckOrder(model, engine, range); valid.has_error()) {
-    if (!log::AdmitLine(state.rejected_order_lines, log::level::kError, now)) return;
-    log::Log(log::level::kError, "placement order rejected: the engine cannot hold the layers",
-             {{"endpoint", engine.id},
-              {"kind", target.listed.accelerator},
-              {"tokens_per_stage", state.tokens_per_stage},
-              {"detail", valid.error().detail}});
-    return;
-  }
+  if (!CanHold(state, target, range)) return;
   placement_order order;
   order.range = range;
   order.incarnation = target.listed.incarnation;
@@ -252,8 +268,7 @@
       engines, [](const pipeline::engine& engine) { return engine.held.Size() == 0; });
   if (!all_empty) return;
   for (size_t i = 0; i < plan.ranges.size(); ++i) {
-    if (plan.ranges[i].Size() > 0)
-      AddOrder(state, *service.pipelined, engines[i], plan.ranges[i], now);
+    if (plan.ranges[i].Size() > 0) AddOrder(state, engines[i], plan.ranges[i], now);
   }
 }
 
@@ -302,7 +317,7 @@
         pipeline::FindSuccessor(model, engines, idle, placed.held, state.tokens_per_stage);
     if (!successor) continue;
     idle[*successor] = 0;
-    AddOrder(state, model, engines[*successor], placed.held.range, now);
+    AddOrder(state, engines[*successor], placed.held.range, now);
     filled.push_back(id);
   }
   std::ranges::for_each(filled, [&](const std::string& id) { state.placed_engines.erase(id); });
@@ -360,8 +375,7 @@
       pipeline::PlanRepair(*service->pipelined, engines, movable, state.tokens_per_stage);
   for (const pipeline::placement_change& change : changes) {
     const pipeline::engine& target = engines[change.engine];
-    if (IsAvailable(state, target.id))
-      AddOrder(state, *service->pipelined, target, change.range, now);
+    if (IsAvailable(state, target.id)) AddOrder(state, target, change.range, now);
   }
 }
 
