--- a/review/rig-3.hpp
+++ b/review/rig-3.hpp
@@ -8,6 +8,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -522,6 +523,8 @@
     const std::string boot = "BALSAMBAY_BOOT=" + Settings();
     pid_ = fork();
     if (pid_ == 0) {
+      // Ends with the case, also when that is cut off.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int log = open((folder_ + "/" + name_ + ".log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       dup2(log, 1);
       dup2(log, 2);
