--- a/libs/gateway/include/gateway/wire.h
+++ b/libs/gateway/include/gateway/wire.h
@@ -107,6 +107,8 @@
 // Encoding and decoding of requests, replies, reports and orders. `read_` functions decode,
 // `write_` functions encode.
 struct wire {
+  // Headers that a call may have once only: those that `read_call` takes one value from.
+  std::vector<std::string> single_headers;
   std::function<incoming_call(const net::exchange&)> read_call;
   std::function<net::client_request(const incoming_call&, std::string_view body,
                                     const attempt_spec&)>
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -594,9 +594,11 @@
   CountCutReply(state.metrics, reason);
 }
 
-void LogClosed(gateway_state& state, net::close_reason why) {
-  log::Log(log::level::kInfo, "connection of a caller closed by a limit",
-           {{"reason", net::ToString(why)}, {"header_bytes", net::UsedBytes(*state.head_buffers)}});
+void LogClosed(gateway_state& state, net::close_reason why, std::string_view field) {
+  log::Log(log::level::kInfo, "connection of a caller refused or closed",
+           {{"reason", net::ToString(why)},
+            {"field", field},
+            {"header_bytes", net::UsedBytes(*state.head_buffers)}});
   CountClosedConnection(state.metrics, net::ToString(why));
 }
 
--- a/libs/gateway/src/details/calls.h
+++ b/libs/gateway/src/details/calls.h
@@ -20,7 +20,7 @@
 void LogCutReply(gateway_state& state, net::cut_reason why, size_t bytes);
 
 // Logs and counts a connection that the server refused or closed.
-void LogClosed(gateway_state& state, net::close_reason why);
+void LogClosed(gateway_state& state, net::close_reason why, std::string_view field);
 
 // Callbacks for the attempts of all requests.
 const attempt_callbacks& CallAttemptCallbacks();
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -65,14 +65,17 @@
                               .max_connections = CallerSockets(state_.config.max_sockets),
                               .body_buffers = state_.request_buffers,
                               .reply_buffers = state_.reply_buffers,
-                              .write_timeout = kWriteTimeout};
+                              .write_timeout = kWriteTimeout,
+                              .single_fields = state_.wire.single_headers};
     net::server_handlers calls;
     calls.on_request = [this](const net::exchange_ptr& exchange) { AcceptCall(state_, exchange); };
     calls.on_reject = [this](net::rejection why, std::vector<net::header>& headers) {
       return RejectCall(state_, why, headers);
     };
     calls.on_cut = [this](net::cut_reason why, size_t bytes) { LogCutReply(state_, why, bytes); };
-    const auto on_closed = [this](net::close_reason why) { LogClosed(state_, why); };
+    const auto on_closed = [this](net::close_reason why, std::string_view field) {
+      LogClosed(state_, why, field);
+    };
     calls.on_closed = on_closed;
     BOOST_OUTCOME_TRY(server, net::ListenHttp(state_.config.listen, limits, state_.loop.Timers(),
                                               std::move(calls)));
--- a/libs/gateway/src/telemetry.cc
+++ b/libs/gateway/src/telemetry.cc
@@ -78,7 +78,7 @@
 
 void CountClosedConnection(telemetry& metrics, std::string_view reason) {
   Count(metrics, "gateway_connections_closed_total",
-        "Connections of callers refused or closed by a limit.", reason);
+        "Connections of callers refused or closed without a request executing.", reason);
 }
 
 void CountReport(telemetry& metrics, std::string_view reason) {
--- a/libs/net/include/net/http_server.h
+++ b/libs/net/include/net/http_server.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/buffer_budget.h"
 #include "base/result.h"
@@ -47,6 +48,9 @@
   std::shared_ptr<buffer_budget> reply_buffers = nullptr;
   // Callers that take no byte of a waiting reply for this time are disconnected; 0: never.
   duration write_timeout{0};
+  // Names of header fields that a request may have once only, because readers could take different
+  // ones of several. Host and the fields of the framing are always among them.
+  std::vector<std::string> single_fields = {};
 };
 
 // Why a request was answered before it reached the handler: 413, 408, and 503 if there is no memory
@@ -64,7 +68,14 @@
   kSlowHeader,    // 408
   kHeaderMemory,  // no room for the header section, 503; or closed for that of another connection
   kChunks,        // a malformed chunked body, or trailers or a chunk extension over a limit; 400
-  kConnections,   // too many connections; 503, or closed for a new one
+  // Malformed header sections (RFC 9112); 400. Nothing after them is read as a request.
+  kRequestLine,
+  kFieldLine,
+  kContentLength,
+  kTransferEncoding,
+  kRepeatedField,  // that may stand once only
+  kFraming,        // the parser found another end of the request; closed without a reply
+  kConnections,    // too many connections; 503, or closed for a new one
 };
 
 std::string_view ToString(close_reason why);
@@ -78,7 +89,8 @@
   virtual std::string_view Method() const = 0;
   virtual std::string_view Path() const = 0;
   virtual std::string_view Query() const = 0;  // without '?', may be empty
-  // Value of a request header, empty when absent. Names are case-insensitive.
+  // Value of a request header, empty when absent; several values are joined by ", " (RFC 9110,
+  // 5.3). Names are case-insensitive.
   virtual std::string_view Header(const char* name) const = 0;
   // All request headers in the order received; the views are valid during the call of `fn`.
   virtual void ForEachHeader(
@@ -137,9 +149,9 @@
   // Called when the server closes a connection although `bytes` of a reply were not taken. May not
   // use any exchange. Optional.
   std::function<void(cut_reason, size_t bytes)> on_cut;
-  // Called for each connection that is refused, or closed while no request on it is executing. May
-  // not use any exchange. Optional.
-  std::function<void(close_reason)> on_closed;
+  // Called for each connection that is refused, or closed while no request on it is executing.
+  // `field`: name of the header field at fault; may be empty. May not use any exchange. Optional.
+  std::function<void(close_reason, std::string_view field)> on_closed;
 };
 
 // Listens on `address` (IP:PORT, port 0 for any). Errors: kInvalidArgument for a bad address,
--- a/libs/net/src/client_connection.cc
+++ b/libs/net/src/client_connection.cc
@@ -7,6 +7,8 @@
 #include <array>
 #include <bit>
 
+#include "details/request_head.h"
+
 namespace balsambay::net {
 namespace {
 
@@ -29,6 +31,12 @@
       return "503 Service Unavailable";
     case close_reason::kEmptyLines:
     case close_reason::kChunks:
+    case close_reason::kRequestLine:
+    case close_reason::kFieldLine:
+    case close_reason::kContentLength:
+    case close_reason::kTransferEncoding:
+    case close_reason::kRepeatedField:
+    case close_reason::kFraming:
       return "400 Bad Request";
   }
   return "500 Internal Server Error";
@@ -40,6 +48,23 @@
   return close_reason::kHeaderBytes;
 }
 
+close_reason ReasonOf(head_fault fault) {
+  switch (fault) {
+    case head_fault::kFieldLine:
+      return close_reason::kFieldLine;
+    case head_fault::kContentLength:
+      return close_reason::kContentLength;
+    case head_fault::kTransferEncoding:
+      return close_reason::kTransferEncoding;
+    case head_fault::kRepeatedField:
+      return close_reason::kRepeatedField;
+    case head_fault::kNone:
+    case head_fault::kRequestLine:
+      break;
+  }
+  return close_reason::kRequestLine;
+}
+
 void SetWouldBlock(GError** error) {
   g_set_error_literal(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK, "no whole header section");
 }
@@ -52,9 +77,9 @@
 
 }  // namespace
 
-void ReportClosed(const connection_set& set, close_reason why) {
+void ReportClosed(const connection_set& set, close_reason why, std::string_view field) {
   const auto handlers = set.handlers.lock();
-  if (handlers && handlers->on_closed) handlers->on_closed(why);
+  if (handlers && handlers->on_closed) handlers->on_closed(why, field);
 }
 
 client_connection::client_connection(std::shared_ptr<connection_set> set, GSocket* socket,
@@ -198,6 +223,7 @@
       Refuse(ReasonOf(verdict));
       return false;
     }
+    if (!CheckGrammar()) return false;
     deliver_ = head_.bytes;
   }
   const size_t kept = std::max(kept_bytes_, std::bit_ceil(deliver_));
@@ -213,6 +239,18 @@
   return true;
 }
 
+bool client_connection::CheckGrammar() {
+  const std::string_view section = std::string_view(pending_).substr(0, head_.bytes);
+  const request_head head = ReadRequestHead(section, set_->limits.single_fields);
+  if (head.fault != head_fault::kNone) {
+    Refuse(ReasonOf(head.fault), head.field);
+    return false;
+  }
+  chunked_ = head.chunked;
+  stated_bytes_ = head.body_bytes;
+  return true;
+}
+
 // At most the section itself, so that libsoup holds no bytes of what follows.
 gssize client_connection::Deliver(char* buffer, size_t size) {
   const size_t given = std::min(size, deliver_);
@@ -297,17 +335,24 @@
   return std::exchange(head_bytes_, 0);
 }
 
-void client_connection::BeginBody(SoupEncoding encoding, goffset length) {
-  if (phase_ != phase::kParsed) return;
+std::optional<size_t> client_connection::BeginBody(SoupEncoding encoding, goffset length) {
+  if (phase_ != phase::kParsed) return std::nullopt;
   if (executing_ == 0) share_.SetWaiting(MonotonicNow());
-  if (encoding == SOUP_ENCODING_CHUNKED) {
+  const bool same =
+      chunked_ ? encoding == SOUP_ENCODING_CHUNKED
+               : encoding != SOUP_ENCODING_CHUNKED && length == static_cast<goffset>(stated_bytes_);
+  if (!same) {
+    ReportClosed(*set_, close_reason::kFraming);
+    return std::nullopt;
+  }
+  if (chunked_) {
     StartChunks(chunks_, {set_->limits.max_header_bytes, set_->limits.max_header_lines});
     phase_ = phase::kChunks;
-    return;
+    return 0;
   }
-  body_left_ =
-      encoding == SOUP_ENCODING_CONTENT_LENGTH && length > 0 ? static_cast<size_t>(length) : 0;
+  body_left_ = stated_bytes_;
   phase_ = body_left_ > 0 ? phase::kBody : phase::kHead;
+  return stated_bytes_;
 }
 
 void client_connection::BeginExecution() {
@@ -323,15 +368,18 @@
 
 // Answers on the socket, because libsoup has no request to answer, and discards for a limited time
 // what arrives, so that the caller receives the answer.
-void client_connection::Refuse(close_reason why) {
+void client_connection::Refuse(close_reason why, std::string_view field) {
   if (phase_ == phase::kRefused) return;
   phase_ = phase::kRefused;
   waiting_ = false;
-  ReportClosed(*set_, why);
+  ReportClosed(*set_, why, field);
   deliver_ = 0;
   DropPending(pending_.size());
+  const std::string body =
+      std::string(ToString(why)) + (field.empty() ? "" : ": ") + std::string(field) + "\n";
   const std::string text = "HTTP/1.1 " + std::string(StatusLine(why)) +
-                           "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+                           "\r\nConnection: close\r\nContent-Type: text/plain\r\n" +
+                           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
   send(g_socket_get_fd(socket_), text.data(), text.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
   shutdown(g_socket_get_fd(socket_), SHUT_WR);
   Cancel(*set_->timers, timer_);
--- a/libs/net/src/details/client_connection.h
+++ b/libs/net/src/details/client_connection.h
@@ -1,7 +1,7 @@
 // One connection of a caller, between the socket and libsoup. libsoup's parser allocates many times
 // the size of a header section and has no limit on its lines. The connection therefore collects
-// each section, checks its limits and gives it to libsoup only when it is whole and there is room
-// for what the parser allocates.
+// each section, checks its limits and its grammar, decides where the request ends, and gives it to
+// libsoup only when it is whole and there is room for what the parser allocates.
 #pragma once
 
 #include <libsoup/soup.h>
@@ -27,8 +27,9 @@
   std::map<std::string, size_t, std::less<>> open_by_address;
 };
 
-// Reports a connection that was refused or closed for `why`.
-void ReportClosed(const connection_set& set, close_reason why);
+// Reports a connection that was refused or closed for `why`. `field`: name of the header field at
+// fault; may be empty.
+void ReportClosed(const connection_set& set, close_reason why, std::string_view field = {});
 
 class client_connection {
  public:
@@ -49,8 +50,10 @@
   // Becomes ready when Read() may succeed.
   GSource* MakeSource();
 
-  // The header section that was read last has been parsed; its body follows.
-  void BeginBody(SoupEncoding encoding, goffset length);
+  // The header section that was read last has been parsed; its body follows. Returns the length
+  // that the section states, 0 if the body comes in chunks. `encoding` and `length` are those that
+  // libsoup will read; nullopt if they are not those of the section.
+  std::optional<size_t> BeginBody(SoupEncoding encoding, goffset length);
   // The request is being executed: the connection is not closed for the room of others.
   void BeginExecution();
   // The request and its headers were freed. `executed`: BeginExecution() was called for it.
@@ -72,7 +75,10 @@
   bool CheckHead();
   void StartHead();
   void DropPending(size_t bytes);
-  void Refuse(close_reason why);
+  // Checks the grammar of the whole section at the start of `pending_`. Returns whether it is
+  // sound.
+  bool CheckGrammar();
+  void Refuse(close_reason why, std::string_view field = {});
   // Asks for `bytes` beyond what is held.
   grant Hold(size_t bytes);
   // Returns what is not held any more.
@@ -89,6 +95,8 @@
   std::string pending_;  // received, not given to libsoup yet
   size_t deliver_ = 0;   // bytes of `pending_` that are a whole section
   head_scanner head_;
+  bool chunked_ = false;     // framing of the section that was delivered last
+  size_t stated_bytes_ = 0;  // length of its body; 0 if it is chunked
   chunk_scanner chunks_;
   size_t body_left_ = 0;
   bool head_started_ = false;  // `timer_` runs for the section
--- a/libs/net/src/details/head_scanner.h
+++ b/libs/net/src/details/head_scanner.h
@@ -8,6 +8,8 @@
 #include <cstdint>
 #include <string_view>
 
+#include "net/reply_scanner.h"
+
 namespace balsambay::net {
 
 struct head_limits {
@@ -42,6 +44,7 @@
 
 // Progress in a chunked body. `parser.data` is the scanner itself, so that it does not move.
 struct chunk_scanner {
+  reply_scanner grammar;  // of chunks and trailers, which http_parser does not check strictly
   http_parser parser{};
   head_limits limits;
   bool in_name = false;  // of a trailer
--- a/libs/net/src/head_scanner.cc
+++ b/libs/net/src/head_scanner.cc
@@ -72,6 +72,7 @@
 void StartChunks(chunk_scanner& state, const head_limits& limits) {
   state = {};
   state.limits = limits;
+  ExpectChunks(state.grammar);
   http_parser_init(&state.parser, HTTP_REQUEST);
   // The parser takes the framing from a header section.
   static const http_parser_settings none{};
@@ -83,8 +84,12 @@
 size_t ScanChunks(chunk_scanner& state, std::string_view data) {
   static const http_parser_settings settings = MakeSettings();
   if (state.complete || state.failed || data.empty()) return 0;
-  const size_t used = http_parser_execute(&state.parser, &settings, data.data(), data.size());
-  state.failed = !state.complete && HTTP_PARSER_ERRNO(&state.parser) != HPE_OK;
+  const size_t sound = ScanReply(state.grammar, data);
+  // Without bytes, http_parser would take the connection for closed.
+  const size_t used =
+      sound == 0 ? 0 : http_parser_execute(&state.parser, &settings, data.data(), sound);
+  const bool malformed = state.grammar.fault != reply_fault::kNone;
+  state.failed = !state.complete && (malformed || HTTP_PARSER_ERRNO(&state.parser) != HPE_OK);
   return used;
 }
 
--- a/libs/net/src/http_server.cc
+++ b/libs/net/src/http_server.cc
@@ -261,6 +261,18 @@
       return "chunks";
     case close_reason::kConnections:
       return "connections";
+    case close_reason::kRequestLine:
+      return "request_line";
+    case close_reason::kFieldLine:
+      return "field_line";
+    case close_reason::kContentLength:
+      return "content_length";
+    case close_reason::kTransferEncoding:
+      return "transfer_encoding";
+    case close_reason::kRepeatedField:
+      return "repeated_field";
+    case close_reason::kFraming:
+      return "framing";
   }
   return "unknown";
 }
--- a/libs/net/src/intake.cc
+++ b/libs/net/src/intake.cc
@@ -98,18 +98,17 @@
       Subscribe(*state->server->timers, MonotonicNow() + state->server->limits.body_timeout,
                 [state](time_point) { Reject(*state, rejection::kSlowSender); });
   SoupMessageHeaders* headers = soup_server_message_get_request_headers(message);
-  const auto length = static_cast<size_t>(soup_message_headers_get_content_length(headers));
   const auto head_bytes = state->connection->TakeHeadBytes();
-  if (!head_bytes) {
+  state->head_bytes = head_bytes.value_or(0);
+  const auto length = state->connection->BeginBody(
+      soup_message_headers_get_encoding(headers), soup_message_headers_get_content_length(headers));
+  if (!head_bytes || !length) {
     // Not a request that the caller sent as one.
     state->rejected = true;
     return ShutdownConnection(message);
   }
-  state->head_bytes = *head_bytes;
-  state->connection->BeginBody(soup_message_headers_get_encoding(headers),
-                               soup_message_headers_get_content_length(headers));
-  if (length > state->server->limits.max_body_bytes) return Reject(*state, rejection::kTooLarge);
-  if (!ReserveBody(state->body, length)) Reject(*state, rejection::kNoMemory);
+  if (*length > state->server->limits.max_body_bytes) return Reject(*state, rejection::kTooLarge);
+  if (!ReserveBody(state->body, *length)) Reject(*state, rejection::kNoMemory);
 }
 
 void OnGotBody(SoupServerMessage* message, gpointer) {
--- a/libs/net/src/reply_scanner.cc
+++ b/libs/net/src/reply_scanner.cc
@@ -6,6 +6,8 @@
 #include <array>
 #include <limits>
 
+#include "details/http_grammar.h"
+
 namespace balsambay::net {
 namespace {
 
@@ -16,26 +18,8 @@
 // (RFC 9110, 15).
 constexpr std::string_view kStatusLineForm = "HTTP/1.d cdd";
 
-constexpr std::string_view kNamePunctuation = "!#$%&'*+-.^_`|~";
-
 constexpr int kHexBase = 16;
 
-bool IsDigit(char c) { return c >= '0' && c <= '9'; }
-
-bool IsLetter(char c) { return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z'); }
-
-// Of a token (RFC 9110, 5.6.2).
-bool IsNameByte(char c) {
-  return IsLetter(c) || IsDigit(c) || kNamePunctuation.find(c) != std::string_view::npos;
-}
-
-// Visible, a blank, a tab or above 127.
-bool IsTextByte(char c) {
-  constexpr unsigned char kDelete = 0x7f;
-  const auto byte = static_cast<unsigned char>(c);
-  return c == '\t' || (byte >= ' ' && byte != kDelete);
-}
-
 // -1: no hexadecimal digit.
 int HexValue(char c) {
   if (IsDigit(c)) return c - '0';
@@ -88,7 +72,7 @@
     state.phase = reply_phase::kSectionEnd;
   } else if (c == ' ' || c == '\t') {
     Fail(state, reply_fault::kFieldLine);
-  } else if (IsNameByte(c)) {
+  } else if (IsTokenByte(c)) {
     state.phase = reply_phase::kName;
   } else {
     Fail(state, reply_fault::kFieldName);
@@ -98,7 +82,7 @@
 void ScanName(reply_scanner& state, char c) {
   if (c == ':') {
     state.phase = reply_phase::kValue;
-  } else if (!IsNameByte(c)) {
+  } else if (!IsTokenByte(c)) {
     Fail(state, reply_fault::kFieldName);
   }
 }
--- a/libs/net/src/soup_exchange.cc
+++ b/libs/net/src/soup_exchange.cc
@@ -50,7 +50,7 @@
 
   std::string_view Header(const char* name) const override {
     const char* value =
-        soup_message_headers_get_one(soup_server_message_get_request_headers(message_), name);
+        soup_message_headers_get_list(soup_server_message_get_request_headers(message_), name);
     return value == nullptr ? std::string_view() : value;
   }
 
--- a/libs/router/src/caller_api.cc
+++ b/libs/router/src/caller_api.cc
@@ -13,6 +13,11 @@
 
 using nlohmann::json;
 
+constexpr const char* kAuthorization = "Authorization";
+constexpr const char* kTimeout = "Balsambay-Timeout-Ms";
+constexpr const char* kRepeatable = "Balsambay-Repeatable";
+constexpr const char* kIdempotencyKey = "Idempotency-Key";
+
 constexpr std::string_view kServicePrefix = "/v1/services/";
 constexpr int64_t kMaxTimeoutMs = 3'600'000;
 constexpr size_t kMaxKeyBytes = 255;
@@ -31,7 +36,7 @@
 
 parse_result Authenticate(const router_state& state, caller_request& request) {
   constexpr std::string_view kScheme = "Bearer ";
-  const std::string_view value = request.exchange->Header("Authorization");
+  const std::string_view value = request.exchange->Header(kAuthorization);
   if (!value.starts_with(kScheme)) return parse_failure{"unauthorized", "no bearer token"};
   request.workspace =
       inventory::FindWorkspaceByToken(state.inventory, value.substr(kScheme.size()));
@@ -42,7 +47,7 @@
 
 parse_result ReadDeadline(const router_state& state, caller_request& request) {
   int64_t timeout_ms = state.inventory.policy.default_timeout_ms;
-  const std::string_view value = request.exchange->Header("Balsambay-Timeout-Ms");
+  const std::string_view value = request.exchange->Header(kTimeout);
   if (!value.empty()) {
     const auto parsed = std::from_chars(value.data(), value.data() + value.size(), timeout_ms);
     const bool fully_parsed = parsed.ec == std::errc() && parsed.ptr == value.data() + value.size();
@@ -57,14 +62,14 @@
 // The rules of the configuration decide whether a request may be repeated; the caller can only
 // forbid it in addition.
 parse_result ReadRepeatability(const router_state& state, caller_request& request) {
-  const std::string_view header = request.exchange->Header("Balsambay-Repeatable");
+  const std::string_view header = request.exchange->Header(kRepeatable);
   if (!header.empty() && header != "no" && header != "yes") {
     return BadRequest("Balsambay-Repeatable must be yes or no");
   }
   const bool forbidden = inventory::IsNonRepeatable(state.inventory, request.workspace,
                                                     request.model, request.service);
   request.response.repeatable = !forbidden && header != "no";
-  request.idempotency_key = request.exchange->Header("Idempotency-Key");
+  request.idempotency_key = request.exchange->Header(kIdempotencyKey);
   if (request.idempotency_key.size() > kMaxKeyBytes)
     return BadRequest("Idempotency-Key is longer than 255 bytes");
   if (!request.response.repeatable && request.idempotency_key.empty()) {
@@ -137,6 +142,10 @@
 
 }  // namespace
 
+std::vector<std::string> SingleHeaders() {
+  return {kAuthorization, kTimeout, kRepeatable, kIdempotencyKey};
+}
+
 void HandleCallerRequest(router_state& state, const net::exchange_ptr& exchange) {
   if (state.draining) {  // readiness checks have failed for unready_delay already
     return RespondProblem(state, exchange,
--- a/libs/router/src/router.cc
+++ b/libs/router/src/router.cc
@@ -84,10 +84,11 @@
     handlers.on_reject = [this](net::rejection reason, std::vector<net::header>& headers) {
       return RenderRejection(state_, reason, headers);
     };
-    handlers.on_closed = [this](net::close_reason why) {
-      log::Log(
-          log::level::kInfo, "connection of a caller closed by a limit",
-          {{"reason", net::ToString(why)}, {"header_bytes", net::UsedBytes(*state_.head_buffers)}});
+    handlers.on_closed = [this](net::close_reason why, std::string_view field) {
+      log::Log(log::level::kInfo, "connection of a caller refused or closed",
+               {{"reason", net::ToString(why)},
+                {"field", field},
+                {"header_bytes", net::UsedBytes(*state_.head_buffers)}});
       CountClosedConnection(state_.metrics, net::ToString(why));
     };
     const net::server_limits limits{
@@ -98,7 +99,8 @@
         .header_timeout = state_.config.header_timeout,
         .head_buffers = state_.head_buffers,
         .max_connections = state_.config.max_connections,
-        .max_connections_per_address = state_.config.max_connections_per_address};
+        .max_connections_per_address = state_.config.max_connections_per_address,
+        .single_fields = SingleHeaders()};
     BOOST_OUTCOME_TRY(server, net::ListenHttp(state_.config.listen, limits, state_.loop.Timers(),
                                               std::move(handlers)));
     state_.server = std::move(server);
--- a/libs/router/src/telemetry.cc
+++ b/libs/router/src/telemetry.cc
@@ -92,8 +92,9 @@
 void CountClosedConnection(telemetry& metrics_set, std::string_view reason) {
   auto it = metrics_set.closed_connections.find(reason);
   if (it == metrics_set.closed_connections.end()) {
-    const auto id = AddReason(metrics_set.registry, "balsambay_connections_closed_total",
-                              "Connections of callers refused or closed by a limit.", reason);
+    const auto id =
+        AddReason(metrics_set.registry, "balsambay_connections_closed_total",
+                  "Connections of callers refused or closed without a request executing.", reason);
     it = metrics_set.closed_connections.emplace(reason, id).first;
   }
   metrics::Increment(metrics_set.registry, it->second);
--- a/tests/support/scripted_installation.cc
+++ b/tests/support/scripted_installation.cc
@@ -66,6 +66,7 @@
   auto reply = [this, id, reply_to = std::move(reply_to)](std::string_view request) {
     if (request.starts_with("GET /v1/status")) return status_reply;
     ++requests[id];
+    if (on_request) on_request(request);
     return reply_to(request);
   };
   const auto& added =
--- a/tests/support/scripted_installation.h
+++ b/tests/support/scripted_installation.h
@@ -2,6 +2,7 @@
 // a failure of one does not affect the requests of the others.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -29,9 +30,10 @@
   reply_ptr CallModel(const std::string& name, bool stream);
 
   cluster c;
-  std::map<std::string, int> requests;  // by endpoint, without status requests
-  int timeout_ms = 1500;                // of the next calls
-  std::string status_reply;             // of all endpoints, to status requests
+  std::map<std::string, int> requests;                       // by endpoint, without status requests
+  std::function<void(std::string_view request)> on_request;  // the same ones; may be null
+  int timeout_ms = 1500;                                     // of the next calls
+  std::string status_reply;                                  // of all endpoints, to status requests
 
  private:
   nlohmann::json Add(const std::string& id, const scripted_faults& how,
