--- a/apps/balsambayctl/tests/ctl_test.cc
+++ b/apps/balsambayctl/tests/ctl_test.cc
@@ -98,7 +98,12 @@
 
 TEST_CASE("validate reports errors with paths and exit code 3, as text and as JSON") {
   const temporary_file valid(Document().dump());
-  CHECK_THAT(RunCtl({"validate", valid.Path()}).out, Contains("valid (1 zones"));
+  CHECK_THAT(RunCtl({"validate", valid.Path()}).out,
+             Contains("valid (1 zones") && Contains("warning: no workspace has a token"));
+  json with_token = Document();
+  with_token["workspaces"]["w"]["token_digests"] = {std::string(64, 'a')};
+  const temporary_file served(with_token.dump());
+  CHECK(RunCtl({"validate", served.Path()}).out.find("warning") == std::string::npos);
   const temporary_file invalid(Document("").dump());
   const outcome text = RunCtl({"validate", invalid.Path()});
   CHECK((text.code == kInvalidDocument && text.out.empty()));
--- a/libs/catalog/include/catalog/catalog.h
+++ b/libs/catalog/include/catalog/catalog.h
@@ -48,6 +48,7 @@
   std::string name;
   std::optional<int> priority;  // takes precedence over the route's
   std::vector<std::string> keys;
+  int unusable_keys = 0;  // entries of the configuration that are no key, and not in `keys`
 };
 
 struct request_limits {
@@ -61,7 +62,9 @@
   uint64_t version = 0;
   std::vector<route> routes;
   std::vector<service> services;
-  std::vector<workspace> workspaces;  // empty: no keys are asked for
+  // nullopt: no request needs a key. Empty: nobody holds one, so that requests that need one are
+  // refused.
+  std::optional<std::vector<workspace>> workspaces;
   request_limits limits;
 };
 
@@ -80,7 +83,21 @@
 // is ignored.
 const route* FindRoute(const catalog& catalog, std::string_view host, std::string_view path);
 
-// The workspace that holds `key`; nullptr: none.
+// Whether requests of `route`, which is one of the document's, run only with a key of a workspace.
+bool NeedsKey(const document& content, const route& route);
+
+// What a version says about keys, for operators.
+struct key_summary {
+  bool required = false;  // by routes that are not anonymous
+  size_t usable = 0;      // different keys
+  size_t unusable = 0;    // entries that are no key, such as an empty text
+  size_t shared = 0;      // keys of several workspaces; the last of these owns their requests
+};
+
+key_summary SummarizeKeys(const catalog& catalog);
+
+// The workspace that holds `key`; nullptr: none. Nobody holds an empty one, which is what a request
+// without a key has.
 const workspace* FindWorkspace(const catalog& catalog, std::string_view key);
 
 const service* FindService(const catalog& catalog, std::string_view name);
--- a/libs/catalog/src/catalog.cc
+++ b/libs/catalog/src/catalog.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cctype>
 #include <numeric>
+#include <unordered_set>
 
 namespace balsambay::catalog {
 namespace {
@@ -28,8 +29,11 @@
     std::ranges::stable_sort(indexes, std::greater<>(),
                              [&](size_t i) { return made.routes[i].prefix.size(); });
   }
-  for (size_t i = 0; i < made.workspaces.size(); ++i) {
-    for (const std::string& key : made.workspaces[i].keys) out.workspace_by_key[key] = i;
+  const size_t workspaces = made.workspaces ? made.workspaces->size() : 0;
+  for (size_t i = 0; i < workspaces; ++i) {
+    for (const std::string& key : (*made.workspaces)[i].keys) {
+      if (!key.empty()) out.workspace_by_key[key] = i;
+    }
   }
   for (size_t i = 0; i < made.services.size(); ++i) out.service_by_name[made.services[i].name] = i;
   return out;
@@ -43,10 +47,37 @@
   return it == found->second.end() ? nullptr : &catalog.content.routes[*it];
 }
 
+bool NeedsKey(const document& content, const route& route) {
+  return content.workspaces.has_value() && !route.anonymous;
+}
+
+key_summary SummarizeKeys(const catalog& catalog) {
+  key_summary summary;
+  const document& content = catalog.content;
+  summary.required = std::ranges::any_of(
+      content.routes, [&](const route& entry) { return NeedsKey(content, entry); });
+  summary.usable = catalog.workspace_by_key.size();
+  if (!content.workspaces) return summary;
+  std::unordered_map<std::string_view, const workspace*> holders;
+  std::unordered_set<std::string_view> shared;
+  for (const workspace& entry : *content.workspaces) {
+    summary.unusable += static_cast<size_t>(entry.unusable_keys);
+    for (const std::string& key : entry.keys) {
+      if (key.empty()) {
+        ++summary.unusable;
+      } else if (holders.try_emplace(key, &entry).first->second != &entry) {
+        shared.insert(key);
+      }
+    }
+  }
+  summary.shared = shared.size();
+  return summary;
+}
+
 const workspace* FindWorkspace(const catalog& catalog, std::string_view key) {
   const auto found = catalog.workspace_by_key.find(std::string(key));
   return found == catalog.workspace_by_key.end() ? nullptr
-                                                 : &catalog.content.workspaces[found->second];
+                                                 : &(*catalog.content.workspaces)[found->second];
 }
 
 const service* FindService(const catalog& catalog, std::string_view name) {
--- a/libs/catalog/tests/catalog_test.cc
+++ b/libs/catalog/tests/catalog_test.cc
@@ -43,6 +43,32 @@
   CHECK(FindWorkspace(made, "k") == nullptr);
 }
 
+// Guards against a configuration without workspaces, or with an empty key, that admits everybody.
+TEST_CASE("an empty list of workspaces asks for keys, a missing one does not") {
+  document content = Sample();
+  route anonymous = content.routes.front();
+  anonymous.anonymous = true;
+  content.workspaces = std::vector<workspace>();
+  CHECK(NeedsKey(content, content.routes.front()));
+  CHECK_FALSE(NeedsKey(content, anonymous));
+  CHECK(SummarizeKeys(Build(content)).required);
+  content.workspaces.reset();
+  CHECK_FALSE(NeedsKey(content, content.routes.front()));
+  CHECK_FALSE(SummarizeKeys(Build(content)).required);
+}
+
+TEST_CASE("nobody holds an empty key, and the last workspace owns a shared one") {
+  document content = Sample();
+  content.workspaces->front().keys.insert(content.workspaces->front().keys.end(), {"", "k3"});
+  const catalog made = Build(content);
+  CHECK(FindWorkspace(made, "") == nullptr);
+  CHECK(FindWorkspace(made, "k3")->name == "w2");
+  const key_summary summary = SummarizeKeys(made);
+  CHECK(summary.usable == 3);
+  CHECK(summary.unusable == 1);
+  CHECK(summary.shared == 1);
+}
+
 // Guards against a target that gets requests although its weight is 0.
 TEST_CASE("targets are picked by weight") {
   route split;
--- a/libs/gateway/src/calls.cc
+++ b/libs/gateway/src/calls.cc
@@ -542,7 +542,7 @@
       catalog::FindRoute(*request->configuration, request->incoming.host, request->incoming.path);
   if (request->route == nullptr) return RefuseUnknown(state, exchange, id, {404, "unknown_route"});
   request->priority = request->route->priority;
-  if (!request->configuration->content.workspaces.empty() && !request->route->anonymous) {
+  if (catalog::NeedsKey(request->configuration->content, *request->route)) {
     const catalog::workspace* owner =
         catalog::FindWorkspace(*request->configuration, request->incoming.key);
     if (owner == nullptr) return RefuseUnknown(state, exchange, id, {401, "unknown_key"});
--- a/libs/gateway/src/gateway.cc
+++ b/libs/gateway/src/gateway.cc
@@ -127,13 +127,9 @@
     const uint64_t current_version =
         state_.configuration ? state_.configuration->content.version : 0;
     if (document.version <= current_version) return;
-    log::Log(log::level::kInfo, "configuration applied",
-             {{"version", document.version},
-              {"before", current_version},
-              {"routes", document.routes.size()},
-              {"workspaces", document.workspaces.size()}});
     state_.configuration =
         std::make_shared<const catalog::catalog>(catalog::Build(std::move(document)));
+    LogConfiguration(current_version);
     const catalog::request_limits& limits = state_.configuration->content.limits;
     state_.server->SetMaxBodyBytes(limits.max_body_bytes);
     state_.server->SetHeaderLimits(limits.max_header_bytes, limits.header_timeout);
@@ -234,6 +230,28 @@
   }
 
  private:
+  // `before`: the version that was in force before; 0: none.
+  void LogConfiguration(uint64_t before) const {
+    const catalog::document& content = state_.configuration->content;
+    const catalog::key_summary keys = catalog::SummarizeKeys(*state_.configuration);
+    log::Log(log::level::kInfo, "configuration applied",
+             {{"version", content.version},
+              {"before", before},
+              {"routes", content.routes.size()},
+              {"workspaces", content.workspaces ? content.workspaces->size() : 0},
+              {"keys_required", keys.required},
+              {"keys", keys.usable}});
+    const bool nobody = keys.required && keys.usable == 0;
+    if (!nobody && keys.unusable == 0 && keys.shared == 0) return;
+    log::Log(log::level::kWarning,
+             nobody ? "configuration without a usable key; requests that need one are refused"
+                    : "configuration with keys that are unusable or of several workspaces",
+             {{"version", content.version},
+              {"keys", keys.usable},
+              {"unusable", keys.unusable},
+              {"shared", keys.shared}});
+  }
+
   void RefuseWaitingPeriodically() {
     if (!state_.on_stopped) return;
     RefuseWaitingCalls(state_);
--- a/libs/gateway/src/overload.cc
+++ b/libs/gateway/src/overload.cc
@@ -176,14 +176,16 @@
 }
 
 bool HasSeveralPriorities(const catalog::document& content) {
+  const std::vector<catalog::workspace> workspaces =
+      content.workspaces.value_or(std::vector<catalog::workspace>());
   const bool all_own_theirs = std::ranges::all_of(
-      content.workspaces, [](const auto& workspace) { return workspace.priority.has_value(); });
+      workspaces, [](const auto& workspace) { return workspace.priority.has_value(); });
   std::set<int> priorities;
-  for (const catalog::workspace& workspace : content.workspaces) {
+  for (const catalog::workspace& workspace : workspaces) {
     if (workspace.priority) priorities.insert(*workspace.priority);
   }
   for (const catalog::route& route : content.routes) {
-    const bool decides = route.anonymous || content.workspaces.empty() || !all_own_theirs;
+    const bool decides = !catalog::NeedsKey(content, route) || !all_own_theirs;
     if (decides) priorities.insert(route.priority);
   }
   return priorities.size() > 1;
--- a/libs/gateway/tests/priorities_test.cc
+++ b/libs/gateway/tests/priorities_test.cc
@@ -32,7 +32,7 @@
   return engine;
 }
 
-catalog::document Document(std::vector<catalog::workspace> workspaces,
+catalog::document Document(std::optional<std::vector<catalog::workspace>> workspaces,
                            std::vector<int> route_priorities) {
   catalog::document content;
   content.workspaces = std::move(workspaces);
@@ -65,15 +65,17 @@
 }
 
 TEST_CASE("priorities compete only if requests of more than one can arrive") {
-  CHECK_FALSE(HasSeveralPriorities(Document({}, {1, 1})));
-  CHECK(HasSeveralPriorities(Document({}, {0, 1})));
+  CHECK_FALSE(HasSeveralPriorities(Document(std::nullopt, {1, 1})));
+  CHECK(HasSeveralPriorities(Document(std::nullopt, {0, 1})));
+  // Nobody holds a key, so that requests of these routes are refused.
+  CHECK_FALSE(HasSeveralPriorities(Document(std::vector<catalog::workspace>(), {0, 1})));
   const catalog::workspace first{"a", 0, {}};
   const catalog::workspace second{"b", 2, {}};
   const catalog::workspace unset{"c", std::nullopt, {}};
-  CHECK(HasSeveralPriorities(Document({first, second}, {1})));
-  CHECK(HasSeveralPriorities(Document({first, unset}, {1})));
-  CHECK_FALSE(HasSeveralPriorities(Document({first, unset}, {0})));
-  CHECK_FALSE(HasSeveralPriorities(Document({first}, {1, 2})));
+  CHECK(HasSeveralPriorities(Document(std::vector{first, second}, {1})));
+  CHECK(HasSeveralPriorities(Document(std::vector{first, unset}, {1})));
+  CHECK_FALSE(HasSeveralPriorities(Document(std::vector{first, unset}, {0})));
+  CHECK_FALSE(HasSeveralPriorities(Document(std::vector{first}, {1, 2})));
 }
 
 }  // namespace balsambay::gateway
