net: check the bytes of a field's value before its white space is removed

A carriage return before the end of a line was already refused; the check no longer depends on what is trimmed first, and uses TrimSpace(). A section without an end can't be read past its last byte.

--- a/libs/net/include/net/reply_scanner.h
+++ b/libs/net/include/net/reply_scanner.h
@@ -1,6 +1,7 @@
-// Checks the grammar of replies (RFC 9112) before http_parser reads them. The library is packaged
-// without its strict checks: it takes status codes of any length, blanks in field names, and any
-// two bytes at the end of a chunk. No I/O.
+// Checks the grammar of replies (RFC 9112), and of the chunked bodies of requests, which is the
+// same, before http_parser reads them. The library is packaged without its strict checks: it takes
+// status codes of any length, blanks in field names, and any two bytes at the end of a chunk. No
+// I/O.
 #pragma once
 
 #include <cstddef>
--- a/libs/net/src/details/request_head.h
+++ b/libs/net/src/details/request_head.h
@@ -1,6 +1,6 @@
 // Checks the header section of a request as it was received, and derives from it where the request
-// ends (RFC 9112, 6). libsoup leaves malformed lines out, joins others and takes the last one of
-// several values, so that its headers do not show what it decided for the sender. No I/O.
+// ends (RFC 9112, 6). The headers that libsoup returns are no substitute: it leaves malformed lines
+// out, joins folded ones and takes the last one of several values. No I/O.
 #pragma once
 
 #include <cstdint>
--- a/libs/net/src/request_head.cc
+++ b/libs/net/src/request_head.cc
@@ -33,9 +33,9 @@
 
 // Removes the first line and returns it without its end.
 std::string_view TakeLine(std::string_view& text) {
-  const size_t newline = text.find('\n');
+  const size_t newline = std::min(text.find('\n'), text.size());
   std::string_view line = text.substr(0, newline);
-  text.remove_prefix(newline + 1);
+  text.remove_prefix(std::min(newline + 1, text.size()));
   if (line.ends_with('\r')) line.remove_suffix(1);
   return line;
 }
@@ -63,21 +63,15 @@
   return std::nullopt;
 }
 
-std::string_view TrimBlanks(std::string_view text) {
-  constexpr std::string_view kBlanks = " \t";
-  const size_t begin = text.find_first_not_of(kBlanks);
-  if (begin == std::string_view::npos) return {};
-  return text.substr(begin, text.find_last_not_of(kBlanks) - begin + 1);
-}
-
 // A line that begins with a blank folds the one before it, and is refused as in replies.
 std::optional<field_line> ReadFieldLine(std::string_view line) {
   const size_t colon = line.find(':');
   if (colon == 0 || colon == std::string_view::npos) return std::nullopt;
-  const field_line field{line.substr(0, colon), TrimBlanks(line.substr(colon + 1))};
+  const std::string_view name = line.substr(0, colon);
+  const std::string_view value = line.substr(colon + 1);
   const bool valid =
-      std::ranges::all_of(field.name, IsTokenByte) && std::ranges::all_of(field.value, IsTextByte);
-  return valid ? std::optional(field) : std::nullopt;
+      std::ranges::all_of(name, IsTokenByte) && std::ranges::all_of(value, IsTextByte);
+  return valid ? std::optional(field_line{name, TrimSpace(value)}) : std::nullopt;
 }
 
 std::optional<uint64_t> ReadLength(std::string_view value) {
