--- a/libs/net/tests/net_test.cc
+++ b/libs/net/tests/net_test.cc
@@ -184,6 +184,15 @@
 }
 
 // Guards against a server that closes each connection after its first reply.
+// Guards against a reader that takes one of several values.
+TEST_CASE("several values of a request header are read as one list") {
+  fixture f(
+      [](const exchange_ptr& request) { request->Respond(200, {}, request->Header("x-part")); });
+  const whole_reply reply =
+      f.Get({.url = f.Url("/"), .headers = {{"X-Part", "a:1,b:2"}, {"X-Part", "c:3"}}, .body = ""});
+  CHECK(reply.body == "a:1,b:2, c:3");
+}
+
 TEST_CASE("a connection serves several requests") {
   loop main;
   server_handlers handlers;
