--- a/libs/net/src/client_connection.cc
+++ b/libs/net/src/client_connection.cc
@@ -240,7 +240,7 @@
 }
 
 bool client_connection::CheckGrammar() {
-  const std::string_view section = std::string_view(pending_).substr(0, head_.bytes);
+  const std::string_view section = std::string_view{pending_}.substr(0, head_.bytes);
   const request_head head = ReadRequestHead(section, set_->limits.single_fields);
   if (head.fault != head_fault::kNone) {
     Refuse(ReasonOf(head.fault), head.field);
