--- a/libs/base/include/base/text.h
+++ b/libs/base/include/base/text.h
@@ -13,6 +13,10 @@
 
 std::string_view TrimSpace(std::string_view text);
 
+// Removes the first line of `text` and returns it without its end, which is a line feed, or a
+// carriage return and a line feed.
+std::string_view TakeLine(std::string_view& text);
+
 // ASCII only.
 bool EqualsIgnoreCase(std::string_view a, std::string_view b);
 
--- a/libs/base/src/text.cc
+++ b/libs/base/src/text.cc
@@ -25,6 +25,14 @@
   return text.substr(begin, text.find_last_not_of(kSpace) - begin + 1);
 }
 
+std::string_view TakeLine(std::string_view& text) {
+  const size_t end = std::min(text.find('\n'), text.size());
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(std::min(end + 1, text.size()));
+  if (line.ends_with('\r')) line.remove_suffix(1);
+  return line;
+}
+
 bool EqualsIgnoreCase(std::string_view a, std::string_view b) {
   return std::ranges::equal(
       a, b, [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
--- a/libs/gateway/src/event_stream.cc
+++ b/libs/gateway/src/event_stream.cc
@@ -6,6 +6,8 @@
 #include <optional>
 #include <utility>
 
+#include "base/text.h"
+
 namespace balsambay::gateway {
 namespace {
 
@@ -27,15 +29,6 @@
   return number;
 }
 
-// Removes the first line of `text` and returns it without its line end.
-std::string_view TakeLine(std::string_view& text) {
-  const size_t end = std::min(text.find('\n'), text.size());
-  std::string_view line = text.substr(0, end);
-  text.remove_prefix(std::min(end + 1, text.size()));
-  if (line.ends_with('\r')) line.remove_suffix(1);
-  return line;
-}
-
 // Removes the first event of `text`, up to and including its empty line. Returns its id; empty: it
 // has none.
 std::string_view TakeEvent(std::string_view& text) {
--- a/libs/net/src/request_head.cc
+++ b/libs/net/src/request_head.cc
@@ -31,15 +31,6 @@
   std::optional<std::string_view> coding;
 };
 
-// Removes the first line and returns it without its end.
-std::string_view TakeLine(std::string_view& text) {
-  const size_t newline = std::min(text.find('\n'), text.size());
-  std::string_view line = text.substr(0, newline);
-  text.remove_prefix(std::min(newline + 1, text.size()));
-  if (line.ends_with('\r')) line.remove_suffix(1);
-  return line;
-}
-
 // Part of the line before the next blank, which is removed with it.
 std::string_view TakeWord(std::string_view& line) {
   const size_t blank = std::min(line.find(' '), line.size());
